--- /dev/null
+++ b/cmd/pathbend/main.go
@@ -0,0 +1,4 @@
+// Command pathbend runs a node and operates a cluster.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/routing"
+)
+
+// Request is an application request on its way to a back end.
+type Request struct {
+	Tenant string
+	Pool   string
+	Method string
+	// Path is the path and query at the back end, starting with a slash.
+	Path   string
+	Header http.Header
+	// Body is read once unless Buffered holds it whole.
+	Body     io.Reader
+	Buffered []byte
+	// Length is the body's length in bytes, -1 if unknown.
+	Length         int64
+	IdempotencyKey string
+	AtMostOnce     bool
+	MaxAttempts    int
+	Deadline       time.Time
+}
+
+// Balancer picks back ends and learns how attempts end.
+type Balancer interface {
+	// Pick returns nil if no back end may serve the request.
+	Pick(request *routing.Request) *routing.Endpoint
+	Report(endpoint *routing.Endpoint, report Report)
+	MarkLeaving(endpointID string)
+}
+
+// Report tells the balancer how an attempt ended.
+type Report struct {
+	Ending  Ending
+	Latency time.Duration
+	// Neutral is set if the ending says nothing about the back end's health.
+	Neutral bool
+}
+
+// Dispatcher carries requests to back ends. It is safe for concurrent use.
+type Dispatcher struct {
+	exchanger *Exchanger
+	balancer  Balancer
+	zone      string
+	newID     func() string
+	logger    *event.Logger
+
+	mutex  sync.Mutex
+	budget *Budget
+}
+
+// NewDispatcher returns a dispatcher for a node in a zone. newID returns unique
+// request ids.
+func NewDispatcher(exchanger *Exchanger, balancer Balancer, zone string, newID func() string, logger *event.Logger) *Dispatcher {
+	return &Dispatcher{
+		exchanger: exchanger, balancer: balancer, zone: zone, newID: newID, logger: logger, budget: NewBudget(),
+	}
+}
+
+// Do sends the request until it is answered or may not be sent again. The error
+// is a *result.Error whose code tells whether the request was run.
+func (d *Dispatcher) Do(ctx context.Context, request *Request) (*Answer, error) {
+	d.earn()
+	plan := &Plan{
+		AtMostOnce:  request.AtMostOnce,
+		Replayable:  request.Buffered != nil || request.Length == 0,
+		MaxAttempts: request.MaxAttempts,
+		Deadline:    request.Deadline,
+	}
+	route := &routing.Request{Pool: request.Pool, Zone: d.zone}
+	// maybeRun is set once an attempt was lost: from then on no later refusal
+	// may claim that the request was not run.
+	var maybeRun error
+	for {
+		route.Now = time.Now()
+		endpoint := d.balancer.Pick(route)
+		if endpoint == nil {
+			return nil, noBackEnd(request.Pool, maybeRun)
+		}
+		outcome := d.attempt(ctx, request, endpoint)
+		if outcome.ending == Answered {
+			outcome.answer.Attempts = plan.Attempts() + 1
+			outcome.answer.BackEnd = endpoint.ID
+			return outcome.answer, nil
+		}
+		if outcome.ending == Lost {
+			maybeRun = outcome.err
+		}
+		step, pause := plan.Next(time.Now(), outcome.ending, outcome.bodyRead)
+		if step == Stop || !d.spend() || !sleep(ctx, pause) {
+			if maybeRun != nil {
+				return nil, finalError(Lost, maybeRun)
+			}
+			return nil, finalError(outcome.ending, outcome.err)
+		}
+		route.Excluded = append(route.Excluded, endpoint.ID)
+	}
+}
+
+func noBackEnd(pool string, maybeRun error) error {
+	if maybeRun != nil {
+		return result.From(maybeRun)
+	}
+	return result.New(result.NoBackEnd, "no live back end in pool %q", pool).WithRetryAfter(retryHint)
+}
+
+func (d *Dispatcher) earn() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.budget.Earn()
+}
+
+func (d *Dispatcher) spend() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.budget.Spend()
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (d *Dispatcher) attempt(ctx context.Context, request *Request, endpoint *routing.Endpoint) incoming {
+	requestID := d.newID()
+	began := time.Now()
+	attemptCtx, cancel := context.WithDeadline(ctx, request.Deadline)
+	outcome := d.exchanger.exchange(attemptCtx, outgoing{
+		method:    request.Method,
+		url:       "http://" + endpoint.Address + request.Path,
+		header:    d.headerFor(request, requestID),
+		body:      bodyOf(request),
+		length:    request.Length,
+		requestID: requestID,
+	})
+	if outcome.leaving {
+		d.balancer.MarkLeaving(endpoint.ID)
+	}
+	if result.Is(outcome.err, result.AnswerMismatch) {
+		d.logger.Log(event.AnswerMismatched, "back_end", endpoint.ID, "request_id", requestID)
+	}
+	report := Report{Ending: outcome.ending, Latency: time.Since(began), Neutral: ctx.Err() != nil || outcome.leaving}
+	if outcome.answer == nil || outcome.answer.Buffered != nil {
+		cancel()
+		d.balancer.Report(endpoint, report)
+		return outcome
+	}
+	// A streamed answer occupies the back end until its body is closed.
+	outcome.answer.Body = &trackedBody{ReadCloser: outcome.answer.Body, done: func() {
+		cancel()
+		d.balancer.Report(endpoint, report)
+	}}
+	return outcome
+}
+
+func bodyOf(request *Request) io.Reader {
+	if request.Buffered != nil {
+		return bytes.NewReader(request.Buffered)
+	}
+	if request.Body == nil {
+		return http.NoBody
+	}
+	return request.Body
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// StripHopHeaders removes the headers that belong to one connection.
+func StripHopHeaders(header http.Header) {
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+func (d *Dispatcher) headerFor(request *Request, requestID string) http.Header {
+	header := request.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	StripHopHeaders(header)
+	header.Set(HeaderRequestID, requestID)
+	header.Set(HeaderTenant, request.Tenant)
+	remaining := max(time.Until(request.Deadline).Milliseconds(), 0)
+	header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
+	if request.IdempotencyKey != "" {
+		header.Set(HeaderIdempotencyKey, request.IdempotencyKey)
+	}
+	return header
+}
+
+// trackedBody runs done once when the body is closed.
+type trackedBody struct {
+	io.ReadCloser
+	once sync.Once
+	done func()
+}
+
+func (b *trackedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.done)
+	return err
+}
--- /dev/null
+++ b/internal/dispatch/exchange.go
@@ -0,0 +1,257 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+)
+
+// Headers of the protocol between pathbend and back ends (docs/BACKENDS.md).
+const (
+	HeaderRequestID      = "Pathbend-Request-Id"
+	HeaderTenant         = "Pathbend-Tenant"
+	HeaderDeadline       = "Pathbend-Deadline-Ms"
+	HeaderRun            = "Pathbend-Run"
+	HeaderLeaving        = "Pathbend-Leaving"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+const (
+	// bufferedAnswerBytes is the largest answer that is checked whole before
+	// its first byte is passed on.
+	bufferedAnswerBytes = 256 << 10
+	maxIdlePerBackEnd   = 256
+	idleTimeout         = 60 * time.Second
+	dialTimeout         = time.Second
+	maxHeaderBytes      = 64 << 10
+)
+
+// Exchanger performs single HTTP exchanges with back ends.
+type Exchanger struct {
+	client *http.Client
+	closer func()
+}
+
+// NewExchanger returns an exchanger over a network.
+func NewExchanger(network network.Network) *Exchanger {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			connection, err := network.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &meteredConn{Conn: connection}, nil
+		},
+		MaxIdleConnsPerHost:    maxIdlePerBackEnd,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true, // bodies pass through untouched
+	}
+	client := &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Exchanger{client: client, closer: transport.CloseIdleConnections}
+}
+
+// Close releases idle connections.
+func (e *Exchanger) Close() { e.closer() }
+
+// meteredConn counts the bytes written, to tell whether any were sent.
+type meteredConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *meteredConn) Write(buffer []byte) (int, error) {
+	// Counted before the write: a failed write may have sent some of it.
+	c.written.Add(int64(len(buffer)))
+	return c.Conn.Write(buffer)
+}
+
+// opaqueBody hides the type of a body from the transport, which therefore
+// cannot rewind it and never sends the request a second time by itself.
+type opaqueBody struct {
+	reader io.Reader
+	read   atomic.Bool
+}
+
+func (b *opaqueBody) Read(buffer []byte) (int, error) {
+	n, err := b.reader.Read(buffer)
+	if n > 0 {
+		b.read.Store(true)
+	}
+	return n, err
+}
+
+func (b *opaqueBody) Close() error { return nil }
+
+// outgoing is one attempt's request.
+type outgoing struct {
+	method    string
+	url       string
+	header    http.Header
+	body      io.Reader
+	length    int64 // -1 if unknown
+	requestID string
+}
+
+// incoming is the outcome of one exchange.
+type incoming struct {
+	ending   Ending
+	err      error
+	bodyRead bool
+	leaving  bool
+	answer   *Answer
+}
+
+// Answer is a back end's answer. Body must be closed; a read error other than
+// io.EOF means that the answer is truncated.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's length in bytes, -1 if it is not known in advance.
+	Length int64
+	Body   io.ReadCloser
+	// Buffered holds the whole body if it is small, else nil.
+	Buffered []byte
+	// Attempts counts the back ends tried, BackEnd names the one that answered.
+	Attempts int
+	BackEnd  string
+	// Replayed is set if the answer is that of an earlier execution.
+	Replayed bool
+}
+
+// exchange sends the request once and classifies how it ended.
+func (e *Exchanger) exchange(ctx context.Context, out outgoing) incoming {
+	var connection *meteredConn
+	var writtenBefore int64
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connection, _ = info.Conn.(*meteredConn)
+		if connection != nil {
+			writtenBefore = connection.written.Load()
+		}
+	}}
+	body := &opaqueBody{reader: out.body}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), out.method, out.url, body)
+	if err != nil {
+		return incoming{ending: NotSent, err: result.Wrap(result.MalformedRequest, err, "build request")}
+	}
+	request.Header = out.header
+	request.ContentLength = out.length
+	response, err := e.client.Do(request)
+	if err != nil {
+		sent := connection != nil && connection.written.Load() > writtenBefore
+		return classifyFailure(ctx, err, sent, body.read.Load())
+	}
+	return classifyResponse(ctx, response, out.requestID, body.read.Load())
+}
+
+func classifyFailure(ctx context.Context, err error, sent, bodyRead bool) incoming {
+	failed := incoming{ending: Lost, bodyRead: bodyRead}
+	switch {
+	case !sent:
+		failed.ending = NotSent
+		failed.err = result.Wrap(result.BackEndUnreached, err, "send request")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		failed.err = result.New(result.DeadlineExceeded, "no answer before the deadline")
+	case ctx.Err() != nil:
+		failed.err = result.New(result.CallerGone, "the caller went away after the request was sent")
+	default:
+		failed.err = result.Wrap(result.AnswerLost, err, "await answer")
+	}
+	return failed
+}
+
+func classifyResponse(ctx context.Context, response *http.Response, requestID string, bodyRead bool) incoming {
+	outcome := incoming{bodyRead: bodyRead, leaving: response.Header.Get(HeaderLeaving) == "true"}
+	echoed := response.Header.Get(HeaderRequestID)
+	if echoed != requestID {
+		// Closing an unread body closes the connection, which then cannot
+		// deliver a crossed answer to another request.
+		response.Body.Close()
+		outcome.ending = Lost
+		outcome.err = result.New(result.AnswerMismatch, "answer echoes request id %q, not %q", echoed, requestID)
+		return outcome
+	}
+	if response.Header.Get(HeaderRun) == string(result.NotRun) {
+		response.Body.Close()
+		outcome.ending = RefusedByBackEnd
+		outcome.err = result.New(result.BackEndRefused, "back end answered %d and did not run the request", response.StatusCode).
+			WithRetryAfter(retryAfterOf(response.Header))
+		return outcome
+	}
+	answer, err := readAnswer(response)
+	if err != nil {
+		response.Body.Close()
+		failed := classifyFailure(ctx, err, true, bodyRead)
+		if result.Is(failed.err, result.AnswerLost) {
+			failed.err = result.Wrap(result.AnswerTruncated, err, "read answer")
+		}
+		failed.leaving = outcome.leaving
+		return failed
+	}
+	outcome.ending = Answered
+	outcome.answer = answer
+	return outcome
+}
+
+// retryAfterOf parses a Retry-After header in seconds.
+func retryAfterOf(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// readAnswer reads a small body whole. A larger one is left to be streamed.
+func readAnswer(response *http.Response) (*Answer, error) {
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	streams := response.ContentLength < 0 && isEventStream(response.Header)
+	if streams || response.ContentLength > bufferedAnswerBytes {
+		answer.Body = response.Body
+		return answer, nil
+	}
+	var buffer bytes.Buffer
+	if response.ContentLength > 0 {
+		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+	}
+	read, err := io.Copy(&buffer, io.LimitReader(response.Body, bufferedAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if read > bufferedAnswerBytes {
+		answer.Body = &prefixedBody{Reader: io.MultiReader(&buffer, response.Body), closer: response.Body}
+		return answer, nil
+	}
+	response.Body.Close()
+	answer.Buffered = buffer.Bytes()
+	answer.Length = read
+	answer.Body = io.NopCloser(bytes.NewReader(answer.Buffered))
+	return answer, nil
+}
+
+func isEventStream(header http.Header) bool {
+	return header.Get("Content-Type") == "text/event-stream"
+}
+
+type prefixedBody struct {
+	io.Reader
+	closer io.Closer
+}
+
+func (b *prefixedBody) Close() error { return b.closer.Close() }
--- /dev/null
+++ b/internal/emulator/engine_http.go
@@ -0,0 +1,144 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/pathbend/pathbend/internal/engine"
+	"github.com/pathbend/pathbend/internal/network"
+)
+
+// transportOver returns an HTTP transport over a network.
+func transportOver(transport network.Network) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return transport.Dial(ctx, address)
+		},
+	}
+}
+
+// Handler serves the engine's protocol (docs/ENGINES.md).
+func (e *Engine) Handler() http.Handler {
+	router := httprouter.New()
+	router.POST("/v1/completions", e.handleCompletions)
+	router.POST("/v1/orders", e.handleOrder)
+	router.GET("/v1/load", func(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		writeJSON(writer, e.Load())
+	})
+	router.GET("/v1/cache_events", e.handleCacheEvents)
+	router.POST("/v1/kv/export", e.handleExport)
+	router.POST("/v1/kv/import", e.handleImport)
+	return router
+}
+
+func (e *Engine) handleCompletions(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+	var body engine.GenerateRequest
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	chunks, err := e.Generate(body, request.Context().Done())
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writer.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(writer)
+	_ = controller.Flush()
+	finished := false
+	for {
+		select {
+		case chunk, open := <-chunks:
+			if !open {
+				if finished {
+					_, _ = writer.Write([]byte("data: [DONE]\n\n"))
+					return
+				}
+				panic(http.ErrAbortHandler) // the stream broke
+			}
+			finished = chunk.FinishReason != ""
+			if writeChunk(writer, controller, chunk) != nil {
+				return
+			}
+		case <-request.Context().Done():
+			e.wakeUp()
+			return
+		}
+	}
+}
+
+func writeChunk(writer http.ResponseWriter, controller *http.ResponseController, chunk engine.Chunk) error {
+	encoded, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	line := append(append([]byte("data: "), encoded...), '\n', '\n')
+	if _, err := writer.Write(line); err != nil {
+		return err
+	}
+	return controller.Flush()
+}
+
+func (e *Engine) handleOrder(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+	var order engine.Order
+	if err := json.NewDecoder(request.Body).Decode(&order); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err := e.CarryOut(request.Context(), order)
+	switch {
+	case errors.Is(err, engine.ErrStaleFence):
+		http.Error(writer, err.Error(), http.StatusConflict)
+	case err != nil:
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+	default:
+		writeJSON(writer, struct{}{})
+	}
+}
+
+func (e *Engine) handleCacheEvents(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+	from, err := strconv.ParseUint(request.URL.Query().Get("from"), 10, 63)
+	if err != nil {
+		http.Error(writer, "from must be a number", http.StatusBadRequest)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	writeJSON(writer, e.cache.eventsFrom(from))
+}
+
+// kvState is an exported prefix.
+type kvState struct {
+	Prefix uint64 `json:"prefix"`
+	Tokens int    `json:"tokens"`
+}
+
+func (e *Engine) handleExport(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+	var wanted kvState
+	if err := json.NewDecoder(request.Body).Decode(&wanted); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	wanted.Tokens = e.cache.tokens[wanted.Prefix]
+	writeJSON(writer, wanted)
+}
+
+func (e *Engine) handleImport(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+	var state kvState
+	if err := json.NewDecoder(request.Body).Decode(&state); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.cache.use(state.Prefix, state.Tokens)
+	writeJSON(writer, struct{}{})
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/engine"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/routing"
+)
+
+// Fleet is the node's view of all engines and back ends. It is safe for
+// concurrent use.
+type Fleet struct {
+	logger *event.Logger
+
+	mutex       sync.Mutex
+	table       *routing.Table
+	application *routing.Profile
+	generation  *routing.Profile
+	// states holds the last load report of each engine.
+	states map[string]engineReport
+	// news are endpoints found leaving that peers may not know of yet.
+	news []string
+}
+
+type engineReport struct {
+	load engine.Load
+	at   time.Time
+}
+
+// New returns an empty fleet.
+func New(random *rand.Rand, logger *event.Logger) *Fleet {
+	return &Fleet{
+		logger:      logger,
+		table:       routing.NewTable(),
+		application: routing.NewApplicationProfile(random),
+		generation:  routing.NewGenerationProfile(random),
+		states:      make(map[string]engineReport),
+	}
+}
+
+// Update takes in the machine list.
+func (f *Fleet) Update(machines []Machine) {
+	listed := make([]routing.Machine, 0, len(machines))
+	for _, machine := range machines {
+		if machine.Role == RoleNode {
+			continue
+		}
+		listed = append(listed, routing.Machine{
+			ID: machine.ID, Pool: machine.Pool, Address: machine.Address, Zone: machine.Zone, Leaving: machine.Leaving,
+		})
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	changes := f.table.Update(listed)
+	for _, endpoint := range changes.Added {
+		f.logger.Log(event.EndpointAdded, "endpoint", endpoint.ID, "pool", endpoint.Pool, "zone", endpoint.Zone)
+	}
+	for _, endpoint := range changes.Leaving {
+		f.logger.Log(event.EndpointLeaving, "endpoint", endpoint.ID, "source", "list")
+	}
+	for _, endpoint := range changes.Gone {
+		delete(f.states, endpoint.ID)
+		f.logger.Log(event.EndpointGone, "endpoint", endpoint.ID)
+	}
+}
+
+// Pick implements dispatch.Balancer for back ends. The attempt counts as
+// started.
+func (f *Fleet) Pick(request *routing.Request) *routing.Endpoint {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return started(f.application.Pick(f.table, request))
+}
+
+// PickEngine chooses an engine for a generation, which counts as started.
+func (f *Fleet) PickEngine(request *routing.Request) *routing.Endpoint {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return started(f.generation.Pick(f.table, request))
+}
+
+func started(endpoint *routing.Endpoint) *routing.Endpoint {
+	if endpoint != nil {
+		endpoint.Started()
+	}
+	return endpoint
+}
+
+// Report implements dispatch.Balancer.
+func (f *Fleet) Report(endpoint *routing.Endpoint, report dispatch.Report) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	switch {
+	case report.Ending == dispatch.Answered:
+		endpoint.Succeeded(report.Latency)
+	case report.Neutral || report.Ending == dispatch.RefusedByBackEnd:
+		endpoint.Released()
+	case endpoint.Failed(time.Now()):
+		f.logger.Log(event.EndpointSlow, "endpoint", endpoint.ID)
+	}
+}
+
+// MarkLeaving implements dispatch.Balancer: the endpoint itself said so.
+func (f *Fleet) MarkLeaving(id string) { f.markLeaving(id, "endpoint") }
+
+// MarkLeavingFromPeer takes in what another node found out.
+func (f *Fleet) MarkLeavingFromPeer(id string) { f.markLeaving(id, "peer") }
+
+func (f *Fleet) markLeaving(id, source string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.table.Get(id) == nil || !f.table.MarkLeaving(id) {
+		return
+	}
+	f.news = append(f.news, id)
+	f.logger.Log(event.EndpointLeaving, "endpoint", id, "source", source)
+}
+
+// TakeNews returns the endpoints found leaving since the last call.
+func (f *Fleet) TakeNews() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	news := f.news
+	f.news = nil
+	return news
+}
+
+// Engine is an engine's identity for polling and orders.
+type Engine struct {
+	ID      string
+	Address string
+	Leaving bool
+}
+
+// Engines lists the endpoints of a pool.
+func (f *Fleet) Engines(pool string) []Engine {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	endpoints := f.table.Pool(pool)
+	engines := make([]Engine, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		engines = append(engines, Engine{ID: endpoint.ID, Address: endpoint.Address, Leaving: endpoint.Leaving})
+	}
+	return engines
+}
+
+// TakeLoad takes in an engine's load report.
+func (f *Fleet) TakeLoad(id string, load engine.Load, at time.Time) {
+	versions := make(map[string]uint64, len(load.Models))
+	for _, model := range load.Models {
+		versions[model.Model] = model.Serving
+	}
+	f.mutex.Lock()
+	endpoint := f.table.Get(id)
+	if endpoint != nil {
+		f.states[id] = engineReport{load: load, at: at}
+		endpoint.Reported(routing.LoadReport{
+			Running: load.Running, Waiting: load.Waiting, Capacity: load.Capacity, Versions: versions,
+		}, at)
+	}
+	f.mutex.Unlock()
+	if load.Leaving {
+		f.MarkLeaving(id)
+	}
+}
+
+// EngineReport returns the last load report and its time; false if there is
+// none.
+func (f *Fleet) EngineReport(id string) (engine.Load, time.Time, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	report, ok := f.states[id]
+	return report.load, report.at, ok
+}
+
+// EndpointStatus describes an endpoint for the status page.
+type EndpointStatus struct {
+	ID       string              `json:"id"`
+	Pool     string              `json:"pool"`
+	Zone     string              `json:"zone"`
+	Address  string              `json:"address"`
+	Leaving  bool                `json:"leaving"`
+	Ejected  bool                `json:"ejected"`
+	InFlight int                 `json:"in_flight"`
+	Load     int                 `json:"load"`
+	Models   []engine.ModelState `json:"models,omitempty"`
+}
+
+// Status lists all endpoints by pool and id.
+func (f *Fleet) Status() []EndpointStatus {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Now()
+	var statuses []EndpointStatus
+	for _, pool := range f.table.Pools() {
+		for _, endpoint := range f.table.Pool(pool) {
+			statuses = append(statuses, EndpointStatus{
+				ID: endpoint.ID, Pool: endpoint.Pool, Zone: endpoint.Zone, Address: endpoint.Address,
+				Leaving: endpoint.Leaving, Ejected: endpoint.Ejected(now), InFlight: endpoint.InFlight,
+				Load: endpoint.Load(), Models: f.states[endpoint.ID].load.Models,
+			})
+		}
+	}
+	return statuses
+}
--- /dev/null
+++ b/internal/fleet/machines.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/network"
+)
+
+// Role is the role of a machine in the platform's list.
+type Role string
+
+// Roles of machines.
+const (
+	RoleNode    Role = "node"
+	RoleEngine  Role = "engine"
+	RoleBackEnd Role = "back_end"
+)
+
+// Machine is one entry of the platform's machine list.
+type Machine struct {
+	ID      string `json:"id"`
+	Role    Role   `json:"role"`
+	Pool    string `json:"pool,omitempty"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+const (
+	listTimeout  = 2 * time.Second
+	maxListBytes = 8 << 20
+)
+
+// ListClient reads the platform's machine list (docs/PLATFORM.md).
+type ListClient struct {
+	url    string
+	client *http.Client
+}
+
+// NewListClient returns a client of the service at a host:port address.
+func NewListClient(network network.Network, address string) *ListClient {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return network.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &ListClient{url: "http://" + address + "/v1/machines", client: &http.Client{Transport: transport}}
+}
+
+// Close releases idle connections.
+func (c *ListClient) Close() { c.client.CloseIdleConnections() }
+
+// List fetches the machine list.
+func (c *ListClient) List(ctx context.Context) ([]Machine, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("machine list answered %d", response.StatusCode)
+	}
+	var answer struct {
+		Machines []Machine `json:"machines"`
+	}
+	if err := json.Unmarshal(content, &answer); err != nil {
+		return nil, fmt.Errorf("decode machine list: %w", err)
+	}
+	return answer.Machines, nil
+}
--- /dev/null
+++ b/internal/logstore/client.go
@@ -0,0 +1,196 @@
+package logstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"google.golang.org/protobuf/proto"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+)
+
+// ControlStream is the stream of configuration, roster and lease records.
+const ControlStream = "pathbend.control"
+
+const (
+	// MaxRecordBytes bounds one record.
+	MaxRecordBytes = 4 << 20
+	// MaxBatchBytes bounds one read answer.
+	MaxBatchBytes = 32 << 20
+	// requestMargin is added to the wait of a read for its answer to travel.
+	requestMargin = 3 * time.Second
+	appendTimeout = 3 * time.Second
+	retryInitial  = 50 * time.Millisecond
+	retryMax      = 2 * time.Second
+)
+
+// Entry is one record with its place in the stream.
+type Entry struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Batch is the answer to a read: entries in offset order without gaps.
+type Batch struct {
+	Entries []Entry `json:"records"`
+	// End is the offset after the last record of the stream.
+	End uint64 `json:"end"`
+}
+
+// Reader reads a stream. With no record at from it waits up to wait for one.
+type Reader interface {
+	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error)
+}
+
+// Appender appends one record. result.LogUnavailable promises that nothing was
+// appended; result.LogUnknown leaves it open.
+type Appender interface {
+	Append(ctx context.Context, stream string, data []byte) (offset uint64, err error)
+}
+
+// Client speaks to the platform's log service.
+type Client struct {
+	baseURL string
+	client  *http.Client
+}
+
+// NewClient returns a client of the log service at a host:port address.
+func NewClient(network network.Network, address string) *Client {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return network.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &Client{baseURL: "http://" + address, client: &http.Client{Transport: transport}}
+}
+
+// Close releases idle connections.
+func (c *Client) Close() { c.client.CloseIdleConnections() }
+
+// Read implements Reader.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+requestMargin)
+	defer cancel()
+	target := fmt.Sprintf("%s/v1/streams/%s/records?from=%d&max=%d&wait_ms=%d",
+		c.baseURL, url.PathEscape(stream), from, limit, wait.Milliseconds())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Batch{}, result.Wrap(result.LogUnavailable, err, "read log")
+	}
+	var batch Batch
+	if err := c.do(request, MaxBatchBytes, &batch); err != nil {
+		return Batch{}, result.Wrap(result.LogUnavailable, err, "read log")
+	}
+	for i, entry := range batch.Entries {
+		if entry.Offset != from+uint64(i) {
+			return Batch{}, result.New(result.LogUnavailable, "read log: offset %d where %d was due", entry.Offset, from+uint64(i))
+		}
+	}
+	return batch, nil
+}
+
+// Append implements Appender.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if len(data) > MaxRecordBytes {
+		return 0, result.New(result.LogUnavailable, "record of %d bytes is over the limit of %d", len(data), MaxRecordBytes)
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	target := fmt.Sprintf("%s/v1/streams/%s/records", c.baseURL, url.PathEscape(stream))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(data))
+	if err != nil {
+		return 0, result.Wrap(result.LogUnavailable, err, "append to log")
+	}
+	// The platform does not deduplicate; only this client decides to repeat.
+	request.GetBody = nil
+	var answer struct {
+		Offset uint64 `json:"offset"`
+	}
+	if err := c.do(request, MaxRecordBytes, &answer); err != nil {
+		return 0, classifyAppend(err)
+	}
+	return answer.Offset, nil
+}
+
+// statusError is an answer other than 200.
+type statusError struct {
+	status int
+	body   string
+}
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("log service answered %d: %s", e.status, strings.TrimSpace(e.body))
+}
+
+// classifyAppend tells refusals, which appended nothing, from lost answers.
+func classifyAppend(err error) error {
+	if refusal, ok := err.(*statusError); ok && refusal.status == http.StatusServiceUnavailable {
+		return result.Wrap(result.LogUnavailable, err, "append to log")
+	}
+	return result.Wrap(result.LogUnknown, err, "append to log")
+}
+
+func (c *Client) do(request *http.Request, limit int64, target any) error {
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return &statusError{status: response.StatusCode, body: string(body[:min(len(body), 200)])}
+	}
+	return json.Unmarshal(body, target)
+}
+
+// AppendRecord appends the record until the log confirms it or ctx ends. The
+// same record id goes out on every try.
+func AppendRecord(ctx context.Context, appender Appender, record *pathbendv1.Record) (uint64, error) {
+	data, err := proto.Marshal(record)
+	if err != nil {
+		return 0, result.Wrap(result.RecordMalformed, err, "encode record")
+	}
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval = retryInitial
+	policy.MaxInterval = retryMax
+	var lastErr error
+	offset, err := backoff.Retry(ctx, func() (uint64, error) {
+		offset, err := appender.Append(ctx, ControlStream, data)
+		if err != nil {
+			lastErr = err
+		}
+		return offset, err
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	if err != nil && lastErr != nil {
+		return 0, lastErr
+	}
+	return offset, err
+}
+
+// DecodeRecord decodes one record. The error carries result.RecordMalformed.
+func DecodeRecord(data []byte) (*pathbendv1.Record, error) {
+	record := &pathbendv1.Record{}
+	if err := proto.Unmarshal(data, record); err != nil {
+		return nil, result.Wrap(result.RecordMalformed, err, "decode record")
+	}
+	if record.Id == "" || record.Body == nil {
+		return nil, result.New(result.RecordMalformed, "record without id or body")
+	}
+	return record, nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/pathbend/pathbend/internal/admission"
+	"github.com/pathbend/pathbend/internal/config"
+	"github.com/pathbend/pathbend/internal/control"
+	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/engine"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/fleet"
+	"github.com/pathbend/pathbend/internal/gateway"
+	"github.com/pathbend/pathbend/internal/keyed"
+	"github.com/pathbend/pathbend/internal/logstore"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/peer"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/rollout"
+	"github.com/pathbend/pathbend/internal/state"
+)
+
+// Node is one pathbend process. Its methods are safe for concurrent use.
+type Node struct {
+	id       string
+	settings Settings
+	network  network.Network
+	logger   *event.Logger
+	started  time.Time
+
+	log      *logstore.Client
+	list     *fleet.ListClient
+	machines machineCache
+	follower *control.Follower
+	members  *members
+	fleet    *fleet.Fleet
+	engines  *engine.Client
+	replicas *replicas
+	gate     *admission.Gate
+	exchange *dispatch.Exchanger
+	keyed    *keyed.Executor
+	jobs     *jobs
+	manager  *rollout.Manager
+	weights  *weightRoller
+	gateway  *gateway.Gateway
+	metrics  *metrics
+
+	peers      *peer.Pool
+	peerServer *peer.Server
+
+	// current is the configuration in force, swapped as a whole.
+	current atomic.Pointer[state.Revision]
+
+	idMutex  sync.Mutex
+	idRandom *rand.Rand
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	loops      conc.WaitGroup
+	listeners  []net.Listener
+	httpServer *http.Server
+	admin      *http.Server
+
+	drainOnce sync.Once
+	drained   chan struct{}
+	draining  atomic.Bool
+}
+
+// randomIDBytes is the length of the random part of ids.
+const randomIDBytes = 8
+
+// New returns a node that has not started.
+func New(settings Settings, transport network.Network, logger *event.Logger) (*Node, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	seed := settings.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	n := &Node{
+		settings: settings, network: transport, logger: logger, started: time.Now(),
+		idRandom: rand.New(rand.NewPCG(seed, 1)),
+		drained:  make(chan struct{}),
+	}
+	n.id = settings.Name + "-" + n.randomHex()
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.log = logstore.NewClient(transport, settings.LogAddress)
+	n.list = fleet.NewListClient(transport, settings.MachinesAddress)
+	n.peers = peer.NewPool(transport, n.id)
+	n.peerServer = peer.NewServer(n, logger)
+	n.metrics = newMetrics(n)
+	n.fleet = fleet.New(rand.New(rand.NewPCG(seed, 2)), logger)
+	n.engines = engine.NewClient(transport)
+	n.members = newMembers(n, rand.New(rand.NewPCG(seed, 3)))
+	n.replicas = newReplicas(n)
+	n.gate = admission.NewGate()
+	n.weights = newWeightRoller(n)
+	n.follower = control.NewFollower(n, n.onStateChange, logger)
+	n.exchange = dispatch.NewExchanger(transport)
+	dispatcher := dispatch.NewDispatcher(n.exchange, n.fleet, settings.Zone, n.NewID, logger)
+	n.keyed = keyed.NewExecutor(n.id, n.replicas, dispatcher, n.NewID)
+	generator := &generator{node: n}
+	n.manager = rollout.NewManager(generator, logger)
+	n.jobs = &jobs{node: n}
+	n.gateway = gateway.New(gateway.Services{
+		Configuration: n, Admission: n.gate, Dispatcher: dispatcher, Keyed: n.keyed,
+		Completer: generator, Jobs: n.jobs, Recorder: n.metrics, Logger: logger, NewID: n.NewID, NodeID: n.id,
+	})
+	return n, nil
+}
+
+// ID returns the id of the process, which is new at every start.
+func (n *Node) ID() string { return n.id }
+
+// NewID returns a unique id that names this process.
+func (n *Node) NewID() string { return n.id + "." + n.randomHex() }
+
+func (n *Node) randomHex() string {
+	n.idMutex.Lock()
+	defer n.idMutex.Unlock()
+	var buffer [randomIDBytes]byte
+	for i := range buffer {
+		buffer[i] = byte(n.idRandom.Uint32())
+	}
+	return hex.EncodeToString(buffer[:])
+}
+
+// Current implements gateway.Configuration.
+func (n *Node) Current() (*config.Document, uint64) {
+	revision := n.current.Load()
+	if revision == nil || !n.follower.CaughtUp() {
+		return nil, 0
+	}
+	return revision.Document, revision.Number
+}
+
+// Start opens the listeners and starts the loops.
+func (n *Node) Start() error {
+	n.logger.Log(event.NodeStarting, "node", n.id, "zone", n.settings.Zone, "http", n.settings.HTTPAddress, "peer", n.settings.PeerAddress)
+	peerListener, err := n.listen(n.settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	httpListener, err := n.listen(n.settings.HTTPAddress)
+	if err != nil {
+		return err
+	}
+	adminListener, err := n.listen(n.settings.AdminAddress)
+	if err != nil {
+		return err
+	}
+	n.httpServer = n.gateway.Server()
+	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	// Each Serve returns when its listener or server is closed.
+	n.loops.Go(func() { _ = n.peerServer.Serve(peerListener) })
+	n.loops.Go(func() { _ = n.httpServer.Serve(httpListener) })
+	n.loops.Go(func() { _ = n.admin.Serve(adminListener) })
+	for _, loop := range []func(context.Context){
+		n.followLoop, n.follower.Run, n.members.loop, n.pollEnginesLoop, n.replicas.loop, n.weights.loop, n.rosterLoop,
+	} {
+		n.loops.Go(func() { loop(n.ctx) })
+	}
+	return nil
+}
+
+func (n *Node) listen(address string) (net.Listener, error) {
+	listener, err := n.network.Listen(address)
+	if err != nil {
+		n.closeListeners()
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	n.listeners = append(n.listeners, listener)
+	return listener, nil
+}
+
+func (n *Node) closeListeners() {
+	for _, listener := range n.listeners {
+		listener.Close()
+	}
+}
+
+// Ready reports whether the node takes new work.
+func (n *Node) Ready() bool {
+	document, _ := n.Current()
+	return document != nil && !n.draining.Load()
+}
+
+// Drain announces that the node leaves, refuses new work as not run, finishes
+// what runs and hands its jobs over. It returns when that is done or the drain
+// timeout has passed; a second call waits for the first.
+func (n *Node) Drain() {
+	n.drainOnce.Do(func() {
+		defer close(n.drained)
+		n.drain()
+	})
+	<-n.drained
+}
+
+func (n *Node) drain() {
+	n.logger.Log(event.NodeDraining, "active", n.gateway.Active())
+	n.draining.Store(true)
+	n.members.leave()
+	n.gate.Close(result.New(result.Draining, "this node is leaving"))
+	idle := n.gateway.Drain()
+	n.jobs.handOver()
+	timer := time.NewTimer(n.settings.DrainTimeout)
+	defer timer.Stop()
+	select {
+	case <-idle:
+	case <-timer.C:
+		n.logger.Log(event.DrainTimedOut, "active", n.gateway.Active())
+	}
+	n.leaveRoster()
+}
+
+// Stop ends the process's work at once. Call Drain before for a planned stop.
+func (n *Node) Stop() {
+	n.members.depart()
+	n.cancel()
+	n.httpServer.Close()
+	n.admin.Close()
+	n.closeListeners()
+	n.manager.Close()
+	n.peerServer.Close()
+	n.peers.Close()
+	n.loops.Wait()
+	n.keyed.Wait()
+	n.exchange.Close()
+	n.engines.Close()
+	n.log.Close()
+	n.list.Close()
+	n.logger.Log(event.NodeStopped, "node", n.id)
+}
+
+// AdminAddress returns the address on which operators are served, with the
+// port that was chosen if the settings say port 0.
+func (n *Node) AdminAddress() string { return n.listeners[2].Addr().String() }
+
+// HTTPAddress returns the address on which callers are served.
+func (n *Node) HTTPAddress() string { return n.listeners[1].Addr().String() }
+
+func (n *Node) String() string { return fmt.Sprintf("node %s in %s", n.id, n.settings.Zone) }
--- /dev/null
+++ b/internal/node/replicas.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/idempotency"
+	"github.com/pathbend/pathbend/internal/keyed"
+	"github.com/pathbend/pathbend/internal/peer"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/shard"
+	"github.com/pathbend/pathbend/internal/state"
+)
+
+const (
+	// syncInterval is how often due fetches of shards are tried.
+	syncInterval = 100 * time.Millisecond
+	syncTimeout  = time.Second
+	// expireInterval is how often old bindings are forgotten.
+	expireInterval = 10 * time.Second
+	// maxConcurrentSyncs bounds the fetches in progress.
+	maxConcurrentSyncs = 64
+	fetchMargin        = 500 * time.Millisecond
+)
+
+// replicas drives this node's replica of the idempotency keys and reaches
+// those of other nodes. It implements keyed.Replicas.
+type replicas struct {
+	node *Node
+
+	mutex   sync.Mutex
+	replica *idempotency.Replica
+	// exported holds the shards that other nodes fetched, by the generation
+	// they fetched for.
+	exported map[int]uint64
+	expired  time.Time
+}
+
+func newReplicas(n *Node) *replicas {
+	return &replicas{node: n, replica: idempotency.NewReplica(n.id), exported: make(map[int]uint64)}
+}
+
+// follow takes in new replica groups.
+func (r *replicas) follow(table *shard.Table) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.replica.Follow(table, time.Now())
+}
+
+// Group implements keyed.Replicas.
+func (r *replicas) Group(index int) shard.Group {
+	var group shard.Group
+	r.node.follower.View(func(machine *state.Machine) { group = machine.Shards().Group(index) })
+	return group
+}
+
+// Claim implements keyed.Replicas.
+func (r *replicas) Claim(ctx context.Context, member string, claim idempotency.Claim) (idempotency.Grant, error) {
+	if member == r.node.id {
+		return r.claimHere(claim), nil
+	}
+	address, err := r.node.addressOf(member)
+	if err != nil {
+		return idempotency.Grant{}, err
+	}
+	reply, err := r.node.peers.Call(ctx, address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_ClaimKey{
+		ClaimKey: &pathbendv1.ClaimKey{
+			Shard: uint32(claim.Shard), Generation: claim.Generation, Key: claim.Key,
+			Executor: claim.Binding.Executor, RequestId: claim.Binding.RequestID, Release: claim.Release,
+		},
+	}})
+	if err != nil {
+		return idempotency.Grant{}, err
+	}
+	grant := reply.GetKeyGrant()
+	return idempotency.Grant{
+		Status:  idempotency.Status(grant.GetStatus()),
+		Binding: idempotency.Binding{Executor: grant.GetExecutor(), RequestID: grant.GetRequestId()},
+	}, nil
+}
+
+func (r *replicas) claimHere(claim idempotency.Claim) idempotency.Grant {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.replica.Claim(claim, time.Now())
+}
+
+// handleClaim answers a claim of a peer.
+func (r *replicas) handleClaim(claim *pathbendv1.ClaimKey) *pathbendv1.KeyGrant {
+	grant := r.claimHere(idempotency.Claim{
+		Shard: int(claim.Shard), Generation: claim.Generation, Key: claim.Key, Release: claim.Release,
+		Binding: idempotency.Binding{Executor: claim.Executor, RequestID: claim.RequestId},
+	})
+	return &pathbendv1.KeyGrant{
+		Status: pathbendv1.GrantStatus(grant.Status), Executor: grant.Binding.Executor, RequestId: grant.Binding.RequestID,
+	}
+}
+
+// handleSync gives a shard's entries to a member of a later generation.
+func (r *replicas) handleSync(call *pathbendv1.SyncShard) *pathbendv1.ShardEntries {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	entries, ready := r.replica.Export(int(call.Shard), call.Generation, call.FormerGeneration, time.Now())
+	if ready {
+		r.exported[int(call.Shard)] = max(r.exported[int(call.Shard)], call.Generation)
+	}
+	encoded := &pathbendv1.ShardEntries{Ready: ready}
+	for _, entry := range entries {
+		encoded.Entries = append(encoded.Entries, &pathbendv1.KeyEntry{
+			Key: entry.Key, Executor: entry.Binding.Executor, RequestId: entry.Binding.RequestID, AgeMs: entry.Age.Milliseconds(),
+		})
+	}
+	return encoded
+}
+
+// loop fetches the shards that this node became a member of.
+func (r *replicas) loop(ctx context.Context) {
+	every(ctx, syncInterval, func() { r.syncDue(ctx) })
+}
+
+func (r *replicas) syncDue(ctx context.Context) {
+	now := time.Now()
+	r.mutex.Lock()
+	tasks := r.replica.Tasks(now)
+	if now.Sub(r.expired) >= expireInterval {
+		r.expired = now
+		r.replica.Expire(now)
+	}
+	r.mutex.Unlock()
+	var fetches conc.WaitGroup
+	slots := make(chan struct{}, maxConcurrentSyncs)
+	for _, task := range tasks {
+		for _, source := range task.Sources {
+			slots <- struct{}{}
+			fetches.Go(func() {
+				defer func() { <-slots }()
+				r.fetch(ctx, task, source)
+			})
+		}
+	}
+	fetches.Wait()
+}
+
+func (r *replicas) fetch(ctx context.Context, task idempotency.SyncTask, source string) {
+	address, err := r.node.addressOf(source)
+	if err != nil {
+		return // tried again at the next interval
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	reply, err := r.node.peers.Call(ctx, address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_SyncShard{
+		SyncShard: &pathbendv1.SyncShard{
+			Shard: uint32(task.Shard), Generation: task.Generation, FormerGeneration: task.FormerGeneration,
+		},
+	}})
+	if err != nil || !reply.GetShardEntries().GetReady() {
+		return
+	}
+	var entries []idempotency.Entry
+	for _, entry := range reply.GetShardEntries().GetEntries() {
+		entries = append(entries, idempotency.Entry{
+			Key: entry.Key, Age: time.Duration(entry.AgeMs) * time.Millisecond,
+			Binding: idempotency.Binding{Executor: entry.Executor, RequestID: entry.RequestId},
+		})
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.replica.Synced(task, source, entries, time.Now())
+}
+
+// awaitExported waits until every shard that gained a member by this node's
+// leave has been fetched from here.
+func (r *replicas) awaitExported(ctx context.Context) {
+	const pollInterval = 20 * time.Millisecond
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for len(r.awaited()) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *replicas) awaited() []int {
+	var due []int
+	for index := range shard.Count {
+		group := r.Group(index)
+		if !slices.Contains(group.Former, r.node.id) || slices.Contains(group.Members, r.node.id) {
+			continue
+		}
+		gained := slices.ContainsFunc(group.Members, func(member string) bool { return !slices.Contains(group.Former, member) })
+		r.mutex.Lock()
+		fetched := r.exported[index] >= group.Generation
+		r.mutex.Unlock()
+		if gained && !fetched {
+			due = append(due, index)
+		}
+	}
+	return due
+}
+
+// FetchAnswer implements keyed.Replicas.
+func (r *replicas) FetchAnswer(ctx context.Context, executor, key string) (keyed.Stored, bool, error) {
+	address, err := r.node.addressOf(executor)
+	if err != nil {
+		return keyed.Stored{}, false, err
+	}
+	wait := time.Second
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = max(time.Until(deadline)-fetchMargin, 0)
+	}
+	reply, err := r.node.peers.Call(ctx, address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_FetchAnswer{
+		FetchAnswer: &pathbendv1.FetchAnswer{Key: key, WaitMs: wait.Milliseconds()},
+	}})
+	if err != nil {
+		return keyed.Stored{}, false, err
+	}
+	return decodeStored(reply.GetStoredAnswer())
+}
+
+func decodeStored(encoded *pathbendv1.StoredAnswer) (keyed.Stored, bool, error) {
+	if !encoded.GetFound() {
+		return keyed.Stored{}, false, nil
+	}
+	stored := keyed.Stored{Status: int(encoded.Status), Header: make(http.Header), Body: encoded.Body, TooLarge: encoded.TooLarge}
+	for _, header := range encoded.Headers {
+		stored.Header.Add(header.Name, header.Value)
+	}
+	if encoded.Failure != nil {
+		stored.Err = peer.ErrorOf(encoded.Failure)
+	}
+	return stored, true, nil
+}
+
+// handleFetch answers a peer that asks for the outcome under a key.
+func (n *Node) handleFetch(ctx context.Context, call *pathbendv1.FetchAnswer) *pathbendv1.StoredAnswer {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.WaitMs)*time.Millisecond)
+	defer cancel()
+	stored, found := n.keyed.Stored(ctx, call.Key)
+	if !found {
+		return &pathbendv1.StoredAnswer{}
+	}
+	encoded := &pathbendv1.StoredAnswer{Found: true, Status: int32(stored.Status), Body: stored.Body, TooLarge: stored.TooLarge}
+	for _, name := range sortedKeys(stored.Header) {
+		for _, value := range stored.Header[name] {
+			encoded.Headers = append(encoded.Headers, &pathbendv1.Header{Name: name, Value: value})
+		}
+	}
+	if stored.Err != nil {
+		encoded.Failure = peer.FailureOf(stored.Err)
+	}
+	return encoded
+}
+
+// addressOf finds the peer address of a node.
+func (n *Node) addressOf(id string) (string, error) {
+	if member, ok := n.members.get(id); ok && member.Status != deadMember {
+		return member.Address, nil
+	}
+	// The membership may lag behind the roster while a node joins.
+	if listed, ok := n.roster()[id]; ok {
+		if _, known := n.members.get(id); !known {
+			return listed.Address, nil
+		}
+	}
+	return "", result.New(result.PeerUnreached, "node %s is not a live member", id)
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"bufio"
+	"io"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/result"
+)
+
+const (
+	// ProtocolVersion is the version of the peer protocol.
+	ProtocolVersion = 1
+	// MaxFrameBytes bounds one frame, and with it the memory that a
+	// connection can make the node allocate.
+	MaxFrameBytes = 16 << 20
+)
+
+// ReadEnvelope reads one frame. It returns io.EOF at a clean end of stream, the
+// connection's own error if that broke, and result.FrameTooLarge or
+// result.FrameMalformed if what arrived is no frame.
+func ReadEnvelope(reader *bufio.Reader) (*pathbendv1.Envelope, error) {
+	envelope := &pathbendv1.Envelope{}
+	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
+	err := options.UnmarshalFrom(reader, envelope)
+	var tooLarge *protodelim.SizeTooLargeError
+	switch {
+	case err == nil:
+		return envelope, nil
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, io.EOF
+	case isConnectionError(err):
+		return nil, err
+	case errors.As(err, &tooLarge):
+		return nil, result.Wrap(result.FrameTooLarge, err, "read frame")
+	default:
+		return nil, result.Wrap(result.FrameMalformed, err, "read frame")
+	}
+}
+
+func isConnectionError(err error) bool {
+	var operation net.Error
+	return errors.As(err, &operation) || errors.IsAny(err, net.ErrClosed, io.ErrClosedPipe)
+}
+
+// WriteEnvelope writes one frame without flushing.
+func WriteEnvelope(writer *bufio.Writer, envelope *pathbendv1.Envelope) error {
+	_, err := protodelim.MarshalTo(writer, envelope)
+	return err
+}
+
+// failureOf converts an error to its wire form.
+func failureOf(err error) *pathbendv1.Failure {
+	typed := result.From(err)
+	return &pathbendv1.Failure{
+		Code:         int32(typed.Code),
+		Detail:       typed.Detail,
+		Field:        typed.Field,
+		RetryAfterMs: typed.RetryAfter.Milliseconds(),
+	}
+}
+
+// FailureOf converts an error to the form stored in a peer message.
+func FailureOf(err error) *pathbendv1.Failure { return failureOf(err) }
--- /dev/null
+++ b/internal/routing/endpoint.go
@@ -0,0 +1,98 @@
+package routing
+
+import "time"
+
+// Endpoint is one engine or back end.
+type Endpoint struct {
+	ID      string
+	Address string
+	Zone    string
+	Pool    string
+	// Leaving is set once the endpoint accepts no new work, from whichever
+	// source said so first. It is never cleared.
+	Leaving bool
+	// InFlight is the work that this node has at the endpoint.
+	InFlight int
+	// Report is the last load report; ReportedAt is zero if there is none.
+	Report     LoadReport
+	ReportedAt time.Time
+	// SentSinceReport is the work started here since the report was made.
+	SentSinceReport int
+	// Latency is a moving average of the time to a whole answer.
+	Latency time.Duration
+
+	consecutiveFailures int
+	ejections           int
+	ejectedUntil        time.Time
+}
+
+// LoadReport is what an engine tells of itself. It lags.
+type LoadReport struct {
+	Running  int
+	Waiting  int
+	Capacity int
+	// Versions maps a model to the weight version that is served.
+	Versions map[string]uint64
+}
+
+const (
+	// failuresToEject is how many failures in a row make an endpoint avoided.
+	failuresToEject = 3
+	// ejectBase doubles with every ejection in a row up to ejectMax.
+	ejectBase = time.Second
+	ejectMax  = 30 * time.Second
+	// latencyWeight is the share of a new observation in the moving average.
+	latencyWeight = 8
+)
+
+// Load is the estimated work at the endpoint: the lagging report corrected by
+// what this node sent since, and never below what it has in flight.
+func (e *Endpoint) Load() int {
+	return max(e.InFlight, e.Report.Running+e.Report.Waiting+e.SentSinceReport)
+}
+
+// Ejected reports whether the endpoint is avoided after failures.
+func (e *Endpoint) Ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
+
+// Started records that an attempt went to the endpoint.
+func (e *Endpoint) Started() {
+	e.InFlight++
+	e.SentSinceReport++
+}
+
+// Succeeded records a whole answer.
+func (e *Endpoint) Succeeded(latency time.Duration) {
+	e.InFlight--
+	e.consecutiveFailures = 0
+	e.ejections = 0
+	if e.Latency == 0 {
+		e.Latency = latency
+		return
+	}
+	e.Latency += (latency - e.Latency) / latencyWeight
+}
+
+// Released records an attempt that ended without telling about the endpoint's
+// health, such as one that the caller cancelled.
+func (e *Endpoint) Released() { e.InFlight-- }
+
+// Failed records a failed attempt and reports whether the endpoint is ejected
+// by it.
+func (e *Endpoint) Failed(now time.Time) bool {
+	e.InFlight--
+	e.consecutiveFailures++
+	if e.consecutiveFailures < failuresToEject {
+		return false
+	}
+	e.consecutiveFailures = 0
+	e.ejectedUntil = now.Add(min(ejectBase<<min(e.ejections, 10), ejectMax))
+	e.ejections++
+	return true
+}
+
+// Reported takes in a load report made at a time.
+func (e *Endpoint) Reported(report LoadReport, at time.Time) {
+	e.Report = report
+	e.ReportedAt = at
+	e.SentSinceReport = 0
+}
--- /dev/null
+++ b/internal/routing/not_excluded.go
@@ -0,0 +1,11 @@
+package routing
+
+import "slices"
+
+// NotExcluded keeps endpoints that the request has not tried yet.
+type NotExcluded struct{}
+
+// Keep implements Filter.
+func (NotExcluded) Keep(request *Request, endpoint *Endpoint) bool {
+	return !slices.Contains(request.Excluded, endpoint.ID)
+}
--- /dev/null
+++ b/internal/routing/profile.go
@@ -0,0 +1,178 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Request is what a decision needs to know of an attempt.
+type Request struct {
+	Pool string
+	// Zone is the zone of the deciding node.
+	Zone string
+	// Model and MinVersion restrict engines; Model is empty for back ends.
+	Model      string
+	MinVersion uint64
+	// PrefixHash identifies the leading part of a prompt; 0 for none.
+	PrefixHash uint64
+	// Excluded are endpoints that this request has already tried.
+	Excluded []string
+	Now      time.Time
+}
+
+// Filter drops endpoints that must not serve a request.
+type Filter interface {
+	Keep(request *Request, endpoint *Endpoint) bool
+}
+
+// Scorer rates an endpoint from 0 (worst) to 1 (best).
+type Scorer interface {
+	Score(request *Request, candidate *Candidate) float64
+}
+
+// Picker chooses among rated candidates, of which there is at least one.
+type Picker interface {
+	Pick(random *rand.Rand, candidates []Candidate) *Endpoint
+}
+
+// Candidate is an endpoint under consideration.
+type Candidate struct {
+	Endpoint *Endpoint
+	// Rank is the position in the order that prefix affinity prefers, or -1.
+	Rank  int
+	Score float64
+}
+
+// WeightedScorer is a scorer with its share in the sum.
+type WeightedScorer struct {
+	Scorer Scorer
+	Weight float64
+}
+
+const (
+	// subsetSize bounds the random endpoints that one decision looks at.
+	subsetSize = 8
+	// affinitySize bounds the endpoints that prefix affinity adds.
+	affinitySize = 2
+)
+
+// Profile is a pipeline of plugins. It is not safe for concurrent use.
+type Profile struct {
+	filters []Filter
+	scorers []WeightedScorer
+	picker  Picker
+	random  *rand.Rand
+
+	subset     []*Endpoint
+	candidates []Candidate
+}
+
+// NewProfile composes a pipeline.
+func NewProfile(random *rand.Rand, filters []Filter, scorers []WeightedScorer, picker Picker) *Profile {
+	return &Profile{
+		filters: filters, scorers: scorers, picker: picker, random: random,
+		subset:     make([]*Endpoint, 0, subsetSize+affinitySize),
+		candidates: make([]Candidate, 0, subsetSize+affinitySize),
+	}
+}
+
+// NewApplicationProfile returns the pipeline for application requests.
+func NewApplicationProfile(random *rand.Rand) *Profile {
+	return NewProfile(random,
+		[]Filter{NotLeaving{}, NotExcluded{}, NotEjected{}},
+		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, 1}},
+		TwoChoices{})
+}
+
+// NewGenerationProfile returns the pipeline for engines.
+func NewGenerationProfile(random *rand.Rand) *Profile {
+	return NewProfile(random,
+		[]Filter{NotLeaving{}, NotExcluded{}, ServesVersion{}, NotEjected{}},
+		[]WeightedScorer{{LeastLoad{}, 3}, {PrefixAffinity{}, 2}},
+		TwoChoices{})
+}
+
+// Pick chooses an endpoint, or returns nil if none may serve. If every
+// endpoint that may serve is ejected, ejection is ignored: a doubtful endpoint
+// is better than a certain refusal.
+func (p *Profile) Pick(table *Table, request *Request) *Endpoint {
+	found, ok := table.pools[request.Pool]
+	if !ok {
+		return nil
+	}
+	p.chooseSubset(found, request)
+	p.filter(request, false)
+	if len(p.candidates) == 0 {
+		// The subset may have missed the few that serve; look at all.
+		p.subset = append(p.subset[:0], found.endpoints...)
+		p.filter(request, false)
+	}
+	if len(p.candidates) == 0 {
+		p.filter(request, true)
+	}
+	if len(p.candidates) == 0 {
+		return nil
+	}
+	for i := range p.candidates {
+		p.candidates[i].Score = p.score(request, &p.candidates[i])
+	}
+	return p.picker.Pick(p.random, p.candidates)
+}
+
+func (p *Profile) chooseSubset(found *pool, request *Request) {
+	p.subset = p.subset[:0]
+	if request.PrefixHash != 0 {
+		p.subset = found.preferred(p.subset, request.PrefixHash, affinitySize)
+	}
+	size := len(found.endpoints)
+	if size <= subsetSize {
+		for _, endpoint := range found.endpoints {
+			p.addToSubset(endpoint)
+		}
+		return
+	}
+	for range subsetSize {
+		p.addToSubset(found.endpoints[p.random.IntN(size)])
+	}
+}
+
+func (p *Profile) addToSubset(endpoint *Endpoint) {
+	if !slices.Contains(p.subset, endpoint) {
+		p.subset = append(p.subset, endpoint)
+	}
+}
+
+func (p *Profile) filter(request *Request, allowEjected bool) {
+	p.candidates = p.candidates[:0]
+	for i, endpoint := range p.subset {
+		if !p.keeps(request, endpoint, allowEjected) {
+			continue
+		}
+		rank := -1
+		if request.PrefixHash != 0 && i < affinitySize {
+			rank = i
+		}
+		p.candidates = append(p.candidates, Candidate{Endpoint: endpoint, Rank: rank})
+	}
+}
+
+func (p *Profile) keeps(request *Request, endpoint *Endpoint, allowEjected bool) bool {
+	for _, filter := range p.filters {
+		if _, isEjection := filter.(NotEjected); isEjection && allowEjected {
+			continue
+		}
+		if !filter.Keep(request, endpoint) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Profile) score(request *Request, candidate *Candidate) float64 {
+	sum := 0.0
+	for _, weighted := range p.scorers {
+		sum += weighted.Weight * weighted.Scorer.Score(request, candidate)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var now = time.Unix(1000, 0)
+
+func tableOf(size int) *Table {
+	var machines []Machine
+	for i := range size {
+		machines = append(machines, Machine{
+			ID: fmt.Sprintf("engine-%03d", i), Pool: "samplers",
+			Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: fmt.Sprintf("zone-%d", i%3),
+		})
+	}
+	table := NewTable()
+	table.Update(machines)
+	return table
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestLeavingEndpointIsNeverPicked(t *testing.T) {
+	table := tableOf(4)
+	require.True(t, table.MarkLeaving("engine-001"))
+	require.False(t, table.MarkLeaving("engine-001"))
+	profile := NewApplicationProfile(newRandom())
+	for range 200 {
+		picked := profile.Pick(table, &Request{Pool: "samplers", Now: now})
+		require.NotEqual(t, "engine-001", picked.ID)
+	}
+}
+
+func TestLeavingSurvivesAListThatLags(t *testing.T) {
+	table := NewTable()
+	table.MarkLeaving("engine-000")
+	table.Update([]Machine{{ID: "engine-000", Pool: "samplers", Address: "a"}})
+	require.Nil(t, NewApplicationProfile(newRandom()).Pick(table, &Request{Pool: "samplers", Now: now}))
+}
+
+func TestEjectedEndpointIsAvoidedUnlessAllAre(t *testing.T) {
+	table := tableOf(2)
+	profile := NewApplicationProfile(newRandom())
+	eject := func(id string) {
+		endpoint := table.Get(id)
+		for range failuresToEject {
+			endpoint.Started()
+			endpoint.Failed(now)
+		}
+		require.True(t, endpoint.Ejected(now))
+	}
+	eject("engine-000")
+	for range 50 {
+		require.Equal(t, "engine-001", profile.Pick(table, &Request{Pool: "samplers", Now: now}).ID)
+	}
+	eject("engine-001")
+	require.NotNil(t, profile.Pick(table, &Request{Pool: "samplers", Now: now}))
+	require.False(t, table.Get("engine-000").Ejected(now.Add(ejectBase)))
+}
+
+func TestEngineBelowTheWantedVersionIsSkipped(t *testing.T) {
+	table := tableOf(3)
+	for i, version := range []uint64{4, 5, 6} {
+		report := LoadReport{Versions: map[string]uint64{"m": version}}
+		table.Get(fmt.Sprintf("engine-%03d", i)).Reported(report, now)
+	}
+	profile := NewGenerationProfile(newRandom())
+	for range 50 {
+		picked := profile.Pick(table, &Request{Pool: "samplers", Model: "m", MinVersion: 5, Now: now})
+		require.NotEqual(t, "engine-000", picked.ID)
+	}
+	require.Nil(t, profile.Pick(table, &Request{Pool: "samplers", Model: "m", MinVersion: 7, Now: now}))
+}
+
+func TestLoadSpreadsAndAffinityHolds(t *testing.T) {
+	table := tableOf(8)
+	profile := NewApplicationProfile(newRandom())
+	for range 800 {
+		profile.Pick(table, &Request{Pool: "samplers", Zone: "none", Now: now}).Started()
+	}
+	for _, endpoint := range table.Pool("samplers") {
+		require.InDelta(t, 100, endpoint.InFlight, 20)
+	}
+	idle := tableOf(8)
+	generation := NewGenerationProfile(newRandom())
+	first := generation.Pick(idle, &Request{Pool: "samplers", PrefixHash: 77, Now: now})
+	for range 20 {
+		require.Same(t, first, generation.Pick(idle, &Request{Pool: "samplers", PrefixHash: 77, Now: now}))
+	}
+	first.InFlight = 10 * assumedCapacity
+	require.NotSame(t, first, generation.Pick(idle, &Request{Pool: "samplers", PrefixHash: 77, Now: now}))
+}
+
+func TestAffinityMovesFewKeysWhenAnEndpointGoes(t *testing.T) {
+	const keys, size = 4000, 20
+	before, after := tableOf(size), tableOf(size)
+	var rest []Machine
+	for _, endpoint := range after.Pool("samplers")[1:] {
+		rest = append(rest, Machine{ID: endpoint.ID, Pool: endpoint.Pool, Address: endpoint.Address})
+	}
+	after.Update(rest)
+	moved := 0
+	random := newRandom()
+	for range keys {
+		hash := random.Uint64()
+		a := before.pools["samplers"].preferred(nil, hash, 1)[0].ID
+		b := after.pools["samplers"].preferred(nil, hash, 1)[0].ID
+		if a != b {
+			moved++
+		}
+	}
+	require.Less(t, float64(moved)/keys, 2.0/size)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []int{8, 100, 740} {
+		b.Run(fmt.Sprintf("endpoints=%d", size), func(b *testing.B) {
+			table := tableOf(size)
+			profile := NewGenerationProfile(newRandom())
+			request := &Request{Pool: "samplers", Zone: "zone-1", Model: "m", PrefixHash: 99, Now: now}
+			b.ReportAllocs()
+			for b.Loop() {
+				request.PrefixHash += 0x9e3779b97f4a7c15
+				if profile.Pick(table, request) == nil {
+					b.Fatal("nothing picked")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Machine is an engine or back end in the platform's machine list.
+type Machine struct {
+	ID      string
+	Pool    string
+	Address string
+	Zone    string
+	Leaving bool
+}
+
+// Table holds the endpoints by pool. It is not safe for concurrent use.
+type Table struct {
+	byID  map[string]*Endpoint
+	pools map[string]*pool
+	// leaving remembers endpoints that said that they leave, also before the
+	// machine list names them.
+	leaving map[string]struct{}
+}
+
+type pool struct {
+	endpoints []*Endpoint
+	// ring places every endpoint for affinity.
+	ring []ringPoint
+}
+
+type ringPoint struct {
+	hash     uint64
+	endpoint *Endpoint
+}
+
+// pointsPerEndpoint evens out the share of keys on the affinity ring.
+const pointsPerEndpoint = 16
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		byID:    make(map[string]*Endpoint),
+		pools:   make(map[string]*pool),
+		leaving: make(map[string]struct{}),
+	}
+}
+
+// Changes lists the endpoints that an update added, found leaving or removed.
+type Changes struct {
+	Added, Leaving, Gone []*Endpoint
+}
+
+// Update takes in the machine list. Endpoints keep their dynamic state. An
+// endpoint that vanished from the list gets no new work; attempts in flight
+// keep their pointer and finish.
+func (t *Table) Update(machines []Machine) Changes {
+	var changes Changes
+	present := make(map[string]struct{}, len(machines))
+	for _, machine := range machines {
+		present[machine.ID] = struct{}{}
+		endpoint, ok := t.byID[machine.ID]
+		if !ok || endpoint.Address != machine.Address || endpoint.Pool != machine.Pool {
+			endpoint = &Endpoint{ID: machine.ID, Address: machine.Address, Zone: machine.Zone, Pool: machine.Pool}
+			_, endpoint.Leaving = t.leaving[machine.ID]
+			t.byID[machine.ID] = endpoint
+			changes.Added = append(changes.Added, endpoint)
+		}
+		if machine.Leaving && !endpoint.Leaving {
+			t.MarkLeaving(machine.ID)
+			changes.Leaving = append(changes.Leaving, endpoint)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
+		if _, ok := present[id]; !ok {
+			endpoint := t.byID[id]
+			endpoint.Leaving = true
+			changes.Gone = append(changes.Gone, endpoint)
+			delete(t.byID, id)
+			delete(t.leaving, id)
+		}
+	}
+	if len(changes.Added)+len(changes.Gone) > 0 {
+		t.rebuild()
+	}
+	return changes
+}
+
+// MarkLeaving records that an endpoint takes no new work. It reports whether
+// that was news.
+func (t *Table) MarkLeaving(id string) bool {
+	if _, known := t.leaving[id]; known {
+		return false
+	}
+	t.leaving[id] = struct{}{}
+	if endpoint, ok := t.byID[id]; ok {
+		endpoint.Leaving = true
+	}
+	return true
+}
+
+// LeavingIDs returns the endpoints known to leave, ordered.
+func (t *Table) LeavingIDs() []string { return slices.Sorted(maps.Keys(t.leaving)) }
+
+// Get returns an endpoint or nil.
+func (t *Table) Get(id string) *Endpoint { return t.byID[id] }
+
+// Pool returns the endpoints of a pool ordered by id. The caller must not
+// modify the slice.
+func (t *Table) Pool(name string) []*Endpoint {
+	found, ok := t.pools[name]
+	if !ok {
+		return nil
+	}
+	return found.endpoints
+}
+
+// Pools returns the names of all pools, ordered.
+func (t *Table) Pools() []string { return slices.Sorted(maps.Keys(t.pools)) }
+
+func (t *Table) rebuild() {
+	clear(t.pools)
+	for _, id := range slices.Sorted(maps.Keys(t.byID)) {
+		endpoint := t.byID[id]
+		found, ok := t.pools[endpoint.Pool]
+		if !ok {
+			found = &pool{}
+			t.pools[endpoint.Pool] = found
+		}
+		found.endpoints = append(found.endpoints, endpoint)
+		for point := range pointsPerEndpoint {
+			found.ring = append(found.ring, ringPoint{hash: pointHash(id, point), endpoint: endpoint})
+		}
+	}
+	for _, found := range t.pools {
+		slices.SortFunc(found.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
+	}
+}
+
+func pointHash(id string, point int) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(uint64(point))
+	digest.WriteString(id) // never fails
+	return digest.Sum64()
+}
+
+// preferred appends up to count distinct endpoints after a hash on the ring.
+func (p *pool) preferred(into []*Endpoint, hash uint64, count int) []*Endpoint {
+	start, _ := slices.BinarySearchFunc(p.ring, hash, func(point ringPoint, hash uint64) int {
+		return cmp.Compare(point.hash, hash)
+	})
+	first := len(into)
+	for step := 0; step < len(p.ring) && len(into)-first < count; step++ {
+		endpoint := p.ring[(start+step)%len(p.ring)].endpoint
+		if !slices.Contains(into[first:], endpoint) {
+			into = append(into, endpoint)
+		}
+	}
+	return into
+}
--- /dev/null
+++ b/internal/shard/table.go
@@ -0,0 +1,140 @@
+// Package shard assigns shards of the idempotency key space to replica groups
+// of nodes.
+//
+// The assignment is a pure fold of the roster that the log defines: every node
+// computes the same groups with the same generations. A group is the nodes
+// that score highest for the shard by rendezvous hashing, in distinct zones as
+// far as there are zones, so a roster change moves only the shards that the
+// changed node held or now wins.
+package shard
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+)
+
+const (
+	// Count is the number of shards. It is part of the protocol: all nodes
+	// must agree on it.
+	Count = 256
+	// Replicas is the size of a full group.
+	Replicas = 3
+)
+
+// Member is a node that may hold shards.
+type Member struct {
+	ID   string
+	Zone string
+}
+
+// Group is the replica group of one shard.
+type Group struct {
+	// Generation is the roster epoch at which the group was formed.
+	Generation uint64
+	// Members are node ids, best score first.
+	Members []string
+	// Former are the members of the generation before; nil for the first.
+	Former []string
+	// FormerGeneration is the generation of Former.
+	FormerGeneration uint64
+}
+
+// Quorum is how many of the members must agree.
+func Quorum(members []string) int { return len(members)/2 + 1 }
+
+// Table holds the group of every shard.
+type Table struct {
+	groups [Count]Group
+}
+
+// Of returns the shard of a key.
+func Of(key string) int { return int(xxhash.Sum64String(key) % Count) }
+
+// Group returns the replica group of a shard.
+func (t *Table) Group(shard int) Group { return t.groups[shard] }
+
+// Apply forms new groups for a roster that came into force at an epoch, where
+// they differ from the present ones. An empty roster changes nothing, so that
+// the groups before it stay known as the former ones.
+func (t *Table) Apply(roster []Member, epoch uint64) {
+	if len(roster) == 0 {
+		return
+	}
+	scored := make([]scoredMember, len(roster))
+	for shard := range t.groups {
+		members := chooseGroup(shard, roster, scored)
+		current := &t.groups[shard]
+		if slices.Equal(members, current.Members) {
+			continue
+		}
+		t.groups[shard] = Group{
+			Generation: epoch, Members: members,
+			Former: current.Members, FormerGeneration: current.Generation,
+		}
+	}
+}
+
+type scoredMember struct {
+	Member
+	score uint64
+}
+
+func chooseGroup(shard int, roster []Member, scored []scoredMember) []string {
+	for i, member := range roster {
+		scored[i] = scoredMember{member, score(shard, member.ID)}
+	}
+	slices.SortFunc(scored, func(a, b scoredMember) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
+	})
+	var members, zones []string
+	for _, candidate := range scored {
+		if len(members) < Replicas && !slices.Contains(zones, candidate.Zone) {
+			members = append(members, candidate.ID)
+			zones = append(zones, candidate.Zone)
+		}
+	}
+	for _, candidate := range scored {
+		if len(members) < Replicas && !slices.Contains(members, candidate.ID) {
+			members = append(members, candidate.ID)
+		}
+	}
+	return members
+}
+
+func score(shard int, id string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(uint64(shard) + 1)
+	digest.WriteString(id) // never fails
+	var buffer [8]byte
+	binary.BigEndian.PutUint64(buffer[:], digest.Sum64())
+	return xxhash.Sum64(buffer[:])
+}
+
+// Export encodes the table for a snapshot.
+func (t *Table) Export() []*pathbendv1.ShardState {
+	exported := make([]*pathbendv1.ShardState, 0, Count)
+	for _, group := range t.groups {
+		exported = append(exported, &pathbendv1.ShardState{
+			Generation: group.Generation, Members: group.Members,
+			Former: group.Former, FormerGeneration: group.FormerGeneration,
+		})
+	}
+	return exported
+}
+
+// Import decodes a table from a snapshot.
+func Import(exported []*pathbendv1.ShardState) *Table {
+	table := &Table{}
+	for i, state := range exported[:min(len(exported), Count)] {
+		table.groups[i] = Group{
+			Generation: state.Generation, Members: state.Members,
+			Former: state.Former, FormerGeneration: state.FormerGeneration,
+		}
+	}
+	return table
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,86 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/config"
+	"github.com/pathbend/pathbend/internal/lease"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/shard"
+)
+
+// Snapshot encodes the state before Next.
+func (m *Machine) Snapshot() *pathbendv1.Snapshot {
+	snapshot := &pathbendv1.Snapshot{
+		Covers:      m.next,
+		RosterEpoch: m.epoch,
+		RecentIds:   slices.Clone(m.seenOrder),
+		Leases:      m.leases.Export(),
+		Shards:      m.shards.Export(),
+	}
+	members, _ := m.Roster()
+	for _, member := range members {
+		snapshot.Members = append(snapshot.Members, &pathbendv1.RosterMember{
+			NodeId: member.ID, Address: member.Address, Zone: member.Zone,
+		})
+	}
+	for i, revision := range m.revisions {
+		encoded := &pathbendv1.RevisionState{
+			Revision: revision.Number, Author: revision.Author, Message: revision.Message,
+			PublishedUnixMs: revision.Published.UnixMilli(),
+		}
+		if i == len(m.revisions)-1 {
+			encoded.Document = revision.Raw // older documents stay in the log
+		}
+		snapshot.Revisions = append(snapshot.Revisions, encoded)
+	}
+	return snapshot
+}
+
+// Restore replaces the state by a snapshot if that is ahead of it. It never
+// moves backwards.
+func (m *Machine) Restore(snapshot *pathbendv1.Snapshot) error {
+	if snapshot.Covers <= m.next {
+		return nil
+	}
+	revisions, err := decodeRevisions(snapshot.Revisions)
+	if err != nil {
+		return err
+	}
+	m.next = snapshot.Covers
+	m.revisions = revisions
+	m.epoch = snapshot.RosterEpoch
+	m.leases = lease.Import(snapshot.Leases)
+	m.shards = shard.Import(snapshot.Shards)
+	clear(m.roster)
+	for _, member := range snapshot.Members {
+		m.roster[member.NodeId] = RosterMember{ID: member.NodeId, Address: member.Address, Zone: member.Zone}
+	}
+	clear(m.seen)
+	m.seenOrder = nil
+	for _, id := range snapshot.RecentIds {
+		m.remember(id)
+	}
+	return nil
+}
+
+func decodeRevisions(encoded []*pathbendv1.RevisionState) ([]Revision, error) {
+	var revisions []Revision
+	for i, state := range encoded {
+		revision := Revision{
+			Number: state.Revision, Raw: state.Document, Author: state.Author, Message: state.Message,
+			Published: time.UnixMilli(state.PublishedUnixMs),
+		}
+		if i == len(encoded)-1 {
+			document, err := config.Decode(state.Document)
+			if err != nil {
+				return nil, result.Wrap(result.RecordMalformed, err, "decode snapshot")
+			}
+			revision.Document = document
+		}
+		revisions = append(revisions, revision)
+	}
+	return revisions, nil
+}
--- /dev/null
+++ b/internal/weights/plan_test.go
@@ -0,0 +1,100 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func enginesAt(count int, version uint64) []EngineState {
+	engines := make([]EngineState, count)
+	for i := range engines {
+		engines[i] = EngineState{ID: fmt.Sprint("engine-", i), Serving: version, Asked: true}
+	}
+	return engines
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	versions := NewVersions()
+	key := ModelKey{"shop", "m"}
+	require.True(t, versions.Raise(key, 3))
+	require.False(t, versions.Raise(key, 2))
+	require.False(t, versions.Raise(key, 3))
+	require.Equal(t, []Announced{{key, 3}}, versions.All())
+}
+
+func TestUnansweringEngineDoesNotHoldUpTheOthers(t *testing.T) {
+	engines := enginesAt(2, 1)
+	engines[0].Asked = false
+	plan := NewPlan()
+	require.Equal(t, []Order{{"engine-1", Load}}, plan.Next(start, engines, Target{Version: 2}))
+	engines[1].Serving = 2
+	require.True(t, Reached(engines, Target{Version: 2}))
+}
+
+func TestBrokenEngineIsRepaired(t *testing.T) {
+	engines := enginesAt(1, 1)
+	engines[0].Broken, engines[0].Prepared = true, 2
+	plan := NewPlan()
+	require.Equal(t, []Order{{"engine-0", Switch}}, plan.Next(start, engines, Target{Version: 2}))
+	plan.Done(start, "engine-0", false)
+	require.Empty(t, plan.Next(start, engines, Target{Version: 2}), "a failed engine rests")
+	require.Len(t, plan.Next(start.Add(orderPause), engines, Target{Version: 2}), 1)
+}
+
+// TestSwitchKeepsCapacityAndEnds lets orders succeed, fail and break engines,
+// with the target moving, and checks the share that serves throughout.
+func TestSwitchKeepsCapacityAndEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 20).Draw(t, "engines")
+		engines := enginesAt(count, 1)
+		target := Target{Version: 2, MinServingPercent: rapid.IntRange(0, 99).Draw(t, "percent")}
+		allowed := max(count*(100-target.MinServingPercent)/100, 1)
+		plan, now := NewPlan(), start
+		busy := map[int]Kind{}
+		for step := 0; !Reached(engines, target); step++ {
+			require.Less(t, step, 400, "the pool must reach the target")
+			now = now.Add(orderPause)
+			for _, order := range plan.Next(now, engines, target) {
+				var index int
+				_, err := fmt.Sscanf(order.EngineID, "engine-%d", &index)
+				require.NoError(t, err)
+				busy[index] = order.Kind
+			}
+			switching := 0
+			for index, kind := range busy {
+				if kind == Switch && !engines[index].Broken {
+					switching++
+				}
+			}
+			require.LessOrEqual(t, switching, allowed)
+			for index, kind := range busy {
+				outcome := 0
+				if step < 60 {
+					outcome = rapid.IntRange(0, 3).Draw(t, "outcome")
+				}
+				state := &engines[index]
+				switch {
+				case outcome == 3: // still running
+					continue
+				case outcome == 2 && kind == Switch:
+					state.Broken = true
+				case outcome == 0 && kind == Load:
+					state.Prepared = target.Version
+				case outcome == 0 && state.Prepared == target.Version:
+					state.Serving, state.Prepared, state.Broken = target.Version, 0, false
+				}
+				plan.Done(now, state.ID, outcome == 0)
+				delete(busy, index)
+			}
+			if step == 20 {
+				target.Version = 3
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/weights/versions.go
@@ -0,0 +1,53 @@
+package weights
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// ModelKey identifies a tenant's model.
+type ModelKey struct {
+	Tenant string
+	Model  string
+}
+
+// Versions holds the highest announced version of each model. It is not safe
+// for concurrent use.
+type Versions struct {
+	highest map[ModelKey]uint64
+}
+
+// NewVersions returns an empty register.
+func NewVersions() *Versions { return &Versions{highest: make(map[ModelKey]uint64)} }
+
+// Raise takes in a version and reports whether it is the highest so far.
+func (v *Versions) Raise(key ModelKey, version uint64) bool {
+	if version <= v.highest[key] {
+		return false
+	}
+	v.highest[key] = version
+	return true
+}
+
+// Get returns the highest version; 0 if none was announced.
+func (v *Versions) Get(key ModelKey) uint64 { return v.highest[key] }
+
+// Announced is one entry of the register.
+type Announced struct {
+	ModelKey
+	Version uint64
+}
+
+// All returns every entry in order.
+func (v *Versions) All() []Announced {
+	all := make([]Announced, 0, len(v.highest))
+	for _, key := range slices.SortedFunc(maps.Keys(v.highest), compareKeys) {
+		all = append(all, Announced{ModelKey: key, Version: v.highest[key]})
+	}
+	return all
+}
+
+func compareKeys(a, b ModelKey) int {
+	return cmp.Or(cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(a.Model, b.Model))
+}
