--- a/client/client.go
+++ b/client/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pathbend/pathbend/internal/network"
 )
 
 // Options configure a client.
@@ -54,10 +56,11 @@
 		options.MaxAttempts = DefaultMaxAttempts
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	if options.Dial != nil {
-		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-			return options.Dial(ctx, address)
-		}
+	if options.Dial == nil {
+		options.Dial = network.TCP{}.Dial
+	}
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return options.Dial(ctx, address)
 	}
 	return &Client{options: options, http: &http.Client{Transport: transport}}
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -76,6 +76,11 @@
 	written atomic.Int64
 }
 
+// Close implements net.Conn. The transport closes a connection of this kind
+// when it is idle for long or its exchange was given up; in either case
+// nothing may be sent on it any more.
+func (c *meteredConn) Close() error { return network.Abort(c.Conn) }
+
 func (c *meteredConn) Write(buffer []byte) (int, error) {
 	// Counted before the write: a failed write may have sent some of it.
 	c.written.Add(int64(len(buffer)))
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -107,7 +107,6 @@
 	length   int
 	produced int
 	cutAt    int
-	prefill  time.Duration
 	chunks   chan engine.Chunk
 	done     <-chan struct{}
 }
--- a/internal/emulator/trainer.go
+++ b/internal/emulator/trainer.go
@@ -40,7 +40,6 @@
 	steps   []Step
 	idle    time.Duration
 	busy    time.Duration
-	started time.Time
 }
 
 // Step is the record of one training step.
--- a/internal/emulator/truth.go
+++ b/internal/emulator/truth.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pathbend/pathbend/client"
 )
 
@@ -38,11 +41,16 @@
 // Truth records what happened outside of pathbend and judges the invariants.
 // It is safe for concurrent use.
 type Truth struct {
+	// Trace receives a line for every observation; nil for none. It is set
+	// before the first.
+	Trace io.Writer
+
 	mutex      sync.Mutex
 	executions map[string][]Execution
 	outcomes   []Outcome
 	leftAt     map[string]time.Time
 	violations []string
+	trace      xxhash.Digest
 	samples    int
 	versions   map[string]map[uint64]int
 	staleness  map[string][]uint64
@@ -56,10 +64,27 @@
 	}
 }
 
+// note adds an observation and its time to the trace.
+func (t *Truth) note(format string, arguments ...any) {
+	line := fmt.Sprintf("%d ", time.Now().UnixNano()) + fmt.Sprintf(format, arguments...) + "\n"
+	_, _ = t.trace.WriteString(line) // never fails
+	if t.Trace != nil {
+		_, _ = io.WriteString(t.Trace, line)
+	}
+}
+
+// TraceHash returns a hash of all observations and their times.
+func (t *Truth) TraceHash() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.trace.Sum64()
+}
+
 // Executed records a run.
 func (t *Truth) Executed(execution Execution) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.note("run %s at %s", execution.Caller, execution.BackEnd)
 	t.executions[execution.Caller] = append(t.executions[execution.Caller], execution)
 	if left, ok := t.leftAt[execution.BackEnd]; ok && execution.At.Sub(left) > LeaveLimit {
 		t.violate("back end %s got new work %v after it began to leave", execution.BackEnd, execution.At.Sub(left))
@@ -81,6 +106,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.outcomes = append(t.outcomes, outcome)
+	t.note("answer %s %v", outcome.Caller, outcome.Err)
 }
 
 // Violate records a violation that an observer saw by itself.
@@ -99,6 +125,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.samples++
+	t.note("sample %s %d %v", tenant, sample.Slot, sample.Segments)
 	t.checkSegments(tenant, sample)
 	oldest := trueOldest(sample.Tokens)
 	if oldest+maxVersions < trainerVersion {
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -73,6 +73,7 @@
 
 	platformAddress string
 	random          *rand.Rand
+	replaced        int
 	servers         []*http.Server
 	group           conc.WaitGroup
 }
@@ -184,11 +185,53 @@
 
 func (c *Cluster) startMachine(pool Pool, index int) error {
 	zone := c.Options.Zones[index%len(c.Options.Zones)]
-	id := fmt.Sprintf("%s-%d", pool.Name, index)
+	started, err := c.launch(pool, fmt.Sprintf("%s-%d", pool.Name, index), zone)
+	if err != nil {
+		return err
+	}
+	if pool.Role == fleet.RoleEngine {
+		c.Engines = append(c.Engines, started)
+	} else {
+		c.BackEnds = append(c.BackEnds, started)
+	}
+	return nil
+}
+
+// Replace ends a machine for good and puts a new one, with a new id, into its
+// place in the list of machines.
+func (c *Cluster) Replace(gone *Machine) error {
+	c.Platform.RemoveMachine(gone.ID)
+	gone.Crash()
+	c.replaced++
+	pool := c.poolOf(gone.Pool)
+	started, err := c.launch(pool, fmt.Sprintf("%s-r%d", gone.Pool, c.replaced), gone.Zone)
+	if err != nil {
+		return err
+	}
+	for _, machines := range [][]*Machine{c.Engines, c.BackEnds} {
+		for i := range machines {
+			if machines[i] == gone {
+				machines[i] = started
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) poolOf(name string) Pool {
+	for _, pool := range c.Options.Pools {
+		if pool.Name == name {
+			return pool
+		}
+	}
+	return Pool{}
+}
+
+func (c *Cluster) launch(pool Pool, id, zone string) (*Machine, error) {
 	transport := c.Options.Networks.For(id, zone)
 	listener, err := transport.Listen(c.Options.Networks.Address(id, machinePort))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	machine := &Machine{Machine: fleet.Machine{
 		ID: id, Role: pool.Role, Pool: pool.Name, Address: listener.Addr().String(), Zone: zone,
@@ -200,15 +243,13 @@
 		machine.Engine = emulator.NewEngine(id, pool.Model, transport, c.platformAddress, random)
 		machine.server = &http.Server{Handler: machine.Engine.Handler()}
 		machine.group.Go(func() { machine.Engine.Run(ctx) })
-		c.Engines = append(c.Engines, machine)
 	} else {
 		machine.BackEnd = emulator.NewBackEnd(id, pool.ServiceTime, c.Truth, random)
 		machine.server = &http.Server{Handler: machine.BackEnd}
-		c.BackEnds = append(c.BackEnds, machine)
 	}
 	machine.group.Go(func() { _ = machine.server.Serve(listener) })
 	c.Platform.SetMachine(machine.Machine)
-	return nil
+	return machine, nil
 }
 
 // Crash ends a machine at once and cuts its connections.
@@ -218,6 +259,18 @@
 	m.group.Wait()
 }
 
+// BeginLeave makes a machine say that it leaves and the platform list it so.
+func (c *Cluster) BeginLeave(machine *Machine) {
+	if machine.BackEnd != nil {
+		machine.BackEnd.Leave()
+	} else {
+		machine.Engine.Leave()
+	}
+	machine.Leaving = true
+	c.Truth.Leaving(machine.ID, time.Now())
+	c.Platform.SetMachine(machine.Machine)
+}
+
 func (c *Cluster) addNode(zone string, index int) error {
 	name := fmt.Sprintf("node-%s-%d", zone, index)
 	slot := &NodeSlot{Name: name, Zone: zone, cluster: c}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -25,8 +25,8 @@
 		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_MachineList{MachineList: n.handleList()}}, nil
 	case *pathbendv1.Envelope_ClaimKey:
 		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_KeyGrant{KeyGrant: n.replicas.handleClaim(body.ClaimKey)}}, nil
-	case *pathbendv1.Envelope_SyncShard:
-		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_ShardEntries{ShardEntries: n.replicas.handleSync(body.SyncShard)}}, nil
+	case *pathbendv1.Envelope_SyncShards:
+		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_ShardEntries{ShardEntries: n.replicas.handleSync(body.SyncShards)}}, nil
 	case *pathbendv1.Envelope_FetchAnswer:
 		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_StoredAnswer{StoredAnswer: n.handleFetch(ctx, body.FetchAnswer)}}, nil
 	case *pathbendv1.Envelope_JobCall:
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -19,14 +19,14 @@
 )
 
 const (
-	// syncInterval is how often due fetches of shards are tried.
-	syncInterval = 100 * time.Millisecond
-	syncTimeout  = time.Second
+	// syncInterval is how soon due fetches of shards are tried again at first,
+	// syncIntervalMax later on.
+	syncInterval    = 100 * time.Millisecond
+	syncIntervalMax = 2 * time.Second
+	syncTimeout     = time.Second
 	// expireInterval is how often old bindings are forgotten.
 	expireInterval = 10 * time.Second
-	// maxConcurrentSyncs bounds the fetches in progress.
-	maxConcurrentSyncs = 64
-	fetchMargin        = 500 * time.Millisecond
+	fetchMargin    = 500 * time.Millisecond
 )
 
 // replicas drives this node's replica of the idempotency keys and reaches
@@ -40,10 +40,12 @@
 	// they fetched for.
 	exported map[int]uint64
 	expired  time.Time
+	// followed tells the loop that groups changed.
+	followed chan struct{}
 }
 
 func newReplicas(n *Node) *replicas {
-	return &replicas{node: n, replica: idempotency.NewReplica(n.id), exported: make(map[int]uint64)}
+	return &replicas{node: n, replica: idempotency.NewReplica(n.id), exported: make(map[int]uint64), followed: make(chan struct{}, 1)}
 }
 
 // follow takes in new replica groups.
@@ -51,6 +53,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.replica.Follow(table, time.Now())
+	select {
+	case r.followed <- struct{}{}:
+	default:
+	}
 }
 
 // Group implements keyed.Replicas.
@@ -102,29 +108,56 @@
 	}
 }
 
-// handleSync gives a shard's entries to a member of a later generation.
-func (r *replicas) handleSync(call *pathbendv1.SyncShard) *pathbendv1.ShardEntries {
+// handleSync gives the entries of shards to a member of later generations.
+func (r *replicas) handleSync(call *pathbendv1.SyncShards) *pathbendv1.ShardEntries {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	entries, ready := r.replica.Export(int(call.Shard), call.Generation, call.FormerGeneration, time.Now())
-	if ready {
-		r.exported[int(call.Shard)] = max(r.exported[int(call.Shard)], call.Generation)
-	}
-	encoded := &pathbendv1.ShardEntries{Ready: ready}
-	for _, entry := range entries {
-		encoded.Entries = append(encoded.Entries, &pathbendv1.KeyEntry{
-			Key: entry.Key, Executor: entry.Binding.Executor, RequestId: entry.Binding.RequestID, AgeMs: entry.Age.Milliseconds(),
-		})
+	answer := &pathbendv1.ShardEntries{}
+	now := time.Now()
+	for _, wanted := range call.Shards {
+		index := int(wanted.Shard)
+		entries, ready := r.replica.Export(index, wanted.Generation, wanted.FormerGeneration, now)
+		if !ready {
+			continue
+		}
+		r.exported[index] = max(r.exported[index], wanted.Generation)
+		exported := &pathbendv1.ShardExport{Shard: wanted.Shard, Generation: wanted.Generation}
+		for _, entry := range entries {
+			exported.Entries = append(exported.Entries, &pathbendv1.KeyEntry{
+				Key: entry.Key, Executor: entry.Binding.Executor, RequestId: entry.Binding.RequestID, AgeMs: entry.Age.Milliseconds(),
+			})
+		}
+		answer.Shards = append(answer.Shards, exported)
 	}
-	return encoded
+	return answer
 }
 
-// loop fetches the shards that this node became a member of.
+// loop fetches the shards that this node became a member of. Fetches that
+// bring nothing are repeated less and less often.
 func (r *replicas) loop(ctx context.Context) {
-	every(ctx, syncInterval, func() { r.syncDue(ctx) })
+	pause := syncInterval
+	for {
+		if r.syncDue(ctx) {
+			pause = min(2*pause, syncIntervalMax)
+		} else {
+			pause = syncInterval
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-r.followed:
+			timer.Stop()
+			pause = syncInterval
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
 }
 
-func (r *replicas) syncDue(ctx context.Context) {
+// syncDue tries the due fetches, one call per source, and reports whether any
+// is left.
+func (r *replicas) syncDue(ctx context.Context) bool {
 	now := time.Now()
 	r.mutex.Lock()
 	tasks := r.replica.Tasks(now)
@@ -133,45 +166,61 @@
 		r.replica.Expire(now)
 	}
 	r.mutex.Unlock()
-	var fetches conc.WaitGroup
-	slots := make(chan struct{}, maxConcurrentSyncs)
+	bySource := make(map[string][]idempotency.SyncTask)
 	for _, task := range tasks {
 		for _, source := range task.Sources {
-			slots <- struct{}{}
-			fetches.Go(func() {
-				defer func() { <-slots }()
-				r.fetch(ctx, task, source)
-			})
+			bySource[source] = append(bySource[source], task)
 		}
 	}
+	var fetches conc.WaitGroup
+	for _, source := range sortedKeys(bySource) {
+		fetches.Go(func() { r.fetch(ctx, source, bySource[source]) })
+	}
 	fetches.Wait()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.replica.Tasks(now)) > 0
 }
 
-func (r *replicas) fetch(ctx context.Context, task idempotency.SyncTask, source string) {
+func (r *replicas) fetch(ctx context.Context, source string, tasks []idempotency.SyncTask) {
 	address, err := r.node.addressOf(source)
 	if err != nil {
 		return // tried again at the next interval
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	reply, err := r.node.peers.Call(ctx, address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_SyncShard{
-		SyncShard: &pathbendv1.SyncShard{
+	call := &pathbendv1.SyncShards{}
+	byShard := make(map[uint32]idempotency.SyncTask, len(tasks))
+	for _, task := range tasks {
+		byShard[uint32(task.Shard)] = task
+		call.Shards = append(call.Shards, &pathbendv1.ShardSync{
 			Shard: uint32(task.Shard), Generation: task.Generation, FormerGeneration: task.FormerGeneration,
-		},
-	}})
-	if err != nil || !reply.GetShardEntries().GetReady() {
+		})
+	}
+	reply, err := r.node.peers.Call(ctx, address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_SyncShards{SyncShards: call}})
+	if err != nil {
 		return
 	}
-	var entries []idempotency.Entry
-	for _, entry := range reply.GetShardEntries().GetEntries() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, exported := range reply.GetShardEntries().GetShards() {
+		task, asked := byShard[exported.Shard]
+		if !asked || task.Generation != exported.Generation {
+			continue
+		}
+		r.replica.Synced(task, source, decodeEntries(exported.Entries), time.Now())
+	}
+}
+
+func decodeEntries(encoded []*pathbendv1.KeyEntry) []idempotency.Entry {
+	entries := make([]idempotency.Entry, 0, len(encoded))
+	for _, entry := range encoded {
 		entries = append(entries, idempotency.Entry{
 			Key: entry.Key, Age: time.Duration(entry.AgeMs) * time.Millisecond,
 			Binding: idempotency.Binding{Executor: entry.Executor, RequestID: entry.RequestId},
 		})
 	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.replica.Synced(task, source, entries, time.Now())
+	return entries
 }
 
 // awaitExported waits until every shard that gained a member by this node's
