--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -75,37 +75,39 @@
 // when it ended. A refusal, a passed deadline and a cancelled ctx all mean that
 // the request did not start.
 func (g *Gate) Enter(ctx context.Context, tenant string, priority Priority, deadline time.Time) (func(), error) {
-	decided := make(chan verdict, 1)
-	ticket := &Ticket{
-		Priority: priority,
-		Deadline: deadline,
-		Decide:   func(kind Verdict, err *result.Error) { decided <- verdict{kind, err} },
-	}
-	controller, first, err := g.arrive(tenant, ticket)
+	ticket := &Ticket{Priority: priority, Deadline: deadline}
+	controller, decided, err := g.arrive(tenant, ticket)
 	if err != nil {
 		return nil, err
 	}
-	if first == Admitted {
+	if decided == nil {
 		return func() { g.finish(controller) }, nil
 	}
 	return g.await(ctx, controller, ticket, decided)
 }
 
-func (g *Gate) arrive(tenant string, ticket *Ticket) (*Controller, Verdict, error) {
+// arrive returns a channel for the verdict if the ticket has to wait.
+func (g *Gate) arrive(tenant string, ticket *Ticket) (*Controller, chan verdict, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.closedWith != nil {
-		return nil, Refused, g.closedWith
+		return nil, nil, g.closedWith
 	}
 	controller, ok := g.controllers[tenant]
 	if !ok {
-		return nil, Refused, result.New(result.UnknownTenant, "no tenant %q", tenant)
+		return nil, nil, result.New(result.UnknownTenant, "no tenant %q", tenant)
 	}
 	kind, refusal := controller.Arrive(time.Now(), ticket)
-	if kind == Refused {
-		return nil, Refused, refusal
+	switch kind {
+	case Refused:
+		return nil, nil, refusal
+	case Admitted:
+		return controller, nil, nil
 	}
-	return controller, kind, nil
+	// Nothing decides on the ticket before the lock is released.
+	decided := make(chan verdict, 1)
+	ticket.Decide = func(kind Verdict, err *result.Error) { decided <- verdict{kind, err} }
+	return controller, decided, nil
 }
 
 func (g *Gate) await(ctx context.Context, controller *Controller, ticket *Ticket, decided chan verdict) (func(), error) {
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"log/slog"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -80,11 +82,30 @@
 // drainLinger keeps a drained process up until its last answers are read.
 const drainLinger = 200 * time.Millisecond
 
+const (
+	// gcPercent trades memory for fewer collections: a node's live heap is
+	// small, and each collection costs latency.
+	gcPercent = 400
+	// memoryLimit makes collections more frequent before the heap is large.
+	memoryLimit = 1 << 30
+)
+
+// tuneMemory sets the collector unless the environment does.
+func tuneMemory() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+}
+
 func serve(ctx context.Context, settings node.Settings, logs io.Writer) error {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
 		return usageError{err}
 	}
+	tuneMemory()
 	started, err := node.New(settings, network.TCP{}, event.NewLogger(logs, level))
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,287 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/routing"
+)
+
+// listBalancer offers addresses in turn, each once per request.
+type listBalancer struct {
+	mutex     sync.Mutex
+	endpoints []*routing.Endpoint
+	leaving   []string
+	inFlight  atomic.Int64
+}
+
+func balancerOf(addresses ...string) *listBalancer {
+	balancer := &listBalancer{}
+	for i, address := range addresses {
+		balancer.endpoints = append(balancer.endpoints, &routing.Endpoint{ID: fmt.Sprint("b", i), Address: address})
+	}
+	return balancer
+}
+
+func (b *listBalancer) Pick(request *routing.Request) *routing.Endpoint {
+	if len(request.Excluded) >= len(b.endpoints) {
+		return nil
+	}
+	b.inFlight.Add(1)
+	return b.endpoints[len(request.Excluded)]
+}
+
+func (b *listBalancer) Report(*routing.Endpoint, Report) { b.inFlight.Add(-1) }
+
+func (b *listBalancer) MarkLeaving(id string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.leaving = append(b.leaving, id)
+}
+
+func dispatcherOver(t *testing.T, balancer *listBalancer) *Dispatcher {
+	t.Helper()
+	exchanger := NewExchanger(network.TCP{})
+	t.Cleanup(exchanger.Close)
+	var ids atomic.Int64
+	return NewDispatcher(exchanger, balancer, "zone", func() string { return fmt.Sprint("id-", ids.Add(1)) }, event.Discard())
+}
+
+// backEnd starts a back end and returns its address and execution count.
+func backEnd(t *testing.T, handler http.HandlerFunc) (string, *atomic.Int64) {
+	t.Helper()
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(HeaderRequestID, request.Header.Get(HeaderRequestID))
+		runs.Add(1)
+		handler(writer, request)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), &runs
+}
+
+func unusedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func requestOf(atMostOnce bool) *Request {
+	return &Request{
+		Tenant: "shop", Pool: "p", Method: http.MethodPost, Path: "/pay?x=1", Buffered: []byte("body"), Length: 4,
+		Header: http.Header{"Connection": {"close"}, "X-Own": {"kept"}, "Idempotency-Key": {"k"}}, IdempotencyKey: "k",
+		AtMostOnce: atMostOnce, MaxAttempts: 3, Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func do(t *testing.T, balancer *listBalancer, request *Request) (*Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	defer cancel()
+	answer, err := dispatcherOver(t, balancer).Do(ctx, request)
+	if answer != nil {
+		_, readErr := io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+		if readErr != nil {
+			return nil, readErr
+		}
+	}
+	require.Zero(t, balancer.inFlight.Load(), "every started attempt must be reported")
+	return answer, err
+}
+
+func ok(writer http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	fmt.Fprintf(writer, "%s %s %s own=%s conn=%q", request.Method, request.URL, body, request.Header.Get("X-Own"), request.Header.Get("Connection"))
+}
+
+func cutOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func refuse(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set(HeaderRun, "not_run")
+	writer.Header().Set("Retry-After", "2")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func TestRequestPassesThroughUntouched(t *testing.T) {
+	address, _ := backEnd(t, ok)
+	answer, err := do(t, balancerOf(address), requestOf(true))
+	require.NoError(t, err)
+	require.Equal(t, `POST /pay?x=1 body own=kept conn=""`, string(answer.Buffered))
+}
+
+func TestAtMostOnceIsNotSentAgainAfterALostAnswer(t *testing.T) {
+	broken, runs := backEnd(t, cutOff)
+	healthy, healthyRuns := backEnd(t, ok)
+	_, err := do(t, balancerOf(broken, healthy), requestOf(true))
+	require.True(t, result.Is(err, result.AnswerLost), "%v", err)
+	require.Equal(t, result.Unknown, result.From(err).Run())
+	require.Equal(t, int64(1), runs.Load(), "the transport must not replay by itself")
+	require.Zero(t, healthyRuns.Load())
+
+	answer, err := do(t, balancerOf(broken, healthy), requestOf(false))
+	require.NoError(t, err)
+	require.Equal(t, 2, answer.Attempts)
+}
+
+// TestConnectionThatDiedIdleIsNotReplayed closes connections after one answer
+// without saying so, which is when net/http replays requests that carry an
+// idempotency key.
+func TestConnectionThatDiedIdleIsNotReplayed(t *testing.T) {
+	var served atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnceThenSwallow(connection, &served)
+		}
+	}()
+	dispatcher := dispatcherOver(t, balancerOf(listener.Addr().String()))
+	for range 5 {
+		request := requestOf(true)
+		before := served.Load()
+		ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+		_, err := dispatcher.Do(ctx, request)
+		cancel()
+		require.LessOrEqual(t, served.Load()-before, int64(1), "sent twice: %v", err)
+	}
+}
+
+// answerOnceThenSwallow answers the first request and reads the second one
+// before it closes the connection.
+func answerOnceThenSwallow(connection net.Conn, served *atomic.Int64) {
+	defer connection.Close()
+	buffer := make([]byte, 4096)
+	n, err := connection.Read(buffer)
+	if err != nil {
+		return
+	}
+	served.Add(1)
+	id := "none"
+	for _, line := range strings.Split(string(buffer[:n]), "\r\n") {
+		if value, found := strings.CutPrefix(line, HeaderRequestID+": "); found {
+			id = value
+		}
+	}
+	fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRequestID, id)
+	if n, _ := connection.Read(buffer); n > 0 {
+		served.Add(1)
+	}
+}
+
+func TestUnsentAndRefusedRequestsGoToAnother(t *testing.T) {
+	refusing, _ := backEnd(t, refuse)
+	healthy, runs := backEnd(t, ok)
+	answer, err := do(t, balancerOf(unusedAddress(t), refusing, healthy), requestOf(true))
+	require.NoError(t, err)
+	require.Equal(t, 3, answer.Attempts)
+	require.Equal(t, int64(1), runs.Load())
+
+	_, err = do(t, balancerOf(unusedAddress(t)), requestOf(true))
+	require.Equal(t, result.NotRun, result.From(err).Run())
+	_, err = do(t, balancerOf(refusing), requestOf(true))
+	require.True(t, result.Is(err, result.NoBackEnd), "%v", err)
+	require.Positive(t, result.From(err).RetryAfter)
+}
+
+func TestRefusalAfterALostAnswerIsNotCalledNotRun(t *testing.T) {
+	broken, _ := backEnd(t, cutOff)
+	refusing, _ := backEnd(t, refuse)
+	for _, balancer := range []*listBalancer{balancerOf(broken, refusing), balancerOf(broken), balancerOf(broken, unusedAddress(t))} {
+		_, err := do(t, balancer, requestOf(false))
+		require.Equal(t, result.Unknown, result.From(err).Run(), "%v", err)
+	}
+}
+
+func TestCrossedAndTruncatedAnswersAreErrors(t *testing.T) {
+	crossed, _ := backEnd(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(HeaderRequestID, "another")
+		fmt.Fprint(writer, "someone else's")
+	})
+	_, err := do(t, balancerOf(crossed), requestOf(true))
+	require.True(t, result.Is(err, result.AnswerMismatch), "%v", err)
+	for _, size := range []int{100, 2 * bufferedAnswerBytes} {
+		truncated, _ := backEnd(t, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Content-Length", fmt.Sprint(size))
+			_, _ = writer.Write(make([]byte, size/2))
+			_ = http.NewResponseController(writer).Flush()
+			cutOff(nil, nil)
+		})
+		_, err := do(t, balancerOf(truncated), requestOf(true))
+		isTruncated := result.Is(err, result.AnswerTruncated) || errors.Is(err, io.ErrUnexpectedEOF)
+		require.True(t, isTruncated, "%d bytes: %v", size, err)
+	}
+}
+
+func TestLeavingIsTakenFromTheAnswer(t *testing.T) {
+	address, _ := backEnd(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(HeaderLeaving, "true")
+	})
+	balancer := balancerOf(address)
+	_, err := do(t, balancer, requestOf(true))
+	require.NoError(t, err)
+	require.Equal(t, []string{"b0"}, balancer.leaving)
+}
+
+// TestPlanNeverRepeatsWhatMayHaveRun draws endings and checks every decision.
+func TestPlanNeverRepeatsWhatMayHaveRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		plan := &Plan{
+			AtMostOnce: rapid.Bool().Draw(t, "at most once"), Replayable: rapid.Bool().Draw(t, "replayable"),
+			MaxAttempts: rapid.IntRange(1, 5).Draw(t, "attempts"), Deadline: now.Add(50 * time.Millisecond),
+		}
+		for {
+			ending := Ending(rapid.IntRange(int(Answered), int(Lost)).Draw(t, "ending"))
+			bodyRead := rapid.Bool().Draw(t, "body read")
+			step, pause := plan.Next(now, ending, bodyRead)
+			require.LessOrEqual(t, plan.Attempts(), plan.MaxAttempts)
+			if step == Stop {
+				return
+			}
+			require.NotEqual(t, Answered, ending)
+			require.False(t, plan.AtMostOnce && ending == Lost)
+			require.False(t, bodyRead && !plan.Replayable)
+			now = now.Add(pause)
+			require.True(t, now.Before(plan.Deadline))
+		}
+	})
+}
+
+func TestBudgetBoundsRetriesInAnOutage(t *testing.T) {
+	budget := NewBudget()
+	retries := 0
+	const requests = 10_000
+	for range requests {
+		budget.Earn()
+		for range 3 {
+			if budget.Spend() {
+				retries++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(retries), budgetMax+requests*budgetRatio+1)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -70,7 +69,8 @@
 }
 
 // Do sends the request until it is answered or may not be sent again. The error
-// is a *result.Error whose code tells whether the request was run.
+// is a *result.Error whose code tells whether the request was run. ctx must end
+// at the request's deadline at the latest.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) (*Answer, error) {
 	d.earn()
 	plan := &Plan{
@@ -142,19 +142,18 @@
 func (d *Dispatcher) attempt(ctx context.Context, request *Request, endpoint *routing.Endpoint) incoming {
 	requestID := d.newID()
 	began := time.Now()
-	attemptCtx, cancel := context.WithDeadline(ctx, request.Deadline)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	outcome := d.exchanger.exchange(attemptCtx, outgoing{
 		method:    request.Method,
 		url:       "http://" + endpoint.Address + request.Path,
 		header:    d.headerFor(request, requestID),
 		body:      bodyOf(request),
-		length:    request.Length,
 		requestID: requestID,
 	})
 	if outcome.leaving {
 		d.balancer.MarkLeaving(endpoint.ID)
 	}
-	if result.Is(outcome.err, result.AnswerMismatch) {
+	if outcome.err != nil && result.Is(outcome.err, result.AnswerMismatch) {
 		d.logger.Log(event.AnswerMismatched, "back_end", endpoint.ID, "request_id", requestID)
 	}
 	report := Report{Ending: outcome.ending, Latency: time.Since(began), Neutral: ctx.Err() != nil || outcome.leaving}
@@ -171,41 +170,49 @@
 	return outcome
 }
 
-func bodyOf(request *Request) io.Reader {
-	if request.Buffered != nil {
-		return bytes.NewReader(request.Buffered)
-	}
-	if request.Body == nil {
-		return http.NoBody
+// isHopHeader reports whether a header, in canonical form, belongs to one
+// connection and is not passed on.
+func isHopHeader(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect":
+		return true
 	}
-	return request.Body
+	return false
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+// isOwnHeader reports whether a caller's header speaks to pathbend alone.
+func isOwnHeader(name string) bool {
+	switch name {
+	case HeaderPriority, HeaderAtMostOnce, HeaderRequestID, HeaderTenant, HeaderDeadline:
+		return true
+	}
+	return false
 }
 
-// StripHopHeaders removes the headers that belong to one connection.
-func StripHopHeaders(header http.Header) {
-	for _, name := range hopHeaders {
-		header.Del(name)
+// CopyHeader copies the headers that are passed on from one side to the other.
+func CopyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !isHopHeader(name) {
+			to[name] = values
+		}
 	}
 }
 
 func (d *Dispatcher) headerFor(request *Request, requestID string) http.Header {
-	header := request.Header.Clone()
-	if header == nil {
-		header = make(http.Header)
+	const added = 4
+	header := make(http.Header, len(request.Header)+added)
+	for name, values := range request.Header {
+		if !isHopHeader(name) && !isOwnHeader(name) {
+			header[name] = values
+		}
 	}
-	StripHopHeaders(header)
-	header.Set(HeaderRequestID, requestID)
-	header.Set(HeaderTenant, request.Tenant)
 	remaining := max(time.Until(request.Deadline).Milliseconds(), 0)
-	header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
+	header[HeaderRequestID] = []string{requestID}
+	header[HeaderTenant] = []string{request.Tenant}
+	header[HeaderDeadline] = []string{strconv.FormatInt(remaining, 10)}
 	if request.IdempotencyKey != "" {
-		header.Set(HeaderIdempotencyKey, request.IdempotencyKey)
+		header[HeaderIdempotencyKey] = []string{request.IdempotencyKey}
 	}
 	return header
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -25,6 +25,9 @@
 	HeaderRun            = "Pathbend-Run"
 	HeaderLeaving        = "Pathbend-Leaving"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderPriority and HeaderAtMostOnce are the caller's and not passed on.
+	HeaderPriority   = "Pathbend-Priority"
+	HeaderAtMostOnce = "Pathbend-At-Most-Once"
 )
 
 const (
@@ -39,8 +42,7 @@
 
 // Exchanger performs single HTTP exchanges with back ends.
 type Exchanger struct {
-	client *http.Client
-	closer func()
+	transport *http.Transport
 }
 
 // NewExchanger returns an exchanger over a network.
@@ -60,15 +62,11 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true, // bodies pass through untouched
 	}
-	client := &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-	return &Exchanger{client: client, closer: transport.CloseIdleConnections}
+	return &Exchanger{transport: transport}
 }
 
 // Close releases idle connections.
-func (e *Exchanger) Close() { e.closer() }
+func (e *Exchanger) Close() { e.transport.CloseIdleConnections() }
 
 // meteredConn counts the bytes written, to tell whether any were sent.
 type meteredConn struct {
@@ -87,7 +85,7 @@
 	return c.Conn.Write(buffer)
 }
 
-// opaqueBody hides the type of a body from the transport, which therefore
+// opaqueBody hides a streamed or empty body from the transport, which therefore
 // cannot rewind it and never sends the request a second time by itself.
 type opaqueBody struct {
 	reader io.Reader
@@ -109,11 +107,41 @@
 	method    string
 	url       string
 	header    http.Header
-	body      io.Reader
-	length    int64 // -1 if unknown
+	body      outgoingBody
 	requestID string
 }
 
+// outgoingBody is a body in one of the forms that the transport never rewinds.
+type outgoingBody struct {
+	// reader is what the transport reads.
+	reader io.ReadCloser
+	// opaque is set if the body is a stream, to tell whether it was read.
+	opaque *opaqueBody
+	length int64 // -1 if unknown
+}
+
+// bodyOf chooses the form of a request's body. The transport replays a request
+// by itself if it has no body or one that it can get anew. A buffered body is
+// handed over as a plain reader without a way to get it anew, which the
+// transport sends together with the header. Only a repeatable request goes
+// without a body: replaying that one is harmless.
+func bodyOf(request *Request) outgoingBody {
+	switch {
+	case len(request.Buffered) > 0:
+		return outgoingBody{reader: io.NopCloser(bytes.NewReader(request.Buffered)), length: int64(len(request.Buffered))}
+	case request.Body == nil && !request.AtMostOnce:
+		return outgoingBody{reader: http.NoBody}
+	case request.Body == nil:
+		opaque := &opaqueBody{reader: http.NoBody}
+		return outgoingBody{reader: opaque, opaque: opaque}
+	default:
+		opaque := &opaqueBody{reader: request.Body}
+		return outgoingBody{reader: opaque, opaque: opaque, length: request.Length}
+	}
+}
+
+func (b *outgoingBody) wasRead() bool { return b.opaque != nil && b.opaque.read.Load() }
+
 // incoming is the outcome of one exchange.
 type incoming struct {
 	ending   Ending
@@ -150,19 +178,20 @@
 			writtenBefore = connection.written.Load()
 		}
 	}}
-	body := &opaqueBody{reader: out.body}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), out.method, out.url, body)
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), out.method, out.url, nil)
 	if err != nil {
 		return incoming{ending: NotSent, err: result.Wrap(result.MalformedRequest, err, "build request")}
 	}
 	request.Header = out.header
-	request.ContentLength = out.length
-	response, err := e.client.Do(request)
+	request.Body = out.body.reader
+	request.ContentLength = out.body.length
+	// The transport follows no redirects: the answer goes to the caller as it is.
+	response, err := e.transport.RoundTrip(request)
 	if err != nil {
 		sent := connection != nil && connection.written.Load() > writtenBefore
-		return classifyFailure(ctx, err, sent, body.read.Load())
+		return classifyFailure(ctx, err, sent, out.body.wasRead())
 	}
-	return classifyResponse(ctx, response, out.requestID, body.read.Load())
+	return classifyResponse(ctx, response, out.requestID, out.body.wasRead())
 }
 
 func classifyFailure(ctx context.Context, err error, sent, bodyRead bool) incoming {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -17,8 +17,8 @@
 	HeaderNode       = "Pathbend-Node"
 	HeaderAttempts   = "Pathbend-Attempts"
 	HeaderReplayed   = "Pathbend-Replayed"
-	HeaderPriority   = "Pathbend-Priority"
-	HeaderAtMostOnce = "Pathbend-At-Most-Once"
+	HeaderPriority   = dispatch.HeaderPriority
+	HeaderAtMostOnce = dispatch.HeaderAtMostOnce
 )
 
 // ErrorBody is the JSON body of a refusal or failure.
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -100,7 +100,7 @@
 	}
 	parsed := &dispatch.Request{
 		Tenant: tenant.Name, Pool: route.Pool, Method: request.Method, Path: pathAtBackEnd(request, route, rest),
-		Header: callerHeader(request.Header), Length: request.ContentLength, IdempotencyKey: key,
+		Header: request.Header, Length: request.ContentLength, IdempotencyKey: key,
 		AtMostOnce: atMostOnce, MaxAttempts: route.MaxAttempts, Deadline: deadline,
 	}
 	return parsed, priority, attachBody(writer, request, route, parsed)
@@ -121,15 +121,6 @@
 	return path
 }
 
-// callerHeader copies what passes through to the back end.
-func callerHeader(header http.Header) http.Header {
-	passed := header.Clone()
-	for _, name := range []string{HeaderPriority, HeaderAtMostOnce, dispatch.HeaderRequestID, dispatch.HeaderTenant} {
-		passed.Del(name)
-	}
-	return passed
-}
-
 func parseDeadline(header http.Header, longest time.Duration) (time.Time, error) {
 	text := header.Get(dispatch.HeaderDeadline)
 	if text == "" {
@@ -220,10 +211,7 @@
 func (g *Gateway) passOn(writer http.ResponseWriter, answer *dispatch.Answer) result.Code {
 	defer answer.Body.Close()
 	header := writer.Header()
-	for name, values := range answer.Header {
-		header[name] = values
-	}
-	dispatch.StripHopHeaders(header)
+	dispatch.CopyHeader(header, answer.Header)
 	header.Del(dispatch.HeaderRequestID)
 	header.Del(dispatch.HeaderLeaving)
 	header.Set(dispatch.HeaderRun, string(result.Done))
@@ -238,6 +226,8 @@
 	writer.WriteHeader(answer.Status)
 	if answer.Buffered != nil {
 		_, _ = writer.Write(answer.Buffered)
+		// The answer goes out before the books are kept.
+		_ = http.NewResponseController(writer).Flush()
 		return 0
 	}
 	if err := copyFlushing(writer, answer.Body, answer.Length < 0); err != nil {
--- a/internal/lab/overhead.go
+++ b/internal/lab/overhead.go
@@ -111,8 +111,10 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), memory.Mallocs
 }
 
-// runOpenLoop sends requests at their due times to targets in turn and records
-// the time from due to the end of the answer, in microseconds.
+// runOpenLoop sends requests at random times to targets in turn, whether or not
+// earlier ones have ended, and records the time from the launch to the end of
+// the answer in microseconds. The launch may be later than due by the
+// granularity of the operating system's timers, which belongs to neither side.
 func runOpenLoop(ctx context.Context, options OverheadOptions, targets []string, latencies *hdrhistogram.Histogram) int64 {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}
 	defer client.CloseIdleConnections()
@@ -128,8 +130,9 @@
 		if due.Sub(began) > options.Window || ctx.Err() != nil {
 			break
 		}
-		sleepShort(due)
-		dueAt, target := due, targets[number%len(targets)]
+		time.Sleep(time.Until(due))
+		target := targets[number%len(targets)]
+		launched := time.Now()
 		requests.Go(func() {
 			if err := post(client, target, body, keyFor(options, number)); err != nil {
 				failures.Add(1)
@@ -138,7 +141,7 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			// The value is within the histogram's range.
-			_ = latencies.RecordValue(max(time.Since(dueAt).Microseconds(), 1))
+			_ = latencies.RecordValue(max(time.Since(launched).Microseconds(), 1))
 		})
 	}
 	requests.Wait()
@@ -152,14 +155,6 @@
 	return fmt.Sprintf("key-%d-%d", time.Now().UnixNano(), number)
 }
 
-// sleepShort sleeps until a time; the operating system's timers are finer than
-// the gaps that matter here.
-func sleepShort(until time.Time) {
-	if pause := time.Until(until); pause > 0 {
-		time.Sleep(pause)
-	}
-}
-
 func post(client *http.Client, target string, body []byte, key string) error {
 	request, err := http.NewRequest(http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
--- a/internal/labcommand/measure.go
+++ b/internal/labcommand/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -149,6 +150,9 @@
 		if options.Keyed {
 			options.Route = "order-line"
 		}
+		// One process holds callers, nodes and back ends; the collector is set
+		// as in a node.
+		debug.SetGCPercent(400)
 		began := time.Now()
 		measured, err := lab.MeasureOverhead(command.Context(), options)
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
@@ -131,9 +132,7 @@
 	n.idMutex.Lock()
 	defer n.idMutex.Unlock()
 	var buffer [randomIDBytes]byte
-	for i := range buffer {
-		buffer[i] = byte(n.idRandom.Uint32())
-	}
+	binary.BigEndian.PutUint64(buffer[:], n.idRandom.Uint64())
 	return hex.EncodeToString(buffer[:])
 }
 
