Bound the time to discard a refused request's body

Cause: a request whose body stopped half-way never got its refusal: the server reads the rest of a body before it answers, and the read deadline had been taken back. Found by a test with a slow sender, which waited for 10 minutes.

Change: a refusal leaves 200 ms for the rest of the body; a deadline is taken back only once a body is whole.

Measured: the slow sender's refusal comes after its 300 ms deadline plus 200 ms; before: never.

Conclusion: slow senders cost bounded time and get a numbered error.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -38,10 +38,16 @@
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 }
 
+// discardTimeout bounds the reading of a refused request's body.
+const discardTimeout = 200 * time.Millisecond
+
 // refuse answers with a numbered error at once.
 func (g *Gateway) refuse(writer http.ResponseWriter, err error) {
 	typed := result.From(err)
 	definition := result.Lookup(typed.Code)
+	// The server reads what is left of the body before it answers; a sender
+	// that stopped half-way must not hold the answer back.
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(discardTimeout))
 	header := writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderResultCode, strconv.Itoa(int(typed.Code)))
@@ -72,7 +78,6 @@
 	controller := http.NewResponseController(writer)
 	// An error means that the connection has no deadlines, as in tests.
 	_ = controller.SetReadDeadline(time.Now().Add(jsonBodyTimeout))
-	defer controller.SetReadDeadline(time.Time{})
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, limit))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
@@ -81,5 +86,6 @@
 	if decoder.More() {
 		return result.New(result.MalformedRequest, "more than one JSON value in the body").WithField("body")
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	return nil
 }
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -177,11 +177,11 @@
 		parsed.Body = body
 		return nil
 	}
-	defer controller.SetReadDeadline(time.Time{})
 	buffered := make([]byte, request.ContentLength)
 	if _, err := io.ReadFull(body, buffered); err != nil {
 		return bodyError(err, route.MaxBodyBytes)
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	parsed.Buffered = buffered
 	return nil
 }
