Bound control traffic by node, whatever the size of the cluster

Cause: at 420 nodes before 740 samplers every node would read the whole machine list each second (80 KB/s) and poll every engine four times a second.

Change: the list is read with an entity tag and passed on by digest; an engine's load is asked for only by nodes that place work on it or order its weights, at most 8 reports a second; the versions seen on streams take the place of fast polling. A rig of real nodes on the virtual clock measures the control cost.

Found by the rig: closing a pool while a dial was under way waited for ever; the connection that then came up is closed now, with a test.

--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -230,13 +230,19 @@
 	return batch, p.changed
 }
 
-func (p *Platform) handleList(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (p *Platform) handleList(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
 	p.mutex.Lock()
 	machines := p.frozen
 	if !p.faults.ListFrozen {
 		machines = p.list(time.Now())
 	}
 	p.mutex.Unlock()
+	etag := strconv.Quote(strconv.FormatUint(fleet.Digest(machines), 16))
+	writer.Header().Set("ETag", etag)
+	if request.Header.Get("If-None-Match") == etag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(writer, struct {
 		Machines []fleet.Machine `json:"machines"`
 	}{machines})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,8 @@
 	generation  *routing.Profile
 	// states holds the last load report of each engine.
 	states map[string]engineReport
+	// demand is when a generation was last placed on a pool.
+	demand map[string]time.Time
 	// news are endpoints found leaving that peers may not know of yet.
 	news []string
 }
@@ -39,6 +41,7 @@
 		application: routing.NewApplicationProfile(random),
 		generation:  routing.NewGenerationProfile(random),
 		states:      make(map[string]engineReport),
+		demand:      make(map[string]time.Time),
 	}
 }
 
@@ -80,9 +83,26 @@
 func (f *Fleet) PickEngine(request *routing.Request) *routing.Endpoint {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.demand[request.Pool] = request.Now
 	return started(f.generation.Pick(f.table, request))
 }
 
+// InDemand reports whether a generation was placed on a pool of late.
+func (f *Fleet) InDemand(pool string, window time.Duration) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	last, ok := f.demand[pool]
+	return ok && time.Since(last) < window
+}
+
+// NoteVersion takes in the version that an engine was seen to generate with,
+// which is fresher than its last report.
+func (f *Fleet) NoteVersion(endpoint *routing.Endpoint, model string, version uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	endpoint.NoteVersion(model, version, time.Now())
+}
+
 func started(endpoint *routing.Endpoint) *routing.Endpoint {
 	if endpoint != nil {
 		endpoint.Started()
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pathbend/pathbend/internal/network"
 )
 
@@ -41,6 +43,10 @@
 type ListClient struct {
 	url    string
 	client *http.Client
+	// etag and last are the list's entity tag and content at the last change.
+	// Only one goroutine lists at a time.
+	etag string
+	last []Machine
 }
 
 // NewListClient returns a client of the service at a host:port address.
@@ -58,7 +64,8 @@
 // Close releases idle connections.
 func (c *ListClient) Close() { c.client.CloseIdleConnections() }
 
-// List fetches the machine list.
+// List fetches the machine list, or only learns that it has not changed. It
+// must not be called concurrently.
 func (c *ListClient) List(ctx context.Context) ([]Machine, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -66,11 +73,17 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.etag != "" {
+		request.Header.Set("If-None-Match", c.etag)
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return nil, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return c.last, nil
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
 	if err != nil {
 		return nil, err
@@ -84,5 +97,17 @@
 	if err := json.Unmarshal(content, &answer); err != nil {
 		return nil, fmt.Errorf("decode machine list: %w", err)
 	}
+	c.etag, c.last = response.Header.Get("ETag"), answer.Machines
 	return answer.Machines, nil
 }
+
+// Digest returns a hash of a machine list.
+func Digest(machines []Machine) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, machine := range machines {
+		// Writing to a hash never fails.
+		_, _ = fmt.Fprintf(&digest, "%q %q %q %q %q %t\n", machine.ID, machine.Role, machine.Pool, machine.Address, machine.Zone, machine.Leaving)
+	}
+	return digest.Sum64()
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -7,43 +7,65 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/pathbend/pathbend/internal/config"
 	"github.com/pathbend/pathbend/internal/fleet"
 )
 
 const (
-	// loadInterval is how often an engine is asked for its load.
-	loadInterval = 250 * time.Millisecond
-	// freshReport is how old a load report may be to count as an answer.
-	freshReport = 2 * time.Second
+	// pollsPerSecond bounds the load reports that a node asks for, whatever the
+	// size of its pools: the control traffic of a node must not grow with them.
+	pollsPerSecond = 8
+	pollInterval   = time.Second / pollsPerSecond
+	// demandWindow is how long a pool is polled after the last generation that
+	// this node placed on it.
+	demandWindow = 10 * time.Second
+	// minFreshReport is how old a load report may be at least to count as an
+	// answer; with a large pool it may be as old as a few rounds of polling.
+	minFreshReport = 2 * time.Second
+	freshRounds    = 3
 )
 
-// pollEnginesLoop asks the engines of all configured pools for their load.
+// pollEnginesLoop asks engines for their load in turn, as far as this node
+// needs to know it: engines of pools that it places generations on, and of
+// models whose weights it orders.
 func (n *Node) pollEnginesLoop(ctx context.Context) {
 	polls := &enginePolls{running: make(map[string]bool)}
 	defer polls.group.Wait()
-	every(ctx, loadInterval, func() {
-		document, _ := n.Current()
-		for _, pool := range enginePools(document) {
-			for _, target := range n.fleet.Engines(pool) {
-				polls.start(ctx, n, target)
-			}
+	next := 0
+	every(ctx, pollInterval, func() {
+		wanted := n.wantedEngines()
+		if len(wanted) == 0 {
+			return
 		}
+		polls.start(ctx, n, wanted[next%len(wanted)])
+		next++
 	})
 }
 
-// enginePools lists the pools of all models, each once.
-func enginePools(document *config.Document) []string {
+// wantedEngines lists the engines whose load this node needs.
+func (n *Node) wantedEngines() []fleet.Engine {
+	document, _ := n.Current()
 	if document == nil {
 		return nil
 	}
-	seen := make(map[string]bool)
+	pools := make(map[string]bool)
 	for _, tenant := range document.Tenants {
 		for _, model := range tenant.Spec.Models {
-			seen[model.Pool] = true
+			ordered := n.lease(leaseName(tenant.Name, model.Name)).Holder == n.id
+			if ordered || n.fleet.InDemand(model.Pool, demandWindow) {
+				pools[model.Pool] = true
+			}
 		}
 	}
-	return sortedKeys(seen)
+	var wanted []fleet.Engine
+	for _, pool := range sortedKeys(pools) {
+		wanted = append(wanted, n.fleet.Engines(pool)...)
+	}
+	return wanted
+}
+
+// freshReport is how old a report of an engine may be in a pool of a size.
+func freshReport(poolSize int) time.Duration {
+	return max(minFreshReport, freshRounds*time.Duration(poolSize)*pollInterval)
 }
 
 // enginePolls keeps at most one poll per engine in progress.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -165,17 +165,29 @@
 type machineCache struct {
 	mutex    sync.Mutex
 	machines []fleet.Machine
+	digest   uint64
 	readAt   time.Time
 	failing  bool
 }
 
-func (c *machineCache) set(machines []fleet.Machine, at time.Time) {
+// set takes in a list that is no older than the present one, and reports
+// whether it differs.
+func (c *machineCache) set(machines []fleet.Machine, at time.Time) bool {
+	digest := fleet.Digest(machines)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if at.Before(c.readAt) {
-		return
+		return false
 	}
-	c.machines, c.readAt = machines, at
+	changed := c.readAt.IsZero() || digest != c.digest
+	c.machines, c.digest, c.readAt = machines, digest, at
+	return changed
+}
+
+func (c *machineCache) knownDigest() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.digest
 }
 
 func (c *machineCache) get() ([]fleet.Machine, time.Time) {
@@ -218,8 +230,9 @@
 		return
 	}
 	n.machines.failing = false
-	n.machines.set(machines, at)
-	machines, _ = n.machines.get()
+	if !n.machines.set(machines, at) {
+		return
+	}
 	n.fleet.Update(machines)
 	var seeds []string
 	for _, machine := range machines {
@@ -250,12 +263,17 @@
 	ctx, cancel := context.WithTimeout(ctx, peerReadMargin)
 	defer cancel()
 	reply, err := n.peers.Call(ctx, member.Address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_ListMachines{
-		ListMachines: &pathbendv1.ListMachines{},
+		ListMachines: &pathbendv1.ListMachines{Known: n.machines.knownDigest()},
 	}})
 	if err != nil {
 		return nil, time.Time{}, err
 	}
 	list := reply.GetMachineList()
+	readAt := time.Now().Add(-time.Duration(list.GetAgeMs()) * time.Millisecond)
+	if list.GetUnchanged() {
+		present, _ := n.machines.get()
+		return present, readAt, nil
+	}
 	machines := make([]fleet.Machine, 0, len(list.GetMachines()))
 	for _, machine := range list.GetMachines() {
 		machines = append(machines, fleet.Machine{
@@ -263,7 +281,7 @@
 			Zone: machine.Zone, Leaving: machine.Leaving,
 		})
 	}
-	return machines, time.Now().Add(-time.Duration(list.GetAgeMs()) * time.Millisecond), nil
+	return machines, readAt, nil
 }
 
 // rosterLoop joins the roster, removes dead members from it and appends
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -51,8 +51,10 @@
 type attempt struct {
 	route   routing.Request
 	request engine.GenerateRequest
-	placed  func(engineID string)
-	deliver func(chunk engine.Chunk) error
+	// minVersion is the lowest version of which tokens are taken.
+	minVersion uint64
+	placed     func(engineID string)
+	deliver    func(chunk engine.Chunk) error
 }
 
 // Generate implements rollout.Generator.
@@ -77,11 +79,9 @@
 			MaxTokens: start.Prompt.MaxTokens, Seed: start.Seed, ResumeTokens: start.Resume,
 			Priority: min(rolloutPriority+int(start.Age/agePerPriority), maxRolloutPriority),
 		},
-		placed: progress.Placed,
+		minVersion: start.MinVersion,
+		placed:     progress.Placed,
 		deliver: func(chunk engine.Chunk) error {
-			if len(chunk.Tokens) > 0 && chunk.Version < start.MinVersion {
-				return errStaleVersion
-			}
 			reason = chunk.FinishReason
 			if !progress.Chunk(chunk.Tokens, chunk.Version) {
 				return errNotWanted
@@ -150,7 +150,7 @@
 		}
 		a.placed(endpoint.ID)
 		began := time.Now()
-		err := g.stream(ctx, endpoint.Address, a)
+		err := g.stream(ctx, endpoint, a)
 		g.node.fleet.Report(endpoint, reportOf(ctx, err, time.Since(began)))
 		if !errors.Is(err, engine.ErrBusy) {
 			if err != nil {
@@ -171,12 +171,13 @@
 	return dispatch.Report{Ending: dispatch.Lost, Latency: latency, Neutral: neutral}
 }
 
-func (g *generator) stream(ctx context.Context, address string, a attempt) error {
-	stream, err := g.node.engines.Generate(ctx, address, a.request)
+func (g *generator) stream(ctx context.Context, endpoint *routing.Endpoint, a attempt) error {
+	stream, err := g.node.engines.Generate(ctx, endpoint.Address, a.request)
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
+	var seen uint64
 	for {
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -188,6 +189,13 @@
 		if chunk.FinishReason == engine.FinishAborted {
 			return errEngineLeaving
 		}
+		if len(chunk.Tokens) > 0 && chunk.Version != seen {
+			seen = chunk.Version
+			g.node.fleet.NoteVersion(endpoint, a.request.Model, seen)
+		}
+		if len(chunk.Tokens) > 0 && chunk.Version < a.minVersion {
+			return errStaleVersion
+		}
 		if err := a.deliver(chunk); err != nil {
 			return err
 		}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -269,3 +270,29 @@
 	}
 	return 1
 }
+
+// PeerTraffic returns the bytes sent to and received from peers over the
+// connections that this node opened.
+func (n *Node) PeerTraffic() (sent, received int64) { return n.peers.Traffic() }
+
+// Sees returns the status that this node holds of a member; empty if it does
+// not know it.
+func (n *Node) Sees(id string) string {
+	member, ok := n.members.get(id)
+	if !ok {
+		return ""
+	}
+	return member.Status.String()
+}
+
+// CountDead counts the members that this node takes for dead, except those
+// whose id begins with a name.
+func (n *Node) CountDead(except string) int {
+	count := 0
+	for _, member := range n.members.all() {
+		if member.Status == membership.Dead && (except == "" || !strings.HasPrefix(member.ID, except)) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -22,7 +22,7 @@
 	case *pathbendv1.Envelope_ReadRecords:
 		return n.handleRead(ctx, body.ReadRecords)
 	case *pathbendv1.Envelope_ListMachines:
-		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_MachineList{MachineList: n.handleList()}}, nil
+		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_MachineList{MachineList: n.handleList(body.ListMachines)}}, nil
 	case *pathbendv1.Envelope_ClaimKey:
 		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_KeyGrant{KeyGrant: n.replicas.handleClaim(body.ClaimKey)}}, nil
 	case *pathbendv1.Envelope_SyncShards:
@@ -59,9 +59,13 @@
 // maxPeerWait bounds how long a peer's read may wait here.
 const maxPeerWait = 30 * time.Second
 
-func (n *Node) handleList() *pathbendv1.MachineList {
+func (n *Node) handleList(call *pathbendv1.ListMachines) *pathbendv1.MachineList {
 	machines, at := n.machines.get()
 	list := &pathbendv1.MachineList{AgeMs: time.Since(at).Milliseconds()}
+	if !at.IsZero() && call.GetKnown() == n.machines.knownDigest() {
+		list.Unchanged = true
+		return list
+	}
 	for _, machine := range machines {
 		list.Machines = append(list.Machines, &pathbendv1.Machine{
 			Id: machine.ID, Role: string(machine.Role), Pool: machine.Pool, Address: machine.Address,
--- a/internal/node/weights.go
+++ b/internal/node/weights.go
@@ -187,7 +187,7 @@
 			continue
 		}
 		load, at, ok := w.node.fleet.EngineReport(target.ID)
-		states = append(states, engineState(target.ID, model, load, ok && time.Since(at) <= freshReport))
+		states = append(states, engineState(target.ID, model, load, ok && time.Since(at) <= freshReport(len(engines))))
 	}
 	return states
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -175,3 +175,44 @@
 		}
 	})
 }
+
+// slowNetwork lets dials finish only when told.
+type slowNetwork struct {
+	network.TCP
+	dialled chan struct{}
+	proceed chan struct{}
+}
+
+func (s *slowNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	close(s.dialled)
+	<-s.proceed
+	return s.TCP.Dial(context.WithoutCancel(ctx), address)
+}
+
+// An earlier version waited for ever for a connection that came up while the
+// pool was closed.
+func TestCloseDuringADialEnds(t *testing.T) {
+	address := serve(t, handlerFunc(emptyList))
+	slow := &slowNetwork{dialled: make(chan struct{}), proceed: make(chan struct{})}
+	pool := NewPool(slow, "test")
+	called := make(chan error, 1)
+	go func() {
+		_, err := pool.Call(context.Background(), address, listCall())
+		called <- err
+	}()
+	<-slow.dialled
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		pool.Close()
+	}()
+	require.Eventually(t, func() bool {
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		return pool.closed
+	}, 10*time.Second, time.Millisecond)
+	time.Sleep(10 * time.Millisecond)
+	close(slow.proceed)
+	<-closed
+	require.True(t, result.Is(<-called, result.PeerUnreached))
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -167,7 +167,12 @@
 	c.mutex.Lock()
 	c.socket = counted
 	c.writer = newFrameWriter(counted)
+	closed := c.closed
 	c.mutex.Unlock()
+	if closed { // the pool was closed while the dial was under way
+		counted.Close()
+		return net.ErrClosed
+	}
 	hello := &pathbendv1.Hello{ProtocolVersion: ProtocolVersion, NodeId: c.pool.nodeID}
 	return c.writer.write(&pathbendv1.Envelope{Body: &pathbendv1.Envelope_Hello{Hello: hello}})
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -21,11 +21,24 @@
 	// Latency is a moving average of the time to a whole answer.
 	Latency time.Duration
 
+	// seenVersions are the versions seen on streams, by model.
+	seenVersions map[string]seenVersion
+
 	consecutiveFailures int
 	ejections           int
 	ejectedUntil        time.Time
 }
 
+// seenVersion is a weight version seen on a stream.
+type seenVersion struct {
+	version uint64
+	at      time.Time
+}
+
+// versionMemory is how long an engine is passed over after it was found to
+// serve an older version than wanted.
+const versionMemory = time.Second
+
 // LoadReport is what an engine tells of itself. It lags.
 type LoadReport struct {
 	Running  int
@@ -90,6 +103,26 @@
 	return true
 }
 
+// NoteVersion records the version that the endpoint was seen to generate with.
+func (e *Endpoint) NoteVersion(model string, version uint64, at time.Time) {
+	if e.seenVersions == nil {
+		e.seenVersions = make(map[string]seenVersion)
+	}
+	e.seenVersions[model] = seenVersion{version: version, at: at}
+}
+
+// serves reports whether the endpoint can make tokens of at least a version,
+// as far as is known. What was seen or reported long ago may have changed, and
+// the versions on the stream decide in the end.
+func (e *Endpoint) serves(model string, minimum uint64, now time.Time) bool {
+	seen, reported := e.seenVersions[model], e.Report.Versions[model]
+	if seen.version >= minimum || reported >= minimum {
+		return true
+	}
+	recent := now.Sub(seen.at) < versionMemory || now.Sub(e.ReportedAt) < versionMemory
+	return !recent
+}
+
 // Reported takes in a load report made at a time.
 func (e *Endpoint) Reported(report LoadReport, at time.Time) {
 	e.Report = report
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -76,6 +76,12 @@
 		require.NotEqual(t, "engine-000", picked.ID)
 	}
 	require.Nil(t, profile.Pick(table, &Request{Pool: "samplers", Model: "m", MinVersion: 7, Now: now}))
+	later := now.Add(versionMemory)
+	require.NotNil(t, profile.Pick(table, &Request{Pool: "samplers", Model: "m", MinVersion: 7, Now: later}), "an old report proves nothing")
+	for _, endpoint := range table.Pool("samplers") {
+		endpoint.NoteVersion("m", 6, later)
+	}
+	require.Nil(t, profile.Pick(table, &Request{Pool: "samplers", Model: "m", MinVersion: 7, Now: later}))
 }
 
 func TestLoadSpreadsAndAffinityHolds(t *testing.T) {
--- a/internal/routing/serves_version.go
+++ b/internal/routing/serves_version.go
@@ -1,15 +1,12 @@
 package routing
 
-// ServesVersion keeps engines that report the model at the wanted version or a
-// later one. An engine without any report is kept: it may be new, and what it
-// produces is judged by the versions on its stream.
+// ServesVersion keeps engines that may serve the model at the wanted version or
+// a later one: those that were seen or reported to, and those of which nothing
+// recent is known. What an engine produces is judged by the versions on its
+// stream.
 type ServesVersion struct{}
 
 // Keep implements Filter.
 func (ServesVersion) Keep(request *Request, endpoint *Endpoint) bool {
-	if request.Model == "" || endpoint.ReportedAt.IsZero() {
-		return true
-	}
-	version, ok := endpoint.Report.Versions[request.Model]
-	return ok && version >= request.MinVersion
+	return request.Model == "" || endpoint.serves(request.Model, request.MinVersion, request.Now)
 }
