--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,12 @@
 BIN := bin
 SEEDS ?= 20
 FIRST_SEED ?= 1
+DURATION ?= 3m
+SIZES ?= 30,60,120,240,420
+FUZZTIME ?= 30s
 OUT ?= out
 
-.PHONY: demo test race check build fuzz generate clean
+.PHONY: demo test race check build fuzz simulate scale experiments generate clean
 
 demo:
 	$(GO) run ./cmd/pathbend-lab demo
@@ -26,6 +29,26 @@
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+# Runs seeded fault schedules on all cores, for example
+# make simulate FIRST_SEED=1 SEEDS=200
+simulate:
+	$(GO) test -count=1 -timeout 0 ./internal/simulation -run TestSeeds -v \
+		-first-seed=$(FIRST_SEED) -seeds=$(SEEDS) -duration=$(DURATION)
+
+# Measures the control cost of a node at several cluster sizes.
+scale:
+	$(GO) test -count=1 -timeout 0 ./internal/simulation -run TestScale -v -scale-sizes=$(SIZES)
+
+# Runs all experiments into $(OUT).
+experiments: build
+	$(BIN)/pathbend-lab experiment overhead --out $(OUT)
+	$(BIN)/pathbend-lab experiment overhead --at-most-once --out $(OUT)
+
+fuzz:
+	$(GO) test ./internal/peer -run '^$$' -fuzz FuzzReadEnvelope -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/config -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/state -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME)
+
 # Regenerates the committed protobuf code; needs protoc and protoc-gen-go.
 generate:
 	protoc -I . --go_out=. --go_opt=paths=source_relative api/pathbend/v1/*.proto
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -248,7 +248,7 @@
 		template, ok := templates[tenant.Template]
 		if !ok {
 			return resolved, Problems{tenant.problemAt("template", fmt.Sprintf("no template %q", tenant.Template),
-				"known templates are "+strings.Join(sortedKeys(templates), ", "))}
+				"known templates are "+strings.Join(sortedKeys(templates), ", ")+"; load the template's file together with the tenant's")}
 		}
 		if unknown := unknownParameters(tenant, template); len(unknown) > 0 {
 			return resolved, unknown
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -110,6 +110,9 @@
 	policy.RandomizationFactor = 0
 	for ctx.Err() == nil {
 		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		f.noteRead(err)
 		if err == nil {
 			policy.Reset()
--- a/internal/idempotency/idempotency_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -18,7 +18,7 @@
 	table    *shard.Table
 	epoch    uint64
 	roster   []shard.Member
-	tables   []shard.Table // by epoch
+	tables   []*shard.Table // by epoch
 	replicas map[string]*Replica
 	// seen is the epoch that each node follows.
 	seen map[string]int
@@ -27,7 +27,7 @@
 }
 
 func newWorld(size int) *world {
-	w := &world{table: &shard.Table{}, replicas: map[string]*Replica{}, seen: map[string]int{}, down: map[string]bool{}}
+	w := &world{table: shard.NewTable(), replicas: map[string]*Replica{}, seen: map[string]int{}, down: map[string]bool{}}
 	for range size {
 		w.join()
 	}
@@ -37,11 +37,14 @@
 
 func (w *world) join() string {
 	id := fmt.Sprintf("node-%d", w.next)
-	w.roster = append(w.roster, shard.Member{ID: id, Zone: fmt.Sprintf("zone-%d", w.next%3)})
+	member := shard.Member{ID: id, Zone: fmt.Sprintf("zone-%d", w.next%3)}
+	w.roster = append(w.roster, member)
 	w.next++
 	w.replicas[id] = NewReplica(id)
 	w.seen[id] = -1
-	w.publish()
+	w.epoch++
+	w.table.Join(member, w.epoch)
+	w.tables = append(w.tables, w.table.Clone())
 	return id
 }
 
@@ -52,20 +55,16 @@
 			break
 		}
 	}
-	w.publish()
-}
-
-func (w *world) publish() {
 	w.epoch++
-	w.table.Apply(w.roster, w.epoch)
-	w.tables = append(w.tables, *w.table)
+	w.table.Leave(id, w.epoch)
+	w.tables = append(w.tables, w.table.Clone())
 }
 
 // follow lets one node see one more roster.
 func (w *world) follow(id string) {
 	if w.seen[id]+1 < len(w.tables) {
 		w.seen[id]++
-		w.replicas[id].Follow(&w.tables[w.seen[id]], start)
+		w.replicas[id].Follow(w.tables[w.seen[id]], start)
 	}
 }
 
--- a/internal/keyed/executor.go
+++ b/internal/keyed/executor.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"github.com/pathbend/pathbend/internal/dispatch"
@@ -62,31 +63,47 @@
 // has the key already.
 func (e *Executor) Do(ctx context.Context, request *dispatch.Request) (*dispatch.Answer, error) {
 	key := request.Tenant + "\n" + request.IdempotencyKey
-	binding := idempotency.Binding{Executor: e.selfID, RequestID: e.newID()}
-	verdict, holder := e.claim(ctx, key, binding, request.Deadline)
-	switch verdict {
-	case idempotency.Won:
-		return e.execute(ctx, key, binding, request)
-	case idempotency.Taken:
-		return e.repeat(ctx, key, holder, request.Deadline)
+	outcome := e.claim(ctx, key, request.Deadline)
+	switch {
+	case outcome.verdict == idempotency.Won:
+		return e.execute(ctx, key, outcome.binding, request)
+	case outcome.held:
+		// Another request holds the key at some replica at least, so it may
+		// have run, and this one must not be reported as not run.
+		return e.repeat(ctx, key, outcome.holder, request.Deadline)
 	default:
-		e.release(key, binding)
 		return nil, result.New(result.KeyUnavailable, "no majority of the key's replicas answered").
 			WithRetryAfter(keyRetryHint)
 	}
 }
 
-// claim repeats rounds until one decides, the group's change takes too long or
-// the deadline comes near.
-func (e *Executor) claim(ctx context.Context, key string, binding idempotency.Binding, deadline time.Time) (idempotency.Verdict, idempotency.Binding) {
+// claimOutcome is the end of a request's rounds of claims.
+type claimOutcome struct {
+	verdict idempotency.Verdict
+	binding idempotency.Binding
+	// holder is another request that was seen to hold the key, if held.
+	holder idempotency.Binding
+	held   bool
+}
+
+// claim repeats rounds until one decides, or until a change of the group or a
+// split between concurrent requests has lasted too long. A round that decided
+// nothing is released before the next, which runs under a new request id: a
+// release that overtakes or is overtaken by a claim can then not undo a claim
+// that counts.
+func (e *Executor) claim(ctx context.Context, key string, deadline time.Time) claimOutcome {
 	patience := time.Now().Add(min(claimPatience, time.Until(deadline)/2))
 	for {
-		verdict, holder := e.claimRound(ctx, key, binding)
-		if verdict == idempotency.Won || verdict == idempotency.Taken {
-			return verdict, holder
+		binding := idempotency.Binding{Executor: e.selfID, RequestID: e.newID()}
+		outcome := e.claimRound(ctx, key, binding)
+		if outcome.verdict == idempotency.Won || outcome.verdict == idempotency.Taken {
+			return outcome
 		}
-		if !time.Now().Add(claimPause).Before(patience) || !pause(ctx, claimPause) {
-			return idempotency.Unavailable, idempotency.Binding{}
+		e.release(key, binding)
+		rest := claimPause + time.Duration(xxhash.Sum64String(binding.RequestID)%uint64(claimPause))
+		if !time.Now().Add(rest).Before(patience) || !pause(ctx, rest) {
+			outcome.verdict = idempotency.Unavailable
+			return outcome
 		}
 	}
 }
@@ -108,12 +125,13 @@
 }
 
 // claimRound asks all members at once and returns as soon as it is decided.
-func (e *Executor) claimRound(ctx context.Context, key string, binding idempotency.Binding) (idempotency.Verdict, idempotency.Binding) {
+func (e *Executor) claimRound(ctx context.Context, key string, binding idempotency.Binding) claimOutcome {
+	outcome := claimOutcome{verdict: idempotency.Unavailable, binding: binding}
 	index := shard.Of(key)
 	group := e.replicas.Group(index)
 	round := idempotency.NewRound(binding, len(group.Members), shard.Quorum(group.Members))
 	if len(group.Members) == 0 {
-		return idempotency.Unavailable, idempotency.Binding{}
+		return outcome
 	}
 	claim := idempotency.Claim{Shard: index, Generation: group.Generation, Key: key, Binding: binding}
 	answers := make(chan claimAnswer, len(group.Members))
@@ -136,12 +154,12 @@
 		} else {
 			round.Add(answer.grant)
 		}
-		if verdict := round.Verdict(); verdict != idempotency.Undecided {
-			holder, _ := round.Holder()
-			return verdict, holder
+		outcome.holder, outcome.held = round.Holder()
+		if outcome.verdict = round.Verdict(); outcome.verdict != idempotency.Undecided {
+			return outcome
 		}
 	}
-	return idempotency.Unavailable, idempotency.Binding{}
+	return outcome
 }
 
 // release withdraws the claims of a request that will not run.
--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -22,7 +22,7 @@
 // cluster is a set of executors over shared replicas.
 type cluster struct {
 	mutex     sync.Mutex
-	table     shard.Table
+	table     *shard.Table
 	replicas  map[string]*idempotency.Replica
 	executors map[string]*Executor
 	down      map[string]bool
@@ -32,25 +32,33 @@
 
 func newCluster(names ...string) *cluster {
 	c := &cluster{
-		replicas: make(map[string]*idempotency.Replica), executors: make(map[string]*Executor), down: make(map[string]bool),
+		table: shard.NewTable(), replicas: make(map[string]*idempotency.Replica), executors: make(map[string]*Executor), down: make(map[string]bool),
 		run: func() (*dispatch.Answer, error) {
 			return &dispatch.Answer{Status: http.StatusOK, Buffered: []byte("paid")}, nil
 		},
 	}
-	var roster []shard.Member
-	for _, name := range names {
-		roster = append(roster, shard.Member{ID: name, Zone: name})
+	for i, name := range names {
+		c.table.Join(shard.Member{ID: name, Zone: name}, uint64(i+1))
 	}
-	c.table.Apply(roster, 1)
 	var ids atomic.Int64
 	for _, name := range names {
 		c.replicas[name] = idempotency.NewReplica(name)
-		c.replicas[name].Follow(&c.table, time.Now())
+		c.replicas[name].Follow(firstGeneration(c.table), time.Now())
 		c.executors[name] = NewExecutor(name, c, c, func() string { return fmt.Sprint("id-", ids.Add(1)) })
 	}
 	return c
 }
 
+// firstGeneration lets every replica start ready, as if it had been there from
+// the first record on.
+func firstGeneration(table *shard.Table) *shard.Table {
+	exported := table.Export()
+	for _, group := range exported {
+		group.Former, group.FormerGeneration = nil, 0
+	}
+	return shard.Import(exported, nil)
+}
+
 func (c *cluster) Group(index int) shard.Group { return c.table.Group(index) }
 
 func (c *cluster) Claim(_ context.Context, member string, claim idempotency.Claim) (idempotency.Grant, error) {
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,46 +48,79 @@
 // Quorum is how many of the members must agree.
 func Quorum(members []string) int { return len(members)/2 + 1 }
 
-// Table holds the group of every shard.
+// Table holds the group of every shard and the roster that it follows from.
 type Table struct {
 	groups [Count]Group
+	// zones holds the zone of every member by id.
+	zones map[string]string
 }
 
+// NewTable returns the table of an empty roster.
+func NewTable() *Table { return &Table{zones: make(map[string]string)} }
+
+// Clone returns an independent copy.
+func (t *Table) Clone() *Table { return &Table{groups: t.groups, zones: maps.Clone(t.zones)} }
+
 // Of returns the shard of a key.
 func Of(key string) int { return int(xxhash.Sum64String(key) % Count) }
 
 // Group returns the replica group of a shard.
 func (t *Table) Group(shard int) Group { return t.groups[shard] }
 
-// Apply forms new groups for a roster that came into force at an epoch, where
-// they differ from the present ones. An empty roster changes nothing, so that
-// the groups before it stay known as the former ones.
-func (t *Table) Apply(roster []Member, epoch uint64) {
-	if len(roster) == 0 {
+// Join takes a member into the roster at an epoch. It changes the groups that
+// the member wins a place in. Choosing among a group and the newcomer gives the
+// same members as choosing among all, so the cost does not grow with the roster.
+func (t *Table) Join(member Member, epoch uint64) {
+	t.zones[member.ID] = member.Zone
+	for shard := range t.groups {
+		present := t.groups[shard].Members
+		if !slices.Contains(present, member.ID) {
+			t.replace(shard, append(slices.Clone(present), member.ID), epoch)
+		}
+	}
+}
+
+// Leave takes a member off the roster at an epoch. The last member's groups
+// stay, so that they remain known as the former ones.
+func (t *Table) Leave(id string, epoch uint64) {
+	delete(t.zones, id)
+	if len(t.zones) == 0 {
 		return
 	}
-	scored := make([]scoredMember, len(roster))
+	rest := slices.Sorted(maps.Keys(t.zones))
 	for shard := range t.groups {
-		members := chooseGroup(shard, roster, scored)
-		current := &t.groups[shard]
-		if slices.Equal(members, current.Members) {
-			continue
-		}
-		t.groups[shard] = Group{
-			Generation: epoch, Members: members,
-			Former: current.Members, FormerGeneration: current.Generation,
+		if slices.Contains(t.groups[shard].Members, id) {
+			t.replace(shard, rest, epoch)
 		}
 	}
 }
 
+// replace forms a new group out of candidates if it differs from the present.
+func (t *Table) replace(shard int, candidates []string, epoch uint64) {
+	members := t.choose(shard, candidates)
+	current := &t.groups[shard]
+	if slices.Equal(members, current.Members) {
+		return
+	}
+	t.groups[shard] = Group{
+		Generation: epoch, Members: members,
+		Former: current.Members, FormerGeneration: current.Generation,
+	}
+}
+
 type scoredMember struct {
 	Member
 	score uint64
 }
 
-func chooseGroup(shard int, roster []Member, scored []scoredMember) []string {
-	for i, member := range roster {
-		scored[i] = scoredMember{member, score(shard, member.ID)}
+// choose picks the best candidates for a shard, in distinct zones first. Those
+// that are not on the roster any more are passed over.
+func (t *Table) choose(shard int, candidates []string) []string {
+	scored := make([]scoredMember, 0, len(candidates))
+	for _, id := range candidates {
+		if zone, ok := t.zones[id]; ok {
+			scored = append(scored, scoredMember{Member{ID: id, Zone: zone}, score(shard, id)})
+		}
 	}
 	slices.SortFunc(scored, func(a, b scoredMember) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
@@ -127,9 +161,12 @@
 	return exported
 }
 
-// Import decodes a table from a snapshot.
-func Import(exported []*pathbendv1.ShardState) *Table {
-	table := &Table{}
+// Import decodes a table from a snapshot and the roster in it.
+func Import(exported []*pathbendv1.ShardState, roster []Member) *Table {
+	table := NewTable()
+	for _, member := range roster {
+		table.zones[member.ID] = member.Zone
+	}
 	for i, state := range exported[:min(len(exported), Count)] {
 		table.groups[i] = Group{
 			Generation: state.Generation, Members: state.Members,
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -49,6 +49,7 @@
 	crossZoneLatency = 1500 * time.Microsecond
 	startTimeout     = 30 * time.Second
 	closeTime        = 30 * time.Second
+	endLimit         = 5 * time.Minute
 )
 
 func latency(from, to string) time.Duration {
@@ -88,6 +89,9 @@
 	if err := cluster.WaitReady(ready); err != nil {
 		return report, err
 	}
+	// A run that does not end by itself would go on for ever in virtual time.
+	watchdog := time.AfterFunc(schedule.Duration+endLimit, func() { panic("the run does not end") })
+	defer watchdog.Stop()
 	load := cluster.NewLoad(options.Load)
 	w.drive(schedule, load)
 	w.report(&report, load)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -76,7 +76,7 @@
 	return &Machine{
 		roster: make(map[string]RosterMember),
 		leases: lease.NewTable(),
-		shards: &shard.Table{},
+		shards: shard.NewTable(),
 		seen:   make(map[string]struct{}),
 	}
 }
@@ -193,18 +193,9 @@
 
 func (m *Machine) applyJoin(offset uint64, joined *pathbendv1.NodeJoined) Outcome {
 	m.roster[joined.NodeId] = RosterMember{ID: joined.NodeId, Address: joined.Address, Zone: joined.Zone}
-	m.changeRoster(offset)
-	return Outcome{Changed: PartRoster}
-}
-
-func (m *Machine) changeRoster(offset uint64) {
 	m.epoch = offset + 1
-	members, _ := m.Roster()
-	holders := make([]shard.Member, 0, len(members))
-	for _, member := range members {
-		holders = append(holders, shard.Member{ID: member.ID, Zone: member.Zone})
-	}
-	m.shards.Apply(holders, m.epoch)
+	m.shards.Join(shard.Member{ID: joined.NodeId, Zone: joined.Zone}, m.epoch)
+	return Outcome{Changed: PartRoster}
 }
 
 func (m *Machine) applyLeave(offset uint64, left *pathbendv1.NodeLeft) Outcome {
@@ -212,6 +203,7 @@
 		return Outcome{Duplicate: true}
 	}
 	delete(m.roster, left.NodeId)
-	m.changeRoster(offset)
+	m.epoch = offset + 1
+	m.shards.Leave(left.NodeId, m.epoch)
 	return Outcome{Changed: PartRoster}
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -53,11 +53,13 @@
 	m.revisions = revisions
 	m.epoch = snapshot.RosterEpoch
 	m.leases = lease.Import(snapshot.Leases)
-	m.shards = shard.Import(snapshot.Shards)
 	clear(m.roster)
+	var holders []shard.Member
 	for _, member := range snapshot.Members {
+		holders = append(holders, shard.Member{ID: member.NodeId, Zone: member.Zone})
 		m.roster[member.NodeId] = RosterMember{ID: member.NodeId, Address: member.Address, Zone: member.Zone}
 	}
+	m.shards = shard.Import(snapshot.Shards, holders)
 	clear(m.seen)
 	m.seenOrder = nil
 	for _, id := range snapshot.RecentIds {
