--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Options configure a client.
@@ -25,12 +26,15 @@
 	Tenant    string
 	// MaxAttempts bounds the sends of one request; 0 means DefaultMaxAttempts.
 	MaxAttempts int
-	// Dial replaces the dialler of the operating system, as in tests.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Network replaces the operating system's, as in simulations.
+	Network Dialer
 	// Random draws jitter; nil uses a source of its own.
 	Random *rand.Rand
 }
 
+// Dialer opens connections; network.TCP of this module is one.
+type Dialer = network.Network
+
 // DefaultMaxAttempts is the number of sends of one request.
 const DefaultMaxAttempts = 6
 
@@ -38,7 +42,7 @@
 	maxAnswerBytes = 256 << 20
 	retryBase      = 20 * time.Millisecond
 	retryMax       = 2 * time.Second
-	idleTimeout    = 30 * time.Second
+	maxIdlePerNode = 256
 )
 
 // Client talks to the nodes of a cluster for one tenant. It is safe for
@@ -55,13 +59,10 @@
 	if options.MaxAttempts == 0 {
 		options.MaxAttempts = DefaultMaxAttempts
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	if options.Dial == nil {
-		options.Dial = network.TCP{}.Dial
-	}
-	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-		return options.Dial(ctx, address)
+	if options.Network == nil {
+		options.Network = network.TCP{}
 	}
+	transport := network.NewTransport(options.Network, maxIdlePerNode)
 	return &Client{options: options, http: &http.Client{Transport: transport}}
 }
 
@@ -198,14 +199,7 @@
 		delay = min(retryBase<<(attempt-1), retryMax)
 	}
 	delay += time.Duration(c.int64N(int64(delay)/2 + 1))
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, delay)
 }
 
 func (c *Client) int64N(n int64) int64 {
--- a/client/trainer.go
+++ b/client/trainer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Prompt asks for a group of samples that share a prompt.
@@ -188,7 +190,7 @@
 		j.take(answer, sent)
 		return nil
 	case errors.As(err, &failure) && failure.Code == jobUnknown:
-		rest(ctx, resubmitRest)
+		wait.For(ctx, resubmitRest)
 		return ignoreTransient(j.submit(ctx))
 	default:
 		return ignoreTransient(err)
@@ -235,12 +237,3 @@
 		Version uint64 `json:"version"`
 	}{version}, nil)
 }
-
-func rest(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -13,6 +13,7 @@
 	"github.com/pathbend/pathbend/internal/logstore"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/state"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 const (
@@ -118,23 +119,18 @@
 			policy.Reset()
 			continue
 		}
-		timer := time.NewTimer(policy.NextBackOff())
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		wait.For(ctx, policy.NextBackOff())
 	}
 }
 
 func (f *Follower) step(ctx context.Context) error {
 	f.mutex.Lock()
-	from, wait := f.machine.Next(), readWait
+	from, patience := f.machine.Next(), readWait
 	if !f.caughtUp {
-		wait = 0
+		patience = 0
 	}
 	f.mutex.Unlock()
-	update, err := f.source.Fetch(ctx, from, readLimit, wait)
+	update, err := f.source.Fetch(ctx, from, readLimit, patience)
 	if err != nil {
 		return err
 	}
@@ -241,12 +237,12 @@
 // Serve answers a peer's read from memory, waiting for a new record if there is
 // none. A node that is not caught up serves nothing: it might show a peer less
 // than that peer's former source did.
-func (f *Follower) Serve(ctx context.Context, from uint64, limit int, wait time.Duration) (Update, error) {
-	timer := time.NewTimer(wait)
+func (f *Follower) Serve(ctx context.Context, from uint64, limit int, patience time.Duration) (Update, error) {
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	for {
 		update, changed, err := f.serveNow(from, limit)
-		if err != nil || len(update.Batch.Entries) > 0 || update.Snapshot != nil || wait == 0 {
+		if err != nil || len(update.Batch.Entries) > 0 || update.Snapshot != nil || patience == 0 {
 			return update, err
 		}
 		select {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/routing"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Request is an application request on its way to a back end.
@@ -99,7 +100,7 @@
 			maybeRun = outcome.err
 		}
 		step, pause := plan.Next(time.Now(), outcome.ending, outcome.bodyRead)
-		if step == Stop || !d.spend() || !sleep(ctx, pause) {
+		if step == Stop || !d.spend() || !wait.For(ctx, pause) {
 			if maybeRun != nil {
 				return nil, finalError(Lost, maybeRun)
 			}
@@ -128,17 +129,6 @@
 	return d.budget.Spend()
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (d *Dispatcher) attempt(ctx context.Context, request *Request, endpoint *routing.Endpoint) incoming {
 	requestID := d.newID()
 	began := time.Now()
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -35,8 +35,6 @@
 	// its first byte is passed on.
 	bufferedAnswerBytes = 256 << 10
 	maxIdlePerBackEnd   = 256
-	idleTimeout         = 60 * time.Second
-	dialTimeout         = time.Second
 	maxHeaderBytes      = 64 << 10
 )
 
@@ -46,28 +44,27 @@
 }
 
 // NewExchanger returns an exchanger over a network.
-func NewExchanger(network network.Network) *Exchanger {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			connection, err := network.Dial(ctx, address)
-			if err != nil {
-				return nil, err
-			}
-			return &meteredConn{Conn: connection}, nil
-		},
-		MaxIdleConnsPerHost:    maxIdlePerBackEnd,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true, // bodies pass through untouched
-	}
+func NewExchanger(over network.Network) *Exchanger {
+	transport := network.NewTransport(meteredNetwork{over}, maxIdlePerBackEnd)
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
 	return &Exchanger{transport: transport}
 }
 
 // Close releases idle connections.
 func (e *Exchanger) Close() { e.transport.CloseIdleConnections() }
 
+// meteredNetwork makes connections that count what is written.
+type meteredNetwork struct{ network.Network }
+
+// Dial implements network.Network.
+func (m meteredNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := m.Network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{Conn: connection}, nil
+}
+
 // meteredConn counts the bytes written, to tell whether any were sent.
 type meteredConn struct {
 	net.Conn
--- a/internal/emulator/caller.go
+++ b/internal/emulator/caller.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/pathbend/pathbend/client"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // RouteMix is one kind of request of a caller.
@@ -61,7 +62,7 @@
 	due := time.Now()
 	for {
 		due = due.Add(time.Duration(c.Random.ExpFloat64() / c.Rate * float64(time.Second)))
-		if !sleepUntil(ctx, due) {
+		if !wait.Until(ctx, due) {
 			return
 		}
 		mix := c.chooseRoute()
@@ -72,21 +73,6 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, due time.Time) bool {
-	pause := time.Until(due)
-	if pause <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Caller) chooseRoute() RouteMix {
 	total := 0.0
 	for _, mix := range c.Mix {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/pathbend/pathbend/internal/engine"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // EngineModel is the performance model of an engine (docs/EMULATOR.md gives
@@ -116,7 +117,7 @@
 func NewEngine(id string, model EngineModel, transport network.Network, storeAddress string, random *rand.Rand) *Engine {
 	return &Engine{
 		ID: id, model: model, store: storeAddress, random: random,
-		platform: &http.Client{Transport: transportOver(transport)},
+		platform: &http.Client{Transport: network.NewTransport(transport, 1)},
 		held:     make(map[string]*heldModel), cache: newPrefixCache(model.CacheTokens, random), wake: make(chan struct{}, 1),
 	}
 }
@@ -154,12 +155,7 @@
 			}
 			continue
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		wait.For(ctx, pause)
 	}
 	e.stop()
 }
--- a/internal/emulator/engine_http.go
+++ b/internal/emulator/engine_http.go
@@ -1,9 +1,7 @@
 package emulator
 
 import (
-	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -11,18 +9,8 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/pathbend/pathbend/internal/engine"
-	"github.com/pathbend/pathbend/internal/network"
 )
 
-// transportOver returns an HTTP transport over a network.
-func transportOver(transport network.Network) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return transport.Dial(ctx, address)
-		},
-	}
-}
-
 // Handler serves the engine's protocol (docs/ENGINES.md).
 func (e *Engine) Handler() http.Handler {
 	router := httprouter.New()
--- a/internal/emulator/trainer.go
+++ b/internal/emulator/trainer.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pathbend/pathbend/client"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Trainer emulates a training loop: collect a step's samples, train, and every
@@ -87,7 +88,7 @@
 			}
 			return
 		}
-		sleepUntil(ctx, time.Now().Add(t.TrainTime))
+		wait.For(ctx, t.TrainTime)
 		t.finish(step)
 		if number%max(t.StepsPerVersion, 1) == 0 {
 			t.setVersion(t.Version() + 1)
@@ -117,7 +118,7 @@
 		if t.Client.AnnounceVersion(ctx, t.Model, t.Version()) == nil {
 			return
 		}
-		sleepUntil(ctx, time.Now().Add(pause))
+		wait.For(ctx, pause)
 	}
 }
 
@@ -164,7 +165,7 @@
 		if err == nil || ctx.Err() != nil || errors.As(err, &failure) && failure.Code >= 1000 && failure.Code < 2000 {
 			return job, err
 		}
-		sleepUntil(ctx, time.Now().Add(pause))
+		wait.For(ctx, pause)
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -21,8 +20,6 @@
 	maxChunkBytes = 1 << 20
 	maxReplyBytes = 1 << 20
 	maxIdleConns  = 512
-	idleTimeout   = 60 * time.Second
-	dialTimeout   = time.Second
 	// LoadTimeout bounds a load report, OrderTimeout an order's answer.
 	LoadTimeout  = time.Second
 	OrderTimeout = 60 * time.Second
@@ -42,18 +39,8 @@
 }
 
 // NewClient returns a client over a network.
-func NewClient(network network.Network) *Client {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			return network.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
-	return &Client{client: &http.Client{Transport: transport}}
+func NewClient(over network.Network) *Client {
+	return &Client{client: &http.Client{Transport: network.NewTransport(over, maxIdleConns)}}
 }
 
 // Close releases idle connections.
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -50,15 +49,8 @@
 }
 
 // NewListClient returns a client of the service at a host:port address.
-func NewListClient(network network.Network, address string) *ListClient {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return network.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	return &ListClient{url: "http://" + address + "/v1/machines", client: &http.Client{Transport: transport}}
+func NewListClient(over network.Network, address string) *ListClient {
+	return &ListClient{url: "http://" + address + "/v1/machines", client: &http.Client{Transport: network.NewTransport(over, 1)}}
 }
 
 // Close releases idle connections.
--- a/internal/keyed/executor.go
+++ b/internal/keyed/executor.go
@@ -13,6 +13,7 @@
 	"github.com/pathbend/pathbend/internal/idempotency"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/shard"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Replicas reaches the replicas of the key space, this node's included.
@@ -101,24 +102,13 @@
 		}
 		e.release(key, binding)
 		rest := claimPause + time.Duration(xxhash.Sum64String(binding.RequestID)%uint64(claimPause))
-		if !time.Now().Add(rest).Before(patience) || !pause(ctx, rest) {
+		if !time.Now().Add(rest).Before(patience) || !wait.For(ctx, rest) {
 			outcome.verdict = idempotency.Unavailable
 			return outcome
 		}
 	}
 }
 
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 type claimAnswer struct {
 	grant idempotency.Grant
 	err   error
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -24,6 +23,7 @@
 	"github.com/pathbend/pathbend/internal/logstore"
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/node"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Networks gives each host of the cluster its connection to the network.
@@ -351,11 +351,7 @@
 		if c.ready() {
 			return nil
 		}
-		timer := time.NewTimer(pollInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !wait.For(ctx, pollInterval) {
 			return errors.Wrap(ctx.Err(), "wait for the cluster to be ready")
 		}
 	}
@@ -398,10 +394,9 @@
 			far = append(far, slot.HTTPAddress)
 		}
 	}
-	transport := c.Options.Networks.For(host, zone)
 	return client.New(client.Options{
-		Addresses: append(near, far...), Tenant: tenant, Random: rand.New(&lockedSource{source: rand.NewPCG(c.Options.Seed, seed)}),
-		Dial: func(ctx context.Context, address string) (net.Conn, error) { return transport.Dial(ctx, address) },
+		Addresses: append(near, far...), Tenant: tenant, Network: c.Options.Networks.For(host, zone),
+		Random: rand.New(&lockedSource{source: rand.NewPCG(c.Options.Seed, seed)}),
 	})
 }
 
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/pathbend/pathbend/internal/emulator"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // DemoOptions size the demo.
@@ -93,11 +94,7 @@
 		}},
 	}
 	for _, step := range steps {
-		timer := time.NewTimer(time.Until(began.Add(time.Duration(step.share * float64(duration)))))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !wait.Until(ctx, began.Add(time.Duration(step.share*float64(duration)))) {
 			return
 		}
 		fmt.Fprintf(output, "%5.1f s  %s\n", time.Since(began).Seconds(), step.text)
--- a/internal/labcommand/standin.go
+++ b/internal/labcommand/standin.go
@@ -19,6 +19,7 @@
 	"github.com/pathbend/pathbend/internal/emulator"
 	"github.com/pathbend/pathbend/internal/fleet"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 func newStandIn() *cobra.Command {
@@ -54,11 +55,11 @@
 	}
 	began := time.Now()
 	for _, step := range steps {
-		if !waitUntil(ctx, began.Add(step.At)) {
+		if !wait.Until(ctx, began.Add(step.At)) {
 			return nil
 		}
 		set(step.Faults)
-		if step.For > 0 && waitUntil(ctx, began.Add(step.At+step.For)) {
+		if step.For > 0 && wait.Until(ctx, began.Add(step.At+step.For)) {
 			var none F
 			set(none)
 		}
@@ -66,17 +67,6 @@
 	return nil
 }
 
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // serveUntilDone serves a handler until ctx ends. faults runs beside it.
 func serveUntilDone(ctx context.Context, address string, handler http.Handler, ready func(address string) error, faults func() error) error {
 	listener, err := network.TCP{}.Listen(address)
@@ -266,7 +256,7 @@
 		var group conc.WaitGroup
 		group.Go(func() { trainer.Run(ctx) })
 		for ctx.Err() == nil && len(trainer.Steps()) < steps {
-			if !waitUntil(ctx, time.Now().Add(50*time.Millisecond)) {
+			if !wait.For(ctx, 50*time.Millisecond) {
 				break
 			}
 		}
--- a/internal/logstore/client.go
+++ b/internal/logstore/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -33,6 +32,7 @@
 	appendTimeout = 3 * time.Second
 	retryInitial  = 50 * time.Millisecond
 	retryMax      = 2 * time.Second
+	maxIdleConns  = 4
 )
 
 // Entry is one record with its place in the stream.
@@ -66,15 +66,8 @@
 }
 
 // NewClient returns a client of the log service at a host:port address.
-func NewClient(network network.Network, address string) *Client {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return network.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	return &Client{baseURL: "http://" + address, client: &http.Client{Transport: transport}}
+func NewClient(over network.Network, address string) *Client {
+	return &Client{baseURL: "http://" + address, client: &http.Client{Transport: network.NewTransport(over, maxIdleConns)}}
 }
 
 // Close releases idle connections.
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/pathbend/pathbend/internal/fleet"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 const (
@@ -31,7 +32,7 @@
 	polls := &enginePolls{running: make(map[string]bool)}
 	defer polls.group.Wait()
 	next := 0
-	every(ctx, pollInterval, func() {
+	wait.Every(ctx, pollInterval, func() {
 		wanted := n.wantedEngines()
 		if len(wanted) == 0 {
 			return
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -15,6 +15,7 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/membership"
+	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/internal/weights"
 )
 
@@ -100,7 +101,7 @@
 func (m *members) loop(ctx context.Context) {
 	var beats conc.WaitGroup
 	defer beats.Wait()
-	every(ctx, membership.DefaultSettings().Interval, func() {
+	wait.Every(ctx, membership.DefaultSettings().Interval, func() {
 		for _, message := range m.tick() {
 			beats.Go(func() { m.send(ctx, message) })
 		}
