Judge revisions in every run; test that each mechanism is needed

Cause: the simulation did not look at configuration, and nothing showed that it would notice a missing mechanism.

Change: every run watches all nodes' revisions and compares the last one with a count taken from the log itself; a test builds the simulation with one mechanism switched off at a time, by an overlay over the sources.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 FUZZTIME ?= 30s
 OUT ?= out
 
-.PHONY: demo test race check build fuzz simulate scale experiments generate clean
+.PHONY: demo test race check build fuzz simulate mutations scale experiments generate clean
 
 demo:
 	$(GO) run ./cmd/pathbend-lab demo
@@ -35,6 +35,10 @@
 	$(GO) test -count=1 -timeout 0 ./internal/simulation -run TestSeeds -v \
 		-first-seed=$(FIRST_SEED) -seeds=$(SEEDS) -duration=$(DURATION)
 
+# Switches one mechanism off at a time and expects the simulation to fail.
+mutations:
+	$(GO) test -count=1 -timeout 0 -tags mutation ./internal/simulation -run TestEachMechanismIsNeeded -v
+
 # Measures the control cost of a node at several cluster sizes.
 scale:
 	$(GO) test -count=1 -timeout 0 ./internal/simulation -run TestScale -v -scale-sizes=$(SIZES)
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -113,7 +113,11 @@
 	if plan.lose {
 		panic(http.ErrAbortHandler)
 	}
-	answer := answerTo(caller, request.URL.Path, body)
+	answered := caller
+	if plan.cross {
+		answered = "somebody else"
+	}
+	answer := answerTo(answered, request.URL.Path, body)
 	header.Set("Content-Length", fmt.Sprint(len(answer)))
 	if plan.truncate {
 		_, _ = io.WriteString(writer, answer[:len(answer)/2])
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -101,6 +101,11 @@
 func (w *world) drive(schedule Schedule, load *lab.Load) {
 	ctx, cancel := context.WithTimeout(context.Background(), schedule.Duration)
 	defer cancel()
+	watching, stopWatching := context.WithCancel(context.Background())
+	var watcher conc.WaitGroup
+	watcher.Go(func() { w.watchRevisions(watching) })
+	defer watcher.Wait()
+	defer stopWatching()
 	w.faults.Go(func() { load.Run(ctx) })
 	began := time.Now()
 	for _, fault := range schedule.Faults {
@@ -108,6 +113,7 @@
 		w.faults.Go(func() { w.inject(fault) })
 	}
 	w.faults.Wait()
+	w.checkAgreement()
 }
 
 func (w *world) report(report *Report, load *lab.Load) {
