Test a single node; bring versions back with a submitted job

Cause: after all nodes were replaced at once nobody knew the trained version until the next announcement, so engines would have served nothing new.

Change: a submitted job's trainer version raises the register. A test runs one node against a platform and a back end, looks at its pages, drains it and checks that nothing is left running.

Conclusion: a complete restart costs one job submission.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -41,6 +41,11 @@
 
 // Submit implements gateway.Jobs.
 func (j *jobs) Submit(ctx context.Context, tenant string, spec rollout.Spec) error {
+	// A trainer that is at a version proves that the version exists. This
+	// brings the register back after all nodes were replaced at once.
+	if j.node.members.raiseVersion(weights.ModelKey{Tenant: tenant, Model: spec.Model}, spec.TrainerVersion) {
+		j.node.weights.wake()
+	}
 	_, err := j.firstOwner(ctx, jobOperation{
 		kind: pathbendv1.JobCall_OPERATION_SUBMIT, tenant: tenant, jobID: spec.JobID, body: spec,
 	})
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/emulator"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/fleet"
+	"github.com/pathbend/pathbend/internal/logstore"
+	"github.com/pathbend/pathbend/internal/membership"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/rollout"
+	"github.com/pathbend/pathbend/internal/weights"
+)
+
+const document = `tenants:
+  - name: shop
+    spec:
+      capacity: {requests_per_second: 1000, burst: 1000, concurrent_requests: 10, queue_length: 10, concurrent_samples: 4}
+      models:
+        - {name: m, pool: p, max_tokens: 100, version: {follow: trainer}, freshness: {max_versions: 1, max_age: 1m}, stragglers: {policy: carry_over}, switch: {policy: continue, min_serving_percent: 50}}
+      routes:
+        - {name: look, pool: b, deadline: 2s, priority: normal, max_attempts: 2, max_body_bytes: 1000}
+`
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// startNode runs one node against a platform with one back end.
+func startNode(t *testing.T) *Node {
+	t.Helper()
+	platform := emulator.NewPlatform(0, 0, 1)
+	server := httptest.NewServer(platform.Handler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	backEnd := httptest.NewServer(emulator.NewBackEnd("b-1", 0, emulator.NewTruth(), rand.New(rand.NewPCG(1, 1))))
+	platform.SetMachine(fleet.Machine{ID: "b-1", Role: fleet.RoleBackEnd, Pool: "b", Address: strings.TrimPrefix(backEnd.URL, "http://")})
+	log := logstore.NewClient(network.TCP{}, address)
+	_, err := logstore.AppendRecord(context.Background(), log, &pathbendv1.Record{Id: "first", Body: &pathbendv1.Record_ConfigPublish{
+		ConfigPublish: &pathbendv1.ConfigPublish{Document: []byte(document), Author: "test"},
+	}})
+	require.NoError(t, err)
+	settings := DefaultSettings()
+	settings.Name, settings.Zone = "n", "z"
+	settings.HTTPAddress, settings.PeerAddress, settings.AdminAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+	settings.LogAddress, settings.MachinesAddress = address, address
+	started, err := New(settings, network.TCP{}, event.Discard())
+	require.NoError(t, err)
+	require.NoError(t, started.Start())
+	t.Cleanup(func() {
+		started.Stop()
+		log.Close()
+		backEnd.Close()
+		server.Close()
+		http.DefaultClient.CloseIdleConnections()
+		goleak.VerifyNone(t)
+	})
+	require.Eventually(t, func() bool { return started.Ready() && len(started.fleet.Status()) == 1 }, 20*time.Second, 5*time.Millisecond)
+	return started
+}
+
+func get(t *testing.T, url, accept string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(t, err)
+	request.Header.Set("Accept", accept)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(content)
+}
+
+func TestNodeServesOperatorsAndLeavesNothingBehind(t *testing.T) {
+	n := startNode(t)
+	callers, admin := "http://"+n.settings.HTTPAddress, "http://"+n.settings.AdminAddress
+	status, body := get(t, callers+"/v1/tenants/shop/routes/look", "")
+	require.Equal(t, http.StatusOK, status, body)
+
+	_, content := get(t, admin+"/status", "application/json")
+	var page Status
+	require.NoError(t, json.Unmarshal([]byte(content), &page))
+	require.Equal(t, uint64(1), page.Revision)
+	require.Equal(t, "b-1", page.Endpoints[0].ID)
+	_, html := get(t, admin+"/status", "text/html")
+	require.Contains(t, html, "<h2>Engines and back ends</h2>")
+	_, metrics := get(t, admin+"/metrics", "")
+	require.Contains(t, metrics, `pathbend_requests_total{code="0",route="look",tenant="shop"} 1`)
+	status, _ = get(t, admin+"/readyz", "")
+	require.Equal(t, http.StatusOK, status)
+
+	n.Drain()
+	status, _ = get(t, admin+"/readyz", "")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	status, body = get(t, callers+"/v1/tenants/shop/routes/look", "")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, `"run":"not_run"`)
+}
+
+func TestSubmittedJobBringsBackTheVersion(t *testing.T) {
+	n := startNode(t)
+	spec := rollout.Spec{JobID: "j", Model: "m", TrainerVersion: 7, Prompts: []rollout.Prompt{{Prompt: "p", Samples: 1, MaxTokens: 5}}}
+	require.NoError(t, n.jobs.Submit(context.Background(), "shop", spec))
+	require.Equal(t, uint64(7), n.members.version(weights.ModelKey{Tenant: "shop", Model: "m"}))
+	require.Error(t, n.jobs.Announce(context.Background(), "shop", "m", 6), "versions only rise")
+}
+
+func TestRankMovesFewJobsWhenAMemberLeaves(t *testing.T) {
+	var members []membership.Member
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		members = append(members, membership.Member{ID: id})
+	}
+	for _, job := range []string{"j1", "j2", "j3", "j4", "j5", "j6"} {
+		before := rank(job, members)
+		var rest []membership.Member
+		for _, member := range members {
+			if member.ID != before[0].ID {
+				rest = append(rest, member)
+			}
+		}
+		require.Equal(t, before[1].ID, rank(job, rest)[0].ID)
+	}
+}
+
+func TestSettingsNameTheFieldAndTheFix(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Zone, settings.LogAddress, settings.MachinesAddress = "z", "here", "127.0.0.1:1"
+	err := settings.Validate()
+	require.ErrorContains(t, err, "name: ")
+	require.ErrorContains(t, err, "--name")
+	require.ErrorContains(t, err, `log_address: value "here" is not allowed; write host:port`)
+}
