Divide a tenant's rate over the nodes by demand

Cause: each node enforced an even part of the rate, so callers that use one of three nodes would have been refused at a third of it (worked out, not measured).

Change: the tenant's owner node divides the rate by reported demand; a node without a share uses its even part. Found on the way and mended with tests: a burst of one wastes most of a share (29 of 40 admitted), and the Go client held its last refusal back until its hint had passed.

--- a/client/client.go
+++ b/client/client.go
@@ -159,7 +159,7 @@
 // that a later refusal is not reported as not run.
 func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, mayRepeat bool) (*Response, error) {
 	var maybeRun *Error
-	var last *Error
+	var latest *Error
 	for attempt := 1; attempt <= c.options.MaxAttempts; attempt++ {
 		node := (int(c.preferred.Load()) + attempt - 1) % len(c.options.Addresses)
 		response, failure := c.exchange(ctx, c.options.Addresses[node], method, path, header, body)
@@ -168,18 +168,20 @@
 			response.Attempts = attempt
 			return response, nil
 		}
-		last = failure
+		latest = failure
 		if failure.Run == Unknown {
 			maybeRun = failure
 		}
-		if !retryable(failure, mayRepeat) || !c.pause(ctx, attempt, failure.RetryAfter) {
+		// The last failure is reported at once, not after its hint.
+		last := attempt == c.options.MaxAttempts
+		if last || !retryable(failure, mayRepeat) || !c.pause(ctx, attempt, failure.RetryAfter) {
 			break
 		}
 	}
 	if maybeRun != nil {
 		return nil, maybeRun
 	}
-	return nil, last
+	return nil, latest
 }
 
 // retryable reports whether another attempt is safe and may help.
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -91,6 +91,23 @@
 	require.Equal(t, int64(1), count.Load())
 }
 
+// An earlier version waited for the hint of the last refusal before it told.
+func TestLastRefusalIsReportedAtOnce(t *testing.T) {
+	refusing, count := node(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Pathbend-Result-Code", "2003")
+		writer.WriteHeader(http.StatusTooManyRequests)
+		fmt.Fprint(writer, `{"error": {"code": 2003, "name": "rate_limited", "run": "not_run", "retry_after_ms": 3600000}}`)
+	})
+	c := New(Options{Addresses: []string{refusing}, Tenant: "shop", MaxAttempts: 1})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	_, err := c.Call(ctx, Request{Route: "pay"})
+	require.Equal(t, 2003, err.(*Error).Code)
+	require.NoError(t, ctx.Err())
+	require.Equal(t, int64(1), count.Load())
+}
+
 func TestUnreachableNodeIsNotRun(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -13,10 +13,13 @@
 	mutex       sync.Mutex
 	controllers map[string]*Controller
 	closedWith  *result.Error
+	arrivals    map[string]int
 }
 
 // NewGate returns a gate without tenants.
-func NewGate() *Gate { return &Gate{controllers: make(map[string]*Controller)} }
+func NewGate() *Gate {
+	return &Gate{controllers: make(map[string]*Controller), arrivals: make(map[string]int)}
+}
 
 // SetLimits puts the limits of all tenants in force. Tenants that are gone are
 // forgotten; their running requests finish.
@@ -39,6 +42,16 @@
 	}
 }
 
+// TakeArrivals returns the requests that arrived since the last call, admitted
+// or not, by tenant.
+func (g *Gate) TakeArrivals() map[string]int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	taken := g.arrivals
+	g.arrivals = make(map[string]int, len(taken))
+	return taken
+}
+
 // Close refuses every waiting and later request with an error.
 func (g *Gate) Close(err *result.Error) {
 	g.mutex.Lock()
@@ -97,6 +110,7 @@
 	if !ok {
 		return nil, nil, result.New(result.UnknownTenant, "no tenant %q", tenant)
 	}
+	g.arrivals[tenant]++
 	kind, refusal := controller.Arrive(time.Now(), ticket)
 	switch kind {
 	case Refused:
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -10,8 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
-	"github.com/pathbend/pathbend/internal/admission"
-	"github.com/pathbend/pathbend/internal/config"
 	"github.com/pathbend/pathbend/internal/control"
 	"github.com/pathbend/pathbend/internal/logstore"
 	"github.com/pathbend/pathbend/internal/membership"
@@ -128,24 +126,8 @@
 			return
 		}
 		n.current.Store(&revision)
-		n.applyLimits(revision.Document)
+		n.quotas.apply(revision.Document)
 	case state.PartRoster:
 		n.replicas.follow(machine.Shards())
 	}
 }
-
-// applyLimits divides each tenant's rate among the live nodes.
-func (n *Node) applyLimits(document *config.Document) {
-	share := 1 / float64(max(n.members.usableCount(), 1))
-	limits := make(map[string]admission.Limits, len(document.Tenants))
-	for _, tenant := range document.Tenants {
-		capacity := tenant.Spec.Capacity
-		limits[tenant.Name] = admission.Limits{
-			RequestsPerSecond: capacity.RequestsPerSecond * share,
-			Burst:             max(int(float64(capacity.Burst)*share), 1),
-			Concurrent:        capacity.ConcurrentRequests,
-			QueueLength:       capacity.QueueLength,
-		}
-	}
-	n.gate.SetLimits(time.Now(), limits)
-}
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -63,9 +63,6 @@
 func (n *Node) followLoop(ctx context.Context) {
 	wait.Every(ctx, machinesInterval, func() {
 		n.refreshMachines(ctx)
-		if revision := n.current.Load(); revision != nil {
-			n.applyLimits(revision.Document)
-		}
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	engines  *engine.Client
 	replicas *replicas
 	gate     *admission.Gate
+	quotas   *quotas
 	exchange *dispatch.Exchanger
 	keyed    *keyed.Executor
 	jobs     *jobs
@@ -107,6 +108,7 @@
 	n.members = newMembers(n, rand.New(rand.NewPCG(seed, 3)))
 	n.replicas = newReplicas(n)
 	n.gate = admission.NewGate()
+	n.quotas = newQuotas(n)
 	n.weights = newWeightRoller(n)
 	n.follower = control.NewFollower(n, n.onStateChange, logger)
 	n.exchange = dispatch.NewExchanger(transport)
@@ -167,7 +169,7 @@
 	n.loops.Go(func() { _ = n.httpServer.Serve(httpListener) })
 	n.loops.Go(func() { _ = n.admin.Serve(adminListener) })
 	for _, loop := range []func(context.Context){
-		n.followLoop, n.follower.Run, n.members.loop, n.pollEnginesLoop, n.replicas.loop, n.weights.loop, n.rosterLoop,
+		n.followLoop, n.follower.Run, n.members.loop, n.pollEnginesLoop, n.replicas.loop, n.weights.loop, n.rosterLoop, n.quotas.loop,
 	} {
 		n.loops.Go(func() { loop(n.ctx) })
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -29,6 +29,12 @@
 		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_ShardEntries{ShardEntries: n.replicas.handleSync(body.SyncShards)}}, nil
 	case *pathbendv1.Envelope_FetchAnswer:
 		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_StoredAnswer{StoredAnswer: n.handleFetch(ctx, body.FetchAnswer)}}, nil
+	case *pathbendv1.Envelope_ShareRate:
+		share, err := n.quotas.handle(body.ShareRate)
+		if err != nil {
+			return nil, err
+		}
+		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_RateShare{RateShare: share}}, nil
 	case *pathbendv1.Envelope_JobCall:
 		reply, err := n.jobs.handle(ctx, body.JobCall)
 		if err != nil {
--- /dev/null
+++ b/internal/quota/ledger_test.go
@@ -0,0 +1,64 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestSharesAddUpToTheRate lets any nodes report any demands twice: the second
+// round of shares adds up to the rate, and none is below what is fair.
+func TestSharesAddUpToTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(1, 1000).Draw(t, "rate")
+		demands := rapid.SliceOfN(rapid.Float64Range(0.1, 1000), 1, 20).Draw(t, "demands")
+		ledger := NewLedger()
+		sum, total := 0.0, 0.0
+		for round := range 2 {
+			sum, total = 0, 0
+			for i, demand := range demands {
+				share := ledger.Report(start, fmt.Sprint("n", i), demand, rate)
+				sum += share
+				total += demand
+				if round == 1 && len(demands) > 0 {
+					require.GreaterOrEqual(t, share*1.000001, min(demand, rate*demand/max(sumOf(demands), rate)))
+				}
+			}
+		}
+		require.InEpsilon(t, rate, sum, 1e-6)
+	})
+}
+
+func sumOf(values []float64) float64 {
+	sum := 0.0
+	for _, value := range values {
+		sum += value
+	}
+	return sum
+}
+
+func TestLoneNodeGetsTheWholeRateAndGivesItBackAtOnce(t *testing.T) {
+	ledger := NewLedger()
+	require.InDelta(t, 100, ledger.Report(start, "a", 10, 100), 1e-9)
+	require.InDelta(t, 90, ledger.Report(start, "b", 90, 100), 1e-9)
+	require.InDelta(t, 10, ledger.Report(start, "a", 10, 100), 1e-9)
+	require.InDelta(t, 100, ledger.Report(start.Add(Lifetime), "a", 10, 100), 1e-9, "the report of b is stale")
+	require.Equal(t, 1, ledger.Active())
+}
+
+func TestMeterFollowsDemandAndFallsSilent(t *testing.T) {
+	var meter Meter
+	for range 10 {
+		meter.Observe(50, Interval)
+	}
+	require.InDelta(t, 100, meter.Observe(50, Interval), 1)
+	for range 12 {
+		meter.Observe(0, Interval)
+	}
+	require.Zero(t, meter.Observe(0, Interval))
+}
