Wait for the metric that is kept after the answer

Cause: a node's test read the metrics before the answered request was counted: the answer is flushed first. One failure in two runs of the whole suite.

Change: the test waits for the count.

Conclusion: the order in the node is as meant.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -102,8 +102,11 @@
 	require.Equal(t, "b-1", page.Endpoints[0].ID)
 	_, html := get(t, admin+"/status", "text/html")
 	require.Contains(t, html, "<h2>Engines and back ends</h2>")
-	_, metrics := get(t, admin+"/metrics", "")
-	require.Contains(t, metrics, `pathbend_requests_total{code="0",route="look",tenant="shop"} 1`)
+	// The books are kept after the answer has gone out.
+	require.Eventually(t, func() bool {
+		_, metrics := get(t, admin+"/metrics", "")
+		return strings.Contains(metrics, `pathbend_requests_total{code="0",route="look",tenant="shop"} 1`)
+	}, 10*time.Second, time.Millisecond)
 	status, _ = get(t, admin+"/readyz", "")
 	require.Equal(t, http.StatusOK, status)
 
