Lock a test's fake; one conversion of failures between nodes

Cause: the race detector found a test that switched a fake replica off while a claim was reading it; no race in the product. Conversions between errors and their wire form stood twice under two names.

Change: the fake is locked; one exported pair remains.

Conclusion: behaviour is unchanged.

--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -70,6 +70,14 @@
 	return c.replicas[member].Claim(claim, time.Now()), nil
 }
 
+func (c *cluster) takeDown(names ...string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, name := range names {
+		c.down[name] = true
+	}
+}
+
 func (c *cluster) FetchAnswer(ctx context.Context, executor, key string) (Stored, bool, error) {
 	c.mutex.Lock()
 	down := c.down[executor]
@@ -152,7 +160,7 @@
 		c := newCluster("a", "b", "c")
 		_, err := c.executors["a"].Do(context.Background(), request())
 		require.NoError(t, err)
-		c.down["a"] = true
+		c.takeDown("a")
 		_, err = c.executors["b"].Do(context.Background(), request())
 		require.True(t, result.Is(err, result.KeyOutcomeLost), "%v", err)
 		require.Equal(t, int64(1), c.runs.Load())
@@ -189,7 +197,7 @@
 func TestWithoutMajorityNothingRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster("a", "b", "c")
-		c.down["b"], c.down["c"] = true, true
+		c.takeDown("b", "c")
 		_, err := c.executors["a"].Do(context.Background(), request())
 		require.True(t, result.Is(err, result.KeyUnavailable))
 		require.Positive(t, result.From(err).RetryAfter)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -261,8 +261,8 @@
 	m.sendAll(messages)
 }
 
-// spread sends a heartbeat at once, so that an announced version does not wait
-// for the next tick.
+// spread sends heartbeats at once, so that an announced version, which rides on
+// them, does not wait for the next tick.
 func (m *members) spread() {
 	m.mutex.Lock()
 	messages := m.machine.Tick(time.Now())
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,12 +7,9 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/control"
 	"github.com/pathbend/pathbend/internal/logstore"
-	"github.com/pathbend/pathbend/internal/membership"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
-const deadMember = membership.Dead
-
 // HandlePeer implements peer.Handler.
 func (n *Node) HandlePeer(ctx context.Context, call *pathbendv1.Envelope) (*pathbendv1.Envelope, error) {
 	switch body := call.Body.(type) {
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -12,6 +12,7 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/idempotency"
 	"github.com/pathbend/pathbend/internal/keyed"
+	"github.com/pathbend/pathbend/internal/membership"
 	"github.com/pathbend/pathbend/internal/peer"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/shard"
@@ -311,7 +312,7 @@
 
 // addressOf finds the peer address of a node.
 func (n *Node) addressOf(id string) (string, error) {
-	if member, ok := n.members.get(id); ok && member.Status != deadMember {
+	if member, ok := n.members.get(id); ok && member.Status != membership.Dead {
 		return member.Address, nil
 	}
 	// The membership may lag behind the roster while a node joins.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -53,8 +54,8 @@
 	return err
 }
 
-// failureOf converts an error to its wire form.
-func failureOf(err error) *pathbendv1.Failure {
+// FailureOf converts an error to its wire form.
+func FailureOf(err error) *pathbendv1.Failure {
 	typed := result.From(err)
 	return &pathbendv1.Failure{
 		Code:         int32(typed.Code),
@@ -64,5 +65,12 @@
 	}
 }
 
-// FailureOf converts an error to the form stored in a peer message.
-func FailureOf(err error) *pathbendv1.Failure { return failureOf(err) }
+// ErrorOf converts a failure received from a peer to an error.
+func ErrorOf(failure *pathbendv1.Failure) *result.Error {
+	return &result.Error{
+		Code:       result.Code(failure.Code),
+		Detail:     failure.Detail,
+		Field:      failure.Field,
+		RetryAfter: time.Duration(failure.RetryAfterMs) * time.Millisecond,
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -58,23 +58,11 @@
 		return nil, err
 	}
 	if failure := reply.Failure; failure != nil {
-		return nil, errorOf(failure)
+		return nil, ErrorOf(failure)
 	}
 	return reply, nil
 }
 
-// ErrorOf converts a failure received from a peer to an error.
-func ErrorOf(failure *pathbendv1.Failure) error { return errorOf(failure) }
-
-func errorOf(failure *pathbendv1.Failure) *result.Error {
-	return &result.Error{
-		Code:       result.Code(failure.Code),
-		Detail:     failure.Detail,
-		Field:      failure.Field,
-		RetryAfter: time.Duration(failure.RetryAfterMs) * time.Millisecond,
-	}
-}
-
 // Close ends every connection and waits for their readers.
 func (p *Pool) Close() {
 	p.mutex.Lock()
