Draw latency distributions at even quantiles

Cause: the chart had no point between the minimum and the median.

Change: points at each percent and at 99.5, 99.9 and 99.99.

Measured: looked at; the lower half is a curve now.

Conclusion: figures are as before.

--- a/internal/labcommand/measure.go
+++ b/internal/labcommand/measure.go
@@ -96,13 +96,23 @@
 	return table
 }
 
+// chartQuantiles are the quantiles, in percent, at which a line has points.
+func chartQuantiles() []float64 {
+	var quantiles []float64
+	for percent := range 100 {
+		quantiles = append(quantiles, float64(percent))
+	}
+	return append(quantiles, 99.5, 99.9, 99.99, 100)
+}
+
 // latencyChart draws cumulative distributions.
 func latencyChart(histograms map[string]*hdrhistogram.Histogram, order []string) report.Chart {
 	chart := report.Chart{Title: "Latency distribution", XLabel: "milliseconds", YLabel: "share of requests", LogX: true}
 	for _, name := range order {
 		line := report.Line{Name: name}
-		for _, bracket := range histograms[name].CumulativeDistribution() {
-			line.Points = append(line.Points, report.Point{X: float64(max(bracket.ValueAt, 1)) / 1000, Y: bracket.Quantile / 100})
+		for _, quantile := range chartQuantiles() {
+			micros := max(histograms[name].ValueAtQuantile(quantile), 1)
+			line.Points = append(line.Points, report.Point{X: float64(micros) / 1000, Y: quantile / 100})
 		}
 		chart.Lines = append(chart.Lines, line)
 	}
