Emulate the scoring service; let stand-ins leave by scenario

Cause: scoring was a pause inside the trainer, and a stand-in process could not be made to leave.

Change: a scoring stand-in with its command, used by the trainer stand-in; engine and back-end faults include leaving.

Conclusion: every part around the nodes has its stand-in.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -23,6 +23,8 @@
 	Cross float64
 	// Slow multiplies the service time; 0 means 1.
 	Slow float64
+	// Leaving makes the back end say that it takes no new work.
+	Leaving bool
 }
 
 // BackEnd is an application back end. It runs every request that it receives
@@ -72,7 +74,7 @@
 	// Exponential service times with the mean ServiceTime.
 	service := time.Duration(b.random.ExpFloat64() * float64(b.ServiceTime) * slow)
 	return plan{
-		service: service, refuse: b.faults.Refuse, leaving: b.leaving,
+		service: service, refuse: b.faults.Refuse, leaving: b.leaving || b.faults.Leaving,
 		lose:     b.random.Float64() < b.faults.LoseAnswers,
 		truncate: b.random.Float64() < b.faults.Truncate,
 		cross:    b.random.Float64() < b.faults.Cross,
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -64,6 +64,8 @@
 	Slow float64
 	// CutStreams is the share of streams that break at a random token.
 	CutStreams float64
+	// Leaving makes the engine refuse new work and say so.
+	Leaving bool
 }
 
 // Engine emulates a model engine.
@@ -288,7 +290,7 @@
 func (e *Engine) Generate(request engine.GenerateRequest, done <-chan struct{}) (<-chan engine.Chunk, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.leaving || e.stopped || len(e.waiting) >= e.model.QueueLimit {
+	if e.leaving || e.faults.Leaving || e.stopped || len(e.waiting) >= e.model.QueueLimit {
 		return nil, errEngineBusy
 	}
 	e.sequence++
@@ -447,7 +449,7 @@
 func (e *Engine) loadNow() engine.Load {
 	load := engine.Load{
 		EngineID: e.ID, Running: len(e.running), Waiting: len(e.waiting), Capacity: e.model.Capacity,
-		KVUsed: e.cache.used, KVCapacity: e.model.CacheTokens, Leaving: e.leaving, Fence: e.fence,
+		KVUsed: e.cache.used, KVCapacity: e.model.CacheTokens, Leaving: e.leaving || e.faults.Leaving, Fence: e.fence,
 	}
 	names := make([]string, 0, len(e.held))
 	for name := range e.held {
--- /dev/null
+++ b/internal/emulator/scorer_test.go
@@ -0,0 +1,21 @@
+package emulator
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/client"
+)
+
+func TestScorerScoresTheSampleItGot(t *testing.T) {
+	server := httptest.NewServer(Scorer{})
+	defer server.Close()
+	score := ScoreAt(strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, score(context.Background(), &client.Sample{Slot: 3, Tokens: []string{"a"}}))
+	server.Close()
+	require.Error(t, score(context.Background(), &client.Sample{Slot: 3}))
+}
--- a/internal/emulator/trainer.go
+++ b/internal/emulator/trainer.go
@@ -37,6 +37,8 @@
 	// ScoreTime is what the scoring service takes for a sample. Samples are
 	// scored as they arrive, all at once.
 	ScoreTime time.Duration
+	// Score has a sample scored; nil waits for ScoreTime instead.
+	Score func(ctx context.Context, sample *client.Sample) error
 
 	mutex   sync.Mutex
 	version uint64
@@ -149,12 +151,22 @@
 		}
 		got[sample.Slot] = true
 		t.Truth.Received(t.Tenant, sample, t.Version(), t.MaxVersions)
-		scoring.Go(func() { wait.For(ctx, t.ScoreTime) })
+		scoring.Go(func() { t.score(ctx, number, sample) })
 		step.Samples++
 		step.Tokens += len(sample.Tokens)
 	}
 }
 
+func (t *Trainer) score(ctx context.Context, number int, sample *client.Sample) {
+	if t.Score == nil {
+		wait.For(ctx, t.ScoreTime)
+		return
+	}
+	if err := t.Score(ctx, sample); err != nil && ctx.Err() == nil {
+		t.Truth.Violate("trainer %s: step %d: slot %d was not scored: %v", t.Name, number, sample.Slot, err)
+	}
+}
+
 // submit repeats until a node takes the job.
 func (t *Trainer) submit(ctx context.Context, number int) (*client.Job, error) {
 	const pause = 200 * time.Millisecond
--- a/internal/labcommand/standin.go
+++ b/internal/labcommand/standin.go
@@ -28,7 +28,7 @@
 		Example: "  pathbend-lab standin platform --address 127.0.0.1:7000 --machines machines.yaml\n" +
 			"  pathbend-lab standin engine --id e1 --pool teranga-samplers --zone plateau --platform 127.0.0.1:7000",
 	}
-	command.AddCommand(newPlatformStandIn(), newEngineStandIn(), newBackEndStandIn(), newTrainerStandIn())
+	command.AddCommand(newPlatformStandIn(), newEngineStandIn(), newBackEndStandIn(), newScorerStandIn(), newTrainerStandIn())
 	return command
 }
 
@@ -228,8 +228,23 @@
 	return command
 }
 
+func newScorerStandIn() *cobra.Command {
+	var address string
+	var scorer emulator.Scorer
+	command := &cobra.Command{
+		Use: "scorer", Short: "The service that scores samples for trainers",
+		Example: "  pathbend-lab standin scorer --address 127.0.0.1:7100", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serveUntilDone(command.Context(), address, scorer, printAddress(command), func() error { return nil })
+		},
+	}
+	command.Flags().StringVar(&address, "address", "127.0.0.1:7100", "address to listen on")
+	command.Flags().DurationVar(&scorer.ScoreTime, "score-time", 20*time.Millisecond, "time to score a sample")
+	return command
+}
+
 func newTrainerStandIn() *cobra.Command {
-	var nodes, tenant, model string
+	var nodes, tenant, model, scorer string
 	var steps, groups, samples int
 	var trainTime time.Duration
 	command := &cobra.Command{
@@ -239,6 +254,7 @@
 	flags := command.Flags()
 	flags.StringVar(&nodes, "nodes", "127.0.0.1:8080", "HTTP addresses of nodes, comma-separated")
 	flags.StringVar(&tenant, "tenant", "karri", "tenant")
+	flags.StringVar(&scorer, "scorer", "", "address of a scoring service; empty for none")
 	flags.StringVar(&model, "model", "fitment-assistant", "model")
 	flags.IntVar(&steps, "steps", 5, "training steps to do")
 	flags.IntVar(&groups, "groups", 8, "prompts a step")
@@ -251,6 +267,9 @@
 			Client: client.New(client.Options{Addresses: splitList(nodes), Tenant: tenant}),
 			Groups: groups, SamplesPerGroup: samples, MaxTokens: 1024, PromptBytes: 600, TrainTime: trainTime, StepsPerVersion: 1,
 		}
+		if scorer != "" {
+			trainer.Score = emulator.ScoreAt(scorer)
+		}
 		ctx, cancel := context.WithCancel(command.Context())
 		defer cancel()
 		var group conc.WaitGroup
