Say each thing in one place: spreading, waking, ranking

Cause: a read of the whole change. The driver cleared the member of every spread message; three callers woke the weight roller after raising a version; the owner of a rate was found by ordering all members twice a second, beside another loop that looked for the first; followLoop keeps the machine list; three functions of the lab were called by nobody.

Change: Spread names no member itself, raiseVersion wakes the roller, firstFor finds the first choice in one pass for both, machinesLoop has its name, the dead functions are gone. Ruled out: applying rate shares in one place only, which would delay a new share by half a second.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -138,13 +138,6 @@
 	e.leaving = true
 }
 
-// Preload puts a version in place without an order, as at the start.
-func (e *Engine) Preload(model string, version uint64) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.held[model] = &heldModel{serving: version}
-}
-
 // Run decodes until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
 	defer e.platform.CloseIdleConnections()
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -155,9 +155,6 @@
 	return nil
 }
 
-// PlatformAddress is the address of the platform's services.
-func (c *Cluster) PlatformAddress() string { return c.platformAddress }
-
 // Publish appends a configuration made from a base revision.
 func (c *Cluster) Publish(ctx context.Context, document *config.Document, base uint64, author string) error {
 	content, err := config.Encode(document)
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -225,7 +225,7 @@
 func (m *Machine) Fresh() bool { return m.fresh }
 
 // Spread returns messages that send fresh statements on before the next tick.
-// They are no probes: a driver reports no miss for them.
+// They are no probes and name no member, so an unanswered one is no miss.
 func (m *Machine) Spread() []Message {
 	if !m.fresh {
 		return nil
@@ -233,7 +233,7 @@
 	m.fresh = false
 	var messages []Message
 	for _, id := range m.addRandom(nil) {
-		messages = append(messages, m.messageTo(id))
+		messages = append(messages, Message{ToAddress: m.members[id].member.Address, Heartbeat: m.heartbeat()})
 	}
 	return messages
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -63,7 +63,8 @@
 
 // Message is a heartbeat to send.
 type Message struct {
-	// ToID is empty for an address whose node is not known yet.
+	// ToID is empty if an unanswered message says nothing of a member: the
+	// node at the address is not known yet, or the message is no probe.
 	ToID      string
 	ToAddress string
 	Heartbeat Heartbeat
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -45,6 +45,17 @@
 	return ranked
 }
 
+// firstFor returns the first choice for a purpose, which is the first of rank
+// without ordering the others; false if there are no members.
+func firstFor(purpose string, members []membership.Member) (membership.Member, bool) {
+	if len(members) == 0 {
+		return membership.Member{}, false
+	}
+	return slices.MaxFunc(members, func(a, b membership.Member) int {
+		return cmp.Or(cmp.Compare(rendezvousScore(purpose, a.ID), rendezvousScore(purpose, b.ID)), cmp.Compare(b.ID, a.ID))
+	}), true
+}
+
 // zoneReaders are the nodes of this zone that read from the platform.
 func (n *Node) zoneReaders() []membership.Member {
 	var local []membership.Member
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -43,9 +43,7 @@
 func (j *jobs) Submit(ctx context.Context, tenant string, spec rollout.Spec) error {
 	// A trainer that is at a version proves that the version exists. This
 	// brings the register back after all nodes were replaced at once.
-	if j.node.members.raiseVersion(weights.ModelKey{Tenant: tenant, Model: spec.Model}, spec.TrainerVersion) {
-		j.node.weights.wake()
-	}
+	j.node.members.raiseVersion(weights.ModelKey{Tenant: tenant, Model: spec.Model}, spec.TrainerVersion)
 	_, err := j.firstOwner(ctx, jobOperation{
 		kind: pathbendv1.JobCall_OPERATION_SUBMIT, tenant: tenant, jobID: spec.JobID, body: spec,
 	})
@@ -144,7 +142,6 @@
 		return nil
 	}
 	j.node.logger.Log(event.VersionAnnounced, "tenant", tenant, "model", model, "version", version)
-	j.node.weights.wake()
 	j.node.members.spread()
 	return nil
 }
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -59,8 +59,8 @@
 	return c.machines, c.readAt
 }
 
-// followLoop keeps the machine list up to date.
-func (n *Node) followLoop(ctx context.Context) {
+// machinesLoop keeps the machine list up to date.
+func (n *Node) machinesLoop(ctx context.Context) {
 	wait.Every(ctx, machinesInterval, func() {
 		n.refreshMachines(ctx)
 	})
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -89,11 +89,16 @@
 	m.machine.SetSeeds(addresses)
 }
 
-// raiseVersion takes in an announced version and reports whether it is news.
+// raiseVersion takes in an announced version and reports whether it is news. A
+// new version wakes the weight roller.
 func (m *members) raiseVersion(key weights.ModelKey, version uint64) bool {
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.versions.Raise(key, version)
+	raised := m.versions.Raise(key, version)
+	m.mutex.Unlock()
+	if raised {
+		m.node.weights.wake()
+	}
+	return raised
 }
 
 func (m *members) version(key weights.ModelKey) uint64 {
@@ -126,9 +131,6 @@
 		m.mutex.Lock()
 		messages := m.machine.Spread()
 		m.mutex.Unlock()
-		for i := range messages {
-			messages[i].ToID = "" // an unanswered one is no miss
-		}
 		m.sendAll(messages)
 	}
 }
@@ -208,13 +210,8 @@
 
 // takeIn merges what rides on a heartbeat beside membership.
 func (m *members) takeIn(beat *pathbendv1.Heartbeat) {
-	raised := false
 	for _, version := range beat.GetVersions() {
-		key := weights.ModelKey{Tenant: version.Tenant, Model: version.Model}
-		raised = m.raiseVersion(key, version.Version) || raised
-	}
-	if raised {
-		m.node.weights.wake()
+		m.raiseVersion(weights.ModelKey{Tenant: version.Tenant, Model: version.Model}, version.Version)
 	}
 	for _, leaving := range beat.GetLeaving() {
 		m.node.fleet.MarkLeavingFromPeer(leaving.Id)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,7 +169,7 @@
 	n.loops.Go(func() { _ = n.httpServer.Serve(httpListener) })
 	n.loops.Go(func() { _ = n.admin.Serve(adminListener) })
 	for _, loop := range []func(context.Context){
-		n.followLoop, n.follower.Run, n.members.loop, n.pollEnginesLoop, n.replicas.loop, n.weights.loop, n.rosterLoop, n.quotas.loop,
+		n.machinesLoop, n.follower.Run, n.members.loop, n.pollEnginesLoop, n.replicas.loop, n.weights.loop, n.rosterLoop, n.quotas.loop,
 	} {
 		n.loops.Go(func() { loop(n.ctx) })
 	}
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -80,12 +80,11 @@
 // report asks the owner of a tenant's rate for a share. Without an answer the
 // former share runs out and the even part takes its place.
 func (q *quotas) report(ctx context.Context, tenant string, demand float64) {
-	ranked := rank(rateOwner(tenant), q.node.members.usable())
-	if len(ranked) == 0 {
+	owner, ok := firstFor(rateOwner(tenant), q.node.members.usable())
+	if !ok {
 		return
 	}
 	call := &pathbendv1.ShareRate{Tenant: tenant, Demand: demand, From: q.node.id}
-	owner := ranked[0]
 	if owner.ID == q.node.id {
 		if share, err := q.handle(call); err == nil {
 			q.take(tenant, share.RequestsPerSecond)
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -56,15 +56,8 @@
 
 // isFirst reports whether this node is the first choice for a purpose.
 func (n *Node) isFirst(purpose string) bool {
-	own := rendezvousScore(purpose, n.id)
-	present := false
-	for _, member := range n.members.usable() {
-		present = present || member.ID == n.id
-		if rendezvousScore(purpose, member.ID) > own {
-			return false
-		}
-	}
-	return present
+	first, ok := firstFor(purpose, n.members.usable())
+	return ok && first.ID == n.id
 }
 
 // removeDead appends the leave of members that have been dead for long. missing
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -109,8 +109,3 @@
 func Milliseconds(duration time.Duration) string {
 	return strconv.FormatFloat(float64(duration)/float64(time.Millisecond), 'f', 3, 64)
 }
-
-// Percent formats a share for a table.
-func Percent(share float64) string {
-	return strconv.FormatFloat(100*share, 'f', 1, 64) + " %"
-}
