--- a/cmd/pathbend/main.go
+++ b/cmd/pathbend/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/pathbend/pathbend/internal/command"
+	"github.com/pathbend/pathbend/platform"
 )
 
 func main() {
-	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr, platform.NewCommand()))
 }
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -38,11 +38,13 @@
 // usageError marks an error in the command line itself.
 type usageError struct{ error }
 
-// Run executes the command line and returns the exit code.
-func Run(arguments []string, output, errorOutput io.Writer) int {
+// Run executes the command line, with more commands beside its own, and returns
+// the exit code.
+func Run(arguments []string, output, errorOutput io.Writer, more ...*cobra.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := newRoot()
+	root.AddCommand(more...)
 	root.SetArgs(arguments)
 	root.SetOut(output)
 	root.SetErr(errorOutput)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -60,7 +60,7 @@
 	exchanger := NewExchanger(network.TCP{})
 	t.Cleanup(exchanger.Close)
 	var ids atomic.Int64
-	return NewDispatcher(exchanger, balancer, "zone", func() string { return fmt.Sprint("id-", ids.Add(1)) }, event.Discard())
+	return NewDispatcher(exchanger, OwnProtocol{}, balancer, "zone", func() string { return fmt.Sprint("id-", ids.Add(1)) }, event.Discard())
 }
 
 // backEnd starts a back end and returns its address and execution count.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -20,7 +19,9 @@
 	Pool   string
 	Method string
 	// Path is the path and query at the back end, starting with a slash.
-	Path   string
+	Path string
+	// Host is the Host header; the back end's address if empty.
+	Host   string
 	Header http.Header
 	// Body is read once unless Buffered holds it whole.
 	Body     io.Reader
@@ -31,6 +32,14 @@
 	AtMostOnce     bool
 	MaxAttempts    int
 	Deadline       time.Time
+	// ID is the caller's id of the request; a node draws one per attempt if it
+	// is empty.
+	ID string
+	// AttemptTimeout bounds every attempt but the last of a request that may
+	// run again; 0 for no bound.
+	AttemptTimeout time.Duration
+	// Excluded are back ends that must not get the request.
+	Excluded []string
 }
 
 // Balancer picks back ends and learns how attempts end.
@@ -52,6 +61,7 @@
 // Dispatcher carries requests to back ends. It is safe for concurrent use.
 type Dispatcher struct {
 	exchanger *Exchanger
+	protocol  Protocol
 	balancer  Balancer
 	zone      string
 	newID     func() string
@@ -63,9 +73,9 @@
 
 // NewDispatcher returns a dispatcher for a node in a zone. newID returns unique
 // request ids.
-func NewDispatcher(exchanger *Exchanger, balancer Balancer, zone string, newID func() string, logger *event.Logger) *Dispatcher {
+func NewDispatcher(exchanger *Exchanger, protocol Protocol, balancer Balancer, zone string, newID func() string, logger *event.Logger) *Dispatcher {
 	return &Dispatcher{
-		exchanger: exchanger, balancer: balancer, zone: zone, newID: newID, logger: logger, budget: NewBudget(),
+		exchanger: exchanger, protocol: protocol, balancer: balancer, zone: zone, newID: newID, logger: logger, budget: NewBudget(),
 	}
 }
 
@@ -80,40 +90,62 @@
 		MaxAttempts: request.MaxAttempts,
 		Deadline:    request.Deadline,
 	}
-	route := &routing.Request{Pool: request.Pool, Zone: d.zone}
-	// maybeRun is set once an attempt was lost: from then on no later refusal
-	// may claim that the request was not run.
-	var maybeRun error
+	route := &routing.Request{Pool: request.Pool, Zone: d.zone, Excluded: request.Excluded}
+	// ran is the outcome of an attempt that ran or may have: from then on no
+	// later refusal may claim that the request was not run.
+	var ran incoming
 	for {
 		route.Now = time.Now()
 		endpoint := d.balancer.Pick(route)
 		if endpoint == nil {
-			return nil, noBackEnd(request.Pool, maybeRun)
+			return d.giveUp(request, ran, noBackEnd(request.Pool), plan.Attempts())
 		}
-		outcome := d.attempt(ctx, request, endpoint)
-		if outcome.ending == Answered {
+		outcome := d.attempt(ctx, request, endpoint, plan.Attempts()+1 >= request.MaxAttempts)
+		if outcome.answer != nil {
 			outcome.answer.Attempts = plan.Attempts() + 1
 			outcome.answer.BackEnd = endpoint.ID
+		}
+		if outcome.ending == Answered {
 			return outcome.answer, nil
 		}
-		if outcome.ending == Lost {
-			maybeRun = outcome.err
+		d.logAttempt(request, endpoint, &outcome, plan.Attempts()+1)
+		if outcome.ending == Lost || outcome.ending == FailedByBackEnd {
+			ran = outcome
 		}
 		step, pause := plan.Next(time.Now(), outcome.ending, outcome.bodyRead)
 		if step == Stop || !d.spend() || !wait.For(ctx, pause) {
-			if maybeRun != nil {
-				return nil, finalError(Lost, maybeRun)
-			}
-			return nil, finalError(outcome.ending, outcome.err)
+			return d.giveUp(request, ran, outcome.err, plan.Attempts())
 		}
 		route.Excluded = append(route.Excluded, endpoint.ID)
 	}
 }
 
-func noBackEnd(pool string, maybeRun error) error {
-	if maybeRun != nil {
-		return result.From(maybeRun)
+// giveUp returns what the caller gets after the last attempt: the failure that a
+// back end answered, the error of an attempt that may have run, or the refusal.
+func (d *Dispatcher) giveUp(request *Request, ran incoming, refusal error, attempts int) (*Answer, error) {
+	if ran.answer != nil {
+		return ran.answer, nil
 	}
+	err := ran.err
+	if err == nil {
+		err = notRunError(refusal)
+	}
+	typed := result.From(err)
+	d.logger.Log(event.RequestGivenUp, "request_id", request.ID, "pool", request.Pool, "attempts", attempts,
+		"code", int(typed.Code), "detail", typed.Detail, "retry_after_ms", typed.RetryAfter.Milliseconds())
+	return nil, err
+}
+
+func (d *Dispatcher) logAttempt(request *Request, endpoint *routing.Endpoint, outcome *incoming, attempt int) {
+	detail := ""
+	if outcome.err != nil {
+		detail = outcome.err.Error()
+	}
+	d.logger.Log(event.AttemptFailed, "request_id", request.ID, "back_end", endpoint.ID, "attempt", attempt,
+		"ending", outcome.ending.String(), "detail", detail)
+}
+
+func noBackEnd(pool string) error {
 	return result.New(result.NoBackEnd, "no live back end in pool %q", pool).WithRetryAfter(retryHint)
 }
 
@@ -129,16 +161,21 @@
 	return d.budget.Spend()
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, request *Request, endpoint *routing.Endpoint) incoming {
-	requestID := d.newID()
+func (d *Dispatcher) attempt(ctx context.Context, request *Request, endpoint *routing.Endpoint, last bool) incoming {
+	requestID := request.ID
+	if requestID == "" {
+		requestID = d.newID()
+	}
 	began := time.Now()
-	attemptCtx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := attemptContext(ctx, request, last)
 	outcome := d.exchanger.exchange(attemptCtx, outgoing{
-		method:    request.Method,
-		url:       "http://" + endpoint.Address + request.Path,
-		header:    d.headerFor(request, requestID),
-		body:      bodyOf(request),
-		requestID: requestID,
+		method: request.Method,
+		url:    "http://" + endpoint.Address + request.Path,
+		header: d.protocol.Header(request, endpoint, requestID),
+		body:   bodyOf(request),
+		judge: func(response *http.Response) Verdict {
+			return d.protocol.Verdict(request, endpoint, requestID, response)
+		},
 	})
 	if outcome.leaving {
 		d.balancer.MarkLeaving(endpoint.ID)
@@ -160,6 +197,14 @@
 	return outcome
 }
 
+// attemptContext bounds an attempt after which another one may follow.
+func attemptContext(ctx context.Context, request *Request, last bool) (context.Context, context.CancelFunc) {
+	if last || request.AttemptTimeout <= 0 || request.AtMostOnce {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, request.AttemptTimeout)
+}
+
 // isHopHeader reports whether a header, in canonical form, belongs to one
 // connection and is not passed on.
 func isHopHeader(name string) bool {
@@ -189,24 +234,6 @@
 	}
 }
 
-func (d *Dispatcher) headerFor(request *Request, requestID string) http.Header {
-	const added = 4
-	header := make(http.Header, len(request.Header)+added)
-	for name, values := range request.Header {
-		if !isHopHeader(name) && !isOwnHeader(name) {
-			header[name] = values
-		}
-	}
-	remaining := max(time.Until(request.Deadline).Milliseconds(), 0)
-	header[HeaderRequestID] = []string{requestID}
-	header[HeaderTenant] = []string{request.Tenant}
-	header[HeaderDeadline] = []string{strconv.FormatInt(remaining, 10)}
-	if request.IdempotencyKey != "" {
-		header[HeaderIdempotencyKey] = []string{request.IdempotencyKey}
-	}
-	return header
-}
-
 // trackedBody runs done once when the body is closed.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -101,11 +101,13 @@
 
 // outgoing is one attempt's request.
 type outgoing struct {
-	method    string
-	url       string
-	header    http.Header
-	body      outgoingBody
-	requestID string
+	method string
+	url    string
+	// host is the Host header; the address of the URL if empty.
+	host   string
+	header http.Header
+	body   outgoingBody
+	judge  func(*http.Response) Verdict
 }
 
 // outgoingBody is a body in one of the forms that the transport never rewinds.
@@ -179,6 +181,7 @@
 	if err != nil {
 		return incoming{ending: NotSent, err: result.Wrap(result.MalformedRequest, err, "build request")}
 	}
+	request.Host = out.host
 	request.Header = out.header
 	request.Body = out.body.reader
 	request.ContentLength = out.body.length
@@ -188,7 +191,7 @@
 		sent := connection != nil && connection.written.Load() > writtenBefore
 		return classifyFailure(ctx, err, sent, out.body.wasRead())
 	}
-	return classifyResponse(ctx, response, out.requestID, out.body.wasRead())
+	return classifyResponse(ctx, response, out.judge(response), out.body.wasRead())
 }
 
 func classifyFailure(ctx context.Context, err error, sent, bodyRead bool) incoming {
@@ -207,22 +210,12 @@
 	return failed
 }
 
-func classifyResponse(ctx context.Context, response *http.Response, requestID string, bodyRead bool) incoming {
-	outcome := incoming{bodyRead: bodyRead, leaving: response.Header.Get(HeaderLeaving) == "true"}
-	echoed := response.Header.Get(HeaderRequestID)
-	if echoed != requestID {
+func classifyResponse(ctx context.Context, response *http.Response, verdict Verdict, bodyRead bool) incoming {
+	outcome := incoming{bodyRead: bodyRead, leaving: verdict.Leaving, ending: verdict.Ending, err: verdict.Err}
+	if verdict.Ending != Answered && verdict.Ending != FailedByBackEnd {
 		// Closing an unread body closes the connection, which then cannot
 		// deliver a crossed answer to another request.
 		response.Body.Close()
-		outcome.ending = Lost
-		outcome.err = result.New(result.AnswerMismatch, "answer echoes request id %q, not %q", echoed, requestID)
-		return outcome
-	}
-	if response.Header.Get(HeaderRun) == string(result.NotRun) {
-		response.Body.Close()
-		outcome.ending = RefusedByBackEnd
-		outcome.err = result.New(result.BackEndRefused, "back end answered %d and did not run the request", response.StatusCode).
-			WithRetryAfter(retryAfterOf(response.Header))
 		return outcome
 	}
 	answer, err := readAnswer(response)
@@ -235,7 +228,6 @@
 		failed.leaving = outcome.leaving
 		return failed
 	}
-	outcome.ending = Answered
 	outcome.answer = answer
 	return outcome
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -19,8 +19,18 @@
 	RefusedByBackEnd
 	// Lost means that the request was sent and no usable answer came.
 	Lost
+	// FailedByBackEnd means that the back end ran the request and answered with
+	// a failure of its own.
+	FailedByBackEnd
 )
 
+var endingNames = [...]string{
+	Answered: "answered", NotSent: "not_sent", RefusedByBackEnd: "refused", Lost: "lost", FailedByBackEnd: "failed",
+}
+
+// String implements fmt.Stringer.
+func (e Ending) String() string { return endingNames[e] }
+
 // Plan decides about the attempts of one request. It is a pure state machine.
 type Plan struct {
 	// AtMostOnce forbids a further attempt after Lost.
@@ -55,7 +65,7 @@
 	if ending == Answered || p.attempts >= p.MaxAttempts {
 		return Stop, 0
 	}
-	if ending == Lost && p.AtMostOnce {
+	if (ending == Lost || ending == FailedByBackEnd) && p.AtMostOnce {
 		return Stop, 0
 	}
 	if bodyRead && !p.Replayable {
@@ -103,11 +113,8 @@
 // retryHint is the hint given with refusals that depend on back ends.
 const retryHint = 250 * time.Millisecond
 
-// finalError is the caller's error when no attempt succeeded.
-func finalError(ending Ending, last error) error {
+// notRunError is the caller's error when no attempt ran.
+func notRunError(last error) error {
 	typed := result.From(last)
-	if ending == NotSent || ending == RefusedByBackEnd {
-		return typed.WithRetryAfter(max(typed.RetryAfter, retryHint))
-	}
-	return typed
+	return typed.WithRetryAfter(max(typed.RetryAfter, retryHint))
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,46 +26,69 @@
 
 // Log events by subsystem.
 const (
-	NodeStarting      Number = 101
-	NodeReady         Number = 102
-	NodeDraining      Number = 103
-	NodeStopped       Number = 104
-	SettingsLoaded    Number = 105
-	DrainTimedOut     Number = 106
-	HandlerPanicked   Number = 107
-	ConfigApplied     Number = 201
-	ConfigRejected    Number = 202
-	RecordSkipped     Number = 203
-	LogReadFailed     Number = 204
-	LogReadRecovered  Number = 205
-	LogAppendFailed   Number = 206
-	SnapshotAppended  Number = 207
-	MemberJoined      Number = 301
-	MemberSuspected   Number = 302
-	MemberLeaving     Number = 303
-	MemberDead        Number = 304
-	MachineListFailed Number = 305
-	SelfDeclaredDead  Number = 306
-	PeerRejected      Number = 401
-	PeerProtocol      Number = 402
-	EndpointAdded     Number = 501
-	EndpointLeaving   Number = 502
-	EndpointGone      Number = 503
-	EndpointSlow      Number = 504
-	AnswerMismatched  Number = 505
-	LeaseTaken        Number = 601
-	LeaseLost         Number = 602
-	WeightsOrdered    Number = 603
-	WeightsSwitched   Number = 604
-	WeightsFailed     Number = 605
-	VersionAnnounced  Number = 606
-	LeaseClaimLost    Number = 607
-	JobAccepted       Number = 701
-	JobCompleted      Number = 702
-	JobCancelled      Number = 703
-	SampleRestarted   Number = 704
-	SampleResumed     Number = 705
-	JobExpired        Number = 706
+	NodeStarting         Number = 101
+	NodeReady            Number = 102
+	NodeDraining         Number = 103
+	NodeStopped          Number = 104
+	SettingsLoaded       Number = 105
+	DrainTimedOut        Number = 106
+	HandlerPanicked      Number = 107
+	ConfigApplied        Number = 201
+	ConfigRejected       Number = 202
+	RecordSkipped        Number = 203
+	LogReadFailed        Number = 204
+	LogReadRecovered     Number = 205
+	LogAppendFailed      Number = 206
+	SnapshotAppended     Number = 207
+	MemberJoined         Number = 301
+	MemberSuspected      Number = 302
+	MemberLeaving        Number = 303
+	MemberDead           Number = 304
+	MachineListFailed    Number = 305
+	SelfDeclaredDead     Number = 306
+	PeerRejected         Number = 401
+	PeerProtocol         Number = 402
+	EndpointAdded        Number = 501
+	EndpointLeaving      Number = 502
+	EndpointGone         Number = 503
+	EndpointSlow         Number = 504
+	AnswerMismatched     Number = 505
+	AttemptFailed        Number = 506
+	RequestGivenUp       Number = 507
+	RequestRefused       Number = 508
+	LeaseTaken           Number = 601
+	LeaseLost            Number = 602
+	WeightsOrdered       Number = 603
+	WeightsSwitched      Number = 604
+	WeightsFailed        Number = 605
+	VersionAnnounced     Number = 606
+	LeaseClaimLost       Number = 607
+	JobAccepted          Number = 701
+	JobCompleted         Number = 702
+	JobCancelled         Number = 703
+	SampleRestarted      Number = 704
+	SampleResumed        Number = 705
+	JobExpired           Number = 706
+	BatchSubmitted       Number = 707
+	BatchRefused         Number = 708
+	BatchEnded           Number = 709
+	BatchReadRefused     Number = 710
+	ItemStarted          Number = 711
+	ItemRunEnded         Number = 712
+	ItemMoved            Number = 713
+	ItemListed           Number = 714
+	ItemDead             Number = 715
+	RewardFailed         Number = 716
+	ExecutorStarted      Number = 717
+	ExecutorStopped      Number = 718
+	GroupShareChanged    Number = 801
+	GroupContactLost     Number = 802
+	GroupContactRegained Number = 803
+	CatalogApplied       Number = 804
+	CatalogRejected      Number = 805
+	SettingsReloaded     Number = 806
+	LogAppendRetried     Number = 807
+	LinesDropped         Number = 808
 )
 
 var definitions = []Definition{
@@ -96,6 +119,9 @@
 	{EndpointGone, "endpoint_gone", slog.LevelInfo, "An engine or back end disappeared from the machine list.", "None."},
 	{EndpointSlow, "endpoint_slow", slog.LevelWarn, "An engine or back end failed repeatedly and is avoided for a while.", "Check the machine."},
 	{AnswerMismatched, "answer_mismatched", slog.LevelError, "A back end echoed the id of another request; the connection was closed.", "Report it to the back end's owner."},
+	{AttemptFailed, "attempt_failed", slog.LevelInfo, "One attempt of a request failed; the line tells the back end, the ending and the cause.", "None unless frequent for one back end."},
+	{RequestGivenUp, "request_given_up", slog.LevelWarn, "A request got its final refusal or failure; the line tells the attempts and the result code.", "Look at the attempts with the same request id."},
+	{RequestRefused, "request_refused", slog.LevelWarn, "A request was refused before any attempt; the line tells why and when to come back.", "See the result code."},
 	{LeaseTaken, "lease_taken", slog.LevelInfo, "This node holds a lease.", "None."},
 	{LeaseLost, "lease_lost", slog.LevelInfo, "Another node's claim replaced this node's lease.", "None."},
 	{WeightsOrdered, "weights_ordered", slog.LevelInfo, "An engine was ordered to load or switch to a weight version.", "None."},
@@ -109,6 +135,26 @@
 	{SampleRestarted, "sample_restarted", slog.LevelDebug, "A sample was generated anew, as the former attempt failed or grew stale.", "None."},
 	{SampleResumed, "sample_resumed", slog.LevelDebug, "A sample goes on at another engine from the tokens it had.", "None."},
 	{JobExpired, "job_expired", slog.LevelInfo, "A job was dropped because no trainer pulled it for a long time.", "None."},
+	{BatchSubmitted, "batch_submitted", slog.LevelInfo, "A batch job is kept in the log.", "None."},
+	{BatchRefused, "batch_refused", slog.LevelWarn, "A batch job was not accepted; the line tells whether it may be in the log.", "Check the log service."},
+	{BatchEnded, "batch_ended", slog.LevelInfo, "A batch job was ended by its trainer; the line tells how much was listed.", "None."},
+	{BatchReadRefused, "batch_read_refused", slog.LevelWarn, "A read of a batch job was refused because this node may not know its newest state.", "Check the log service."},
+	{ItemStarted, "item_started", slog.LevelInfo, "An item was sent to a sampler; the line tells the candidates, their load and the event it goes on from.", "None."},
+	{ItemRunEnded, "item_run_ended", slog.LevelInfo, "A run of an item ended other than whole.", "None unless frequent for one sampler."},
+	{ItemMoved, "item_moved", slog.LevelInfo, "A run was stopped to go on at another sampler; the line tells why.", "None."},
+	{ItemListed, "item_listed", slog.LevelDebug, "A result of an item has its place in the log.", "None."},
+	{ItemDead, "item_dead", slog.LevelWarn, "An item was given up; the line tells after how many failures.", "Look at the runs of the item."},
+	{RewardFailed, "reward_failed", slog.LevelInfo, "A reward call failed and is repeated.", "None unless frequent."},
+	{ExecutorStarted, "executor_started", slog.LevelInfo, "This node runs the batch jobs; the line tells the generation and what it took over.", "None."},
+	{ExecutorStopped, "executor_stopped", slog.LevelInfo, "This node no longer runs the batch jobs.", "None."},
+	{GroupShareChanged, "group_share_changed", slog.LevelInfo, "The log service dealt partitions anew; the line tells the generation and this node's part.", "None."},
+	{GroupContactLost, "group_contact_lost", slog.LevelWarn, "This node cannot renew its share; it gives no orders until it can.", "Check the log service."},
+	{GroupContactRegained, "group_contact_regained", slog.LevelInfo, "This node renews its share again.", "None."},
+	{CatalogApplied, "catalog_applied", slog.LevelInfo, "A version of the routes and services is in force on this node.", "None."},
+	{CatalogRejected, "catalog_rejected", slog.LevelWarn, "A version of the routes and services is malformed; the former one stays in force.", "Correct the named field."},
+	{SettingsReloaded, "settings_reloaded", slog.LevelInfo, "The settings file was read again.", "None."},
+	{LogAppendRetried, "log_append_retried", slog.LevelInfo, "An append had no answer in time or was refused and is repeated.", "Check the log service if it lasts."},
+	{LinesDropped, "lines_dropped", slog.LevelWarn, "Log lines were dropped because the output did not keep up.", "Check the reader of the output."},
 }
 
 var byNumber = indexByNumber()
@@ -149,3 +195,8 @@
 	line := l.logger.With("event", int(number))
 	line.Log(context.Background(), definition.Level, definition.Name, attributes...)
 }
+
+// Handler returns a handler for a library's own lines, which carry the event.
+func (l *Logger) Handler(number Number) slog.Handler {
+	return l.logger.With("event", int(number)).Handler()
+}
--- /dev/null
+++ b/internal/hosted/executor.go
@@ -0,0 +1,364 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/weights"
+)
+
+const (
+	// executorTick is how often the executor looks at what no event announces.
+	executorTick = 50 * time.Millisecond
+	// progressInterval is how often the text of running items is saved.
+	progressInterval = 500 * time.Millisecond
+	// progressEvents is how many new events are worth saving.
+	progressEvents = 6
+	// flushPatience bounds the last appends before a planned stop.
+	flushPatience = 700 * time.Millisecond
+	// defaultDue is assumed of routes that name no due time.
+	defaultDue = 10 * time.Second
+)
+
+// executor runs the jobs of the partitions that this node holds.
+type executor struct {
+	node   *Node
+	lister *lister
+	roll   *weights.Roll
+	woken  chan struct{}
+
+	changesMutex sync.Mutex
+	changes      []ledger.Change
+
+	mutex     sync.Mutex
+	scheduler *schedule.Scheduler // nil while this node does not execute
+	runs      map[schedule.Key]context.CancelFunc
+	// session ends when the node stops to execute.
+	session      context.Context
+	endSession   context.CancelFunc
+	progressedAt time.Time
+	rewards      rewardSlots
+	work         conc.WaitGroup
+}
+
+func newExecutor(n *Node) *executor {
+	e := &executor{
+		node: n, roll: weights.NewRoll(loadsTogether), woken: make(chan struct{}, 1),
+		runs: make(map[schedule.Key]context.CancelFunc),
+	}
+	e.rewards.released = make(chan struct{}, 1)
+	e.lister = newLister(n)
+	return e
+}
+
+// wake makes the executor look at once.
+func (e *executor) wake() {
+	select {
+	case e.woken <- struct{}{}:
+	default:
+	}
+}
+
+// jobChanged takes in a change of the ledger. It is called under the ledger's
+// lock.
+func (e *executor) jobChanged(change ledger.Change) {
+	if change.Kind == ledger.Nothing || change.Kind == ledger.Progressed {
+		return
+	}
+	e.changesMutex.Lock()
+	defer e.changesMutex.Unlock()
+	e.changes = append(e.changes, change)
+	e.wake()
+}
+
+func (e *executor) takeChanges() []ledger.Change {
+	e.changesMutex.Lock()
+	defer e.changesMutex.Unlock()
+	taken := e.changes
+	e.changes = nil
+	return taken
+}
+
+func (e *executor) run(ctx context.Context) {
+	e.work.Go(func() { e.lister.run(ctx) })
+	ticker := time.NewTicker(executorTick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		e.step(ctx)
+		select {
+		case <-ticker.C:
+		case <-e.woken:
+		case <-ctx.Done():
+		}
+	}
+	e.end()
+	e.work.Wait()
+}
+
+func (e *executor) step(ctx context.Context) {
+	now := time.Now()
+	executes := e.node.ownership.executes(jobPartition, now)
+	if executes && !e.executing() {
+		e.begin(ctx)
+	}
+	if !executes && e.executing() {
+		e.flush(ctx)
+	}
+	changes := e.takeChanges()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler == nil {
+		return
+	}
+	e.takeSamplers()
+	for _, change := range changes {
+		e.applyChange(change)
+	}
+	e.stopMoved(now)
+	for _, start := range e.scheduler.Starts(now) {
+		e.start(start)
+	}
+	if now.Sub(e.progressedAt) >= progressInterval {
+		e.progressedAt = now
+		e.lister.addProgress(e.scheduler.Unsaved(progressEvents))
+	}
+	e.orderWeights(now)
+}
+
+func (e *executor) executing() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.scheduler != nil
+}
+
+// begin takes the open jobs over, from the newest state of the log.
+func (e *executor) begin(ctx context.Context) {
+	if e.node.jobs.refresh(ctx) != nil {
+		return
+	}
+	e.takeChanges()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.scheduler = schedule.New()
+	e.session, e.endSession = context.WithCancel(ctx)
+	e.roll.Forget()
+	e.takeSamplers()
+	open := 0
+	for _, job := range e.node.jobs.open() {
+		e.add(job)
+		open++
+	}
+	e.node.logger.Log(event.ExecutorStarted, "generation", e.node.ownership.current(), "open_jobs", open)
+	e.node.metrics.executing.Set(1)
+}
+
+// flush saves what running items made so far, hands over what is finished and
+// stops executing.
+func (e *executor) flush(ctx context.Context) {
+	e.mutex.Lock()
+	if e.scheduler == nil {
+		e.mutex.Unlock()
+		return
+	}
+	e.lister.addProgress(e.scheduler.Unsaved(1))
+	e.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, flushPatience)
+	defer cancel()
+	e.lister.flush(ctx)
+	e.end()
+}
+
+func (e *executor) end() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler == nil {
+		return
+	}
+	e.endSession()
+	for key, cancel := range e.runs {
+		cancel()
+		delete(e.runs, key)
+	}
+	e.scheduler = nil
+	e.node.logger.Log(event.ExecutorStopped, "generation", e.node.ownership.current())
+	e.node.metrics.executing.Set(0)
+}
+
+func (e *executor) takeSamplers() {
+	if listed := e.node.samplers.Load(); listed != nil {
+		e.scheduler.Samplers(*listed)
+	}
+}
+
+func (e *executor) applyChange(change ledger.Change) {
+	switch change.Kind {
+	case ledger.Submitted:
+		e.add(change.Job)
+	case ledger.Ended:
+		stopped := e.scheduler.DropJob(change.Job.ID)
+		for _, key := range stopped {
+			e.cancel(key)
+		}
+		e.node.logger.Log(event.BatchEnded, "job_id", change.Job.ID, "listed", change.Results,
+			"items", len(change.Job.Spec.Items), "stopped", len(stopped))
+	case ledger.Listed:
+		for _, listed := range change.Listed {
+			key := schedule.Key{Job: change.Job.ID, Item: listed.ItemID}
+			if e.scheduler.Settled(key) {
+				e.cancel(key)
+			}
+			e.node.logger.Log(event.ItemListed, "job_id", key.Job, "item_id", key.Item, "dead", listed.Dead)
+		}
+		if change.Complete {
+			e.scheduler.DropJob(change.Job.ID)
+		}
+	}
+}
+
+func (e *executor) cancel(key schedule.Key) {
+	if stop, ok := e.runs[key]; ok {
+		stop()
+		delete(e.runs, key)
+	}
+}
+
+// add hands a job to the scheduler. Without a route it waits for one.
+func (e *executor) add(job *ledger.Job) {
+	route := e.routeOf(job.Spec)
+	policy := schedule.Policy{Due: job.ReceivedAt.Add(defaultDue), MaxFailures: 1}
+	if route != nil {
+		policy.Services = servicesOf(route)
+		policy.MaxFailures = route.MaxAttempts
+		policy.SingleVersion = route.SingleVersion
+		if route.Due > 0 {
+			policy.Due = job.ReceivedAt.Add(route.Due)
+		}
+	}
+	var finished []schedule.Finished
+	e.node.jobs.withLedger(func(known *ledger.Ledger) {
+		if job.Open() {
+			finished = e.scheduler.AddJob(job, policy, known)
+		}
+	})
+	for _, whole := range finished {
+		e.finish(job.Spec, whole)
+	}
+}
+
+func (e *executor) routeOf(spec *pathbendv1.BatchJob) *catalog.Route {
+	current := e.node.Catalog()
+	if current == nil {
+		return nil
+	}
+	return current.Find(spec.Host, spec.Path)
+}
+
+func servicesOf(route *catalog.Route) []string {
+	var services []string
+	for _, share := range route.Shares {
+		if share.Weight > 0 {
+			services = append(services, share.Service)
+		}
+	}
+	return services
+}
+
+func (e *executor) stopMoved(now time.Time) {
+	for _, move := range e.scheduler.Moves(now) {
+		e.cancel(move.Key)
+		e.node.metrics.moved.Inc()
+		e.node.logger.Log(event.ItemMoved, "job_id", move.Key.Job, "item_id", move.Key.Item, "from", move.From,
+			"reason", move.Reason, "silent_ms", move.Silent.Milliseconds(), "pace_ms", move.Pace.Milliseconds())
+	}
+}
+
+// start runs an item at its sampler in a goroutine.
+func (e *executor) start(start schedule.Start) {
+	ctx, cancel := context.WithCancel(e.session)
+	e.runs[start.Key] = cancel
+	scheduler := e.scheduler
+	e.node.metrics.started.Inc()
+	e.node.logger.Log(event.ItemStarted, "job_id", start.Key.Job, "item_id", start.Key.Item,
+		"sampler", start.Sampler.ID, "running", start.Running, "candidates", start.Candidates,
+		"pace_ms", start.Pace.Milliseconds(), "after_event", start.AfterEvent)
+	e.work.Go(func() {
+		defer cancel()
+		run := Run{Sampler: start.Sampler, Host: start.Job.Host, Item: start.Item, AfterEvent: start.AfterEvent}
+		end := e.node.ports.Generator.Generate(ctx, run, func(made schedule.Event) bool {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			return scheduler.Progress(start.Key, start.Run, made, time.Now())
+		})
+		if ctx.Err() != nil {
+			end.Ending = schedule.Stopped
+		}
+		e.runEnded(scheduler, start, end)
+	})
+}
+
+func (e *executor) runEnded(scheduler *schedule.Scheduler, start schedule.Start, end RunEnd) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler != scheduler {
+		return
+	}
+	verdict := scheduler.RunEnded(start.Key, start.Run, end.Ending, time.Now())
+	e.node.metrics.runEnded(end.Ending)
+	if end.Ending != schedule.Whole {
+		e.node.logger.Log(event.ItemRunEnded, "job_id", start.Key.Job, "item_id", start.Key.Item,
+			"sampler", start.Sampler.ID, "ending", end.Ending.String(), "detail", end.Detail, "failures", verdict.Failures)
+	}
+	if verdict.Finished != nil {
+		e.finish(start.Job, *verdict.Finished)
+	}
+	if verdict.Dead {
+		e.dead(start.Key, verdict.Failures, end.Detail)
+	}
+	e.wake()
+}
+
+func (e *executor) dead(key schedule.Key, failures int, detail string) {
+	e.node.logger.Log(event.ItemDead, "job_id", key.Job, "item_id", key.Item, "failures", failures, "detail", detail)
+	e.lister.addResult(key.Job, &pathbendv1.BatchResult{ItemId: key.Item, Dead: true})
+}
+
+// finish scores a whole text and lists it.
+func (e *executor) finish(spec *pathbendv1.BatchJob, whole schedule.Finished) {
+	session, scheduler := e.session, e.scheduler
+	e.work.Go(func() {
+		stamp, alive := whole.Score, true
+		if stamp == "" && whole.Reward != nil {
+			stamp, alive = e.score(session, whole)
+		}
+		if session.Err() != nil {
+			return
+		}
+		e.mutex.Lock()
+		wanted := e.scheduler == scheduler && scheduler.Scored(whole.Key)
+		e.mutex.Unlock()
+		if !wanted {
+			return
+		}
+		listed := &pathbendv1.BatchResult{ItemId: whole.Key.Item, Dead: !alive}
+		if alive {
+			listed.Text, listed.Versions, listed.Score = whole.Text, whole.Versions, stamp
+			listed.RewardId = whole.Reward.GetId()
+		}
+		e.lister.addResult(whole.Key.Job, listed)
+	})
+}
+
+// wants reports whether an item still waits for its result.
+func (e *executor) wants(key schedule.Key) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.scheduler != nil && e.scheduler.HasJob(key.Job)
+}
--- /dev/null
+++ b/internal/hosted/forward.go
@@ -0,0 +1,113 @@
+package hosted
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/result"
+)
+
+// Inbound is a client's request.
+type Inbound struct {
+	ID     string
+	Method string
+	Host   string
+	// Path is the path and query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Wait is how long the client waits; 0 if it does not say.
+	Wait time.Duration
+}
+
+const (
+	// assumedWait bounds a request whose client and route name no bound.
+	assumedWait = 30 * time.Second
+	// attemptObjectives is how many objectives an attempt may take before
+	// another sampler is tried.
+	attemptObjectives = 2
+	// minAttemptTimeout bounds that from below.
+	minAttemptTimeout = 200 * time.Millisecond
+)
+
+// Forward sends a request to a sampler of its route's service and returns the
+// answer, or a *result.Error that tells whether it ran.
+func (n *Node) Forward(ctx context.Context, route *catalog.Route, in *Inbound) (*dispatch.Answer, error) {
+	n.active.Add(1)
+	defer n.active.Add(-1)
+	began := time.Now()
+	deadline := began.Add(holdTime(route, in))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	request := requestOf(route, in, deadline)
+	answer, err := n.dispatcher.Do(ctx, request)
+	if answer == nil || answer.Buffered != nil {
+		cancel()
+	} else {
+		answer.Body = &closingBody{ReadCloser: answer.Body, done: cancel}
+	}
+	n.metrics.request(route.Name, answer, err, time.Since(began))
+	return answer, err
+}
+
+func holdTime(route *catalog.Route, in *Inbound) time.Duration {
+	hold := in.Wait
+	if hold <= 0 {
+		hold = assumedWait
+	}
+	if route.Timeout > 0 {
+		hold = min(hold, route.Timeout)
+	}
+	return hold
+}
+
+func requestOf(route *catalog.Route, in *Inbound, deadline time.Time) *dispatch.Request {
+	body := in.Body
+	if body == nil {
+		body = []byte{}
+	}
+	return &dispatch.Request{
+		Pool: route.ServiceFor(in.ID), Method: in.Method, Path: in.Path, Host: in.Host, Header: in.Header,
+		Buffered: body, Length: int64(len(body)),
+		AtMostOnce:     route.Kind != catalog.Repeatable && !route.Resumable,
+		MaxAttempts:    route.MaxAttempts,
+		Deadline:       deadline,
+		ID:             in.ID,
+		AttemptTimeout: max(attemptObjectives*route.Objective, minAttemptTimeout),
+	}
+}
+
+// LogRefusal records a request that was refused before it was sent anywhere.
+func (n *Node) LogRefusal(requestID, host, path string, err error) {
+	typed := result.From(err)
+	n.logger.Log(event.RequestRefused, "request_id", requestID, "host", host, "path", path,
+		"code", int(typed.Code), "detail", typed.Detail, "retry_after_ms", typed.RetryAfter.Milliseconds())
+}
+
+// newID returns a random id of 16 hexadecimal digits.
+func newID() string {
+	var raw [8]byte
+	value := rand.Uint64()
+	for i := range raw {
+		raw[i] = byte(value >> (8 * i))
+	}
+	return hex.EncodeToString(raw[:])
+}
+
+// closingBody runs done when the body is closed.
+type closingBody struct {
+	io.ReadCloser
+	done func()
+}
+
+// Close implements io.Closer.
+func (b *closingBody) Close() error {
+	defer b.done()
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/internal/hosted/metrics.go
@@ -0,0 +1,130 @@
+package hosted
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+)
+
+// Metrics are the node's counters and latency histograms.
+type Metrics struct {
+	registry    *prometheus.Registry
+	requests    *prometheus.CounterVec
+	duration    *prometheus.HistogramVec
+	submissions *prometheus.CounterVec
+	submitting  prometheus.Histogram
+	appends     *prometheus.CounterVec
+	appending   prometheus.Histogram
+	runEnds     *prometheus.CounterVec
+	moves       *prometheus.CounterVec
+	moving      prometheus.Histogram
+	started     prometheus.Counter
+	moved       prometheus.Counter
+	executing   prometheus.Gauge
+}
+
+func newMetrics(n *Node) *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: counters("pathbend_requests_total", "Requests answered, by route and result: the status of the sampler's answer or the result code.", "route", "result"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pathbend_request_duration_seconds", Help: "Time from the whole request to its answer.", Buckets: latencyBuckets(),
+		}, []string{"route"}),
+		submissions: counters("pathbend_batch_submissions_total", "Batch jobs submitted, by result code (0 is success).", "code"),
+		submitting:  histogram("pathbend_batch_submission_duration_seconds", "Time until a batch job was kept or refused."),
+		appends:     counters("pathbend_log_appends_total", "Appends to the log, by result code (0 is success).", "code"),
+		appending:   histogram("pathbend_log_append_duration_seconds", "Time of one append to the log."),
+		runEnds:     counters("pathbend_item_runs_total", "Runs of items that ended, by ending.", "ending"),
+		moves:       counters("pathbend_version_moves_total", "Orders to change weights that are over, by whether the version was seen.", "reached"),
+		moving:      histogram("pathbend_version_move_duration_seconds", "Time from the first question to a sampler until it served a new version."),
+		started:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pathbend_item_starts_total", Help: "Runs of items that were started."}),
+		moved:       prometheus.NewCounter(prometheus.CounterOpts{Name: "pathbend_item_moves_total", Help: "Runs that were stopped to go on at another sampler."}),
+		executing:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_executing", Help: "1 while this node runs the batch jobs."}),
+	}
+	m.registry.MustRegister(m.requests, m.duration, m.submissions, m.submitting, m.appends, m.appending, m.runEnds,
+		m.moves, m.moving, m.started, m.moved, m.executing)
+	m.gauge("pathbend_catalog_version", "Version of the routes and services in force.", func() float64 {
+		if current := n.Catalog(); current != nil {
+			return float64(current.Version)
+		}
+		return 0
+	})
+	m.gauge("pathbend_requests_active", "Requests in progress.", func() float64 { return float64(n.active.Load()) })
+	m.gauge("pathbend_group_generation", "Generation of the group that deals the job partitions out.", func() float64 {
+		return float64(n.ownership.current())
+	})
+	m.gauge("pathbend_log_current_age_seconds", "Age of what this node knows of the batch jobs.", func() float64 {
+		return time.Since(n.jobs.follower.Health.CurrentAt()).Seconds()
+	})
+	m.gauge("pathbend_samplers_listed", "Samplers in the platform's list.", func() float64 {
+		if listed := n.samplers.Load(); listed != nil {
+			return float64(len(*listed))
+		}
+		return 0
+	})
+	return m
+}
+
+func latencyBuckets() []float64 {
+	const first, factor, count = 0.001, 2, 15
+	return prometheus.ExponentialBuckets(first, factor, count)
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets()})
+}
+
+func (m *Metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func codeOf(err error) string {
+	if err == nil {
+		return "0"
+	}
+	return strconv.Itoa(int(result.From(err).Code))
+}
+
+func (m *Metrics) request(route string, answer *dispatch.Answer, err error, took time.Duration) {
+	outcome := codeOf(err)
+	if answer != nil {
+		outcome = strconv.Itoa(answer.Status)
+	}
+	m.requests.WithLabelValues(route, outcome).Inc()
+	m.duration.WithLabelValues(route).Observe(took.Seconds())
+}
+
+func (m *Metrics) submission(err error, took time.Duration) {
+	m.submissions.WithLabelValues(codeOf(err)).Inc()
+	m.submitting.Observe(took.Seconds())
+}
+
+func (m *Metrics) logAppend(err error, took time.Duration) {
+	m.appends.WithLabelValues(codeOf(err)).Inc()
+	m.appending.Observe(took.Seconds())
+}
+
+func (m *Metrics) runEnded(ending schedule.Ending) {
+	m.runEnds.WithLabelValues(ending.String()).Inc()
+}
+
+func (m *Metrics) versionMove(reached bool, took time.Duration) {
+	m.moves.WithLabelValues(strconv.FormatBool(reached)).Inc()
+	m.moving.Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/hosted/node.go
@@ -0,0 +1,195 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/fleet"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// Ports are the node's doors to its surroundings.
+type Ports struct {
+	Network   network.Network
+	Log       sharedlog.Log
+	Group     sharedlog.Group
+	Protocol  dispatch.Protocol
+	Generator Generator
+	Control   Control
+	// Score reads the proof of a reward call from its answer.
+	Score func(*dispatch.Answer) (Scored, error)
+}
+
+// Node is a hosted node. It is safe for concurrent use.
+type Node struct {
+	settings   Settings
+	ports      Ports
+	logger     *event.Logger
+	metrics    *Metrics
+	fleet      *fleet.Fleet
+	exchanger  *dispatch.Exchanger
+	dispatcher *dispatch.Dispatcher
+	jobs       *jobBook
+	ownership  *ownership
+	executor   *executor
+
+	catalog  atomic.Pointer[catalog.Catalog]
+	samplers atomic.Pointer[[]schedule.Sampler]
+
+	mutex    sync.Mutex
+	versions map[string]uint64
+
+	draining atomic.Bool
+	active   atomic.Int64
+	stop     context.CancelFunc
+	loops    conc.WaitGroup
+}
+
+// New returns a node that does nothing until Start.
+func New(settings Settings, ports Ports, logger *event.Logger) *Node {
+	n := &Node{
+		settings: settings, ports: ports, logger: logger,
+		fleet:     fleet.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), logger),
+		exchanger: dispatch.NewExchanger(ports.Network),
+		versions:  make(map[string]uint64),
+	}
+	n.metrics = newMetrics(n)
+	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
+	n.jobs = newJobBook(n)
+	n.ownership = newOwnership(settings, ports.Group, logger)
+	n.executor = newExecutor(n)
+	return n
+}
+
+// Start begins to follow the log and to take part in the group.
+func (n *Node) Start(ctx context.Context) {
+	ctx, n.stop = context.WithCancel(ctx)
+	n.loops.Go(func() { n.jobs.follower.Run(ctx) })
+	n.loops.Go(func() { n.jobs.expire(ctx) })
+	n.loops.Go(func() { n.ownership.run(ctx) })
+	n.loops.Go(func() { n.executor.run(ctx) })
+}
+
+// Drain makes the node unready and hands its share over. Requests go on.
+func (n *Node) Drain(ctx context.Context) {
+	if n.draining.Swap(true) {
+		return
+	}
+	n.logger.Log(event.NodeDraining, "active", n.active.Load())
+	n.executor.flush(ctx)
+	n.ownership.leave(ctx)
+}
+
+// Idle reports whether no request is in progress.
+func (n *Node) Idle() bool { return n.active.Load() == 0 }
+
+// Stop ends the node's loops.
+func (n *Node) Stop() {
+	n.stop()
+	n.loops.Wait()
+	n.exchanger.Close()
+	n.logger.Log(event.NodeStopped)
+}
+
+// Ready reports whether the node takes new work.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.catalog.Load() != nil && n.samplers.Load() != nil
+}
+
+// Draining reports whether the node is about to stop.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+// Metrics returns the node's metrics.
+func (n *Node) Metrics() *Metrics { return n.metrics }
+
+// Catalog returns the configuration in force, nil before the first.
+func (n *Node) Catalog() *catalog.Catalog { return n.catalog.Load() }
+
+// TakeCatalog puts a configuration in force unless a newer one is.
+func (n *Node) TakeCatalog(taken *catalog.Catalog) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	current := n.catalog.Load()
+	if current != nil && current.Version >= taken.Version {
+		return
+	}
+	n.catalog.Store(taken)
+	n.logger.Log(event.CatalogApplied, "version", taken.Version, "routes", taken.Routes(), "services", len(taken.Services))
+	if current == nil {
+		n.logger.Log(event.NodeReady, "version", taken.Version)
+	}
+	n.executor.wake()
+}
+
+// RejectCatalog logs a configuration that could not be read.
+func (n *Node) RejectCatalog(err error) {
+	n.logger.Log(event.CatalogRejected, "detail", err.Error())
+}
+
+// RejectSampler logs an entry of the samplers' list that could not be read.
+func (n *Node) RejectSampler(id string, err error) {
+	n.logger.Log(event.RecordSkipped, "sampler", id, "detail", err.Error())
+}
+
+// TakeVersion takes in a weight version that a trainer named.
+func (n *Node) TakeVersion(model string, version uint64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.versions[model] >= version {
+		return
+	}
+	n.versions[model] = version
+	n.logger.Log(event.VersionAnnounced, "model", model, "version", version)
+	n.executor.wake()
+}
+
+func (n *Node) targets() map[string]uint64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	targets := make(map[string]uint64, len(n.versions))
+	for model, version := range n.versions {
+		targets[model] = version
+	}
+	return targets
+}
+
+// TakeSamplers takes in the whole list of samplers.
+func (n *Node) TakeSamplers(listed []schedule.Sampler) {
+	machines := make([]fleet.Machine, 0, len(listed))
+	for _, sampler := range listed {
+		machines = append(machines, fleet.Machine{
+			ID: sampler.ID, Role: fleet.RoleBackEnd, Pool: sampler.Service,
+			Address: sampler.Address, Zone: sampler.Zone, Leaving: sampler.Leaving,
+		})
+	}
+	n.fleet.Update(machines)
+	n.samplers.Store(&listed)
+	n.executor.wake()
+}
+
+// Route finds the route of a host and path.
+func (n *Node) Route(host, path string) (*catalog.Route, error) {
+	current := n.catalog.Load()
+	if current == nil {
+		return nil, result.New(result.NotReady, "no configuration yet").WithRetryAfter(notReadyHint)
+	}
+	route := current.Find(host, path)
+	if route == nil {
+		return nil, result.New(result.UnknownRoute, "no route for host %q and path %q", host, path)
+	}
+	return route, nil
+}
+
+// notReadyHint is when to come back to a node that has no configuration.
+const notReadyHint = 300 * time.Millisecond
--- /dev/null
+++ b/internal/hosted/ports.go
@@ -0,0 +1,126 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/schedule"
+)
+
+// Run is one run of an item at a sampler.
+type Run struct {
+	Sampler schedule.Sampler
+	// Host is the host of the job's route.
+	Host string
+	Item *pathbendv1.BatchItem
+	// AfterEvent is the event to continue after, 0 to begin.
+	AfterEvent uint64
+}
+
+// RunEnd tells how a run ended.
+type RunEnd struct {
+	Ending schedule.Ending
+	// Detail explains an ending other than Whole.
+	Detail string
+}
+
+// Generator runs items at samplers.
+type Generator interface {
+	// Generate runs an item and hands over its events until take reports false
+	// or the stream ends. It returns once the sampler's connection is free or
+	// closed.
+	Generate(ctx context.Context, run Run, take func(schedule.Event) bool) RunEnd
+}
+
+// SamplerReport is what a sampler says of itself, some 100 ms ago.
+type SamplerReport struct {
+	// Orders counts the orders that it took.
+	Orders uint64
+	// Busy is set while an order is under way.
+	Busy     bool
+	Versions map[string]uint64
+}
+
+// VersionOrder tells a sampler to change its weights.
+type VersionOrder struct {
+	Model   string
+	Version uint64
+	// Holder and Fence name the node that gives the order and its right to.
+	Holder string
+	Fence  uint64
+	// AfterOrders is the number of orders that the sampler must have taken.
+	AfterOrders uint64
+}
+
+// OrderAnswer is a sampler's answer to an order.
+type OrderAnswer int
+
+// Answers to orders.
+const (
+	// OrderTaken means that it is in progress.
+	OrderTaken OrderAnswer = iota + 1
+	// OrderHolds means that the sampler serves the version already.
+	OrderHolds
+	// OrderConflict means that another order is in progress or came before.
+	OrderConflict
+	// OrderRefused means that the sampler will not take it.
+	OrderRefused
+	// OrderUnknown means that there was no answer: it may be carried out later.
+	OrderUnknown
+)
+
+// Control asks and orders samplers.
+type Control interface {
+	Report(ctx context.Context, sampler schedule.Sampler) (SamplerReport, error)
+	Order(ctx context.Context, sampler schedule.Sampler, order VersionOrder) (OrderAnswer, error)
+}
+
+// Scored is the answer to a reward call.
+type Scored struct {
+	// Stamp proves the answer; it is the item's score.
+	Stamp string
+}
+
+// Settings are a hosted node's own settings.
+type Settings struct {
+	// Name is the name of the machine. A process that starts again keeps it, and
+	// with it what the group dealt out to the machine.
+	Name string
+	Zone string
+	// MaxRecordBytes bounds a record of the log, MaxCallBytes one append.
+	MaxRecordBytes int
+	MaxCallBytes   int
+	// ShortestTTL is the shortest time for which the group deals out a share.
+	ShortestTTL time.Duration
+	// OrderGrace is how long a new holder waits before its first order.
+	OrderGrace time.Duration
+	// Settle is how old a node's knowledge may be when it denies a job or a
+	// result.
+	Settle time.Duration
+	// KeepJobs is how long jobs can be read after their submission.
+	KeepJobs time.Duration
+	// DrainGrace bounds a planned stop.
+	DrainGrace time.Duration
+}
+
+const (
+	// shareTTLs is how long a share outlasts the last renewal, in units of the
+	// shortest time.
+	shareTTLs = 1.5
+	// loadsTogether is the number of samplers that change weights at once: more
+	// slow each other's loads down.
+	loadsTogether = 2
+	// settleMargin is kept free for an answer's way to the client.
+	settleMargin = 200 * time.Millisecond
+	// keepMargin is how much longer than promised jobs can be read.
+	keepMargin = 30 * time.Second
+)
+
+// shareTTL is how long a share of the partitions outlasts the last renewal.
+func (s *Settings) shareTTL() time.Duration {
+	return time.Duration(float64(s.ShortestTTL) * shareTTLs)
+}
+
+// freshness is how old a node's knowledge may be when it denies something.
+func (s *Settings) freshness() time.Duration { return max(s.Settle-settleMargin, settleMargin) }
--- /dev/null
+++ b/internal/hosted/weights.go
@@ -0,0 +1,155 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/wait"
+	"github.com/pathbend/pathbend/internal/weights"
+)
+
+const (
+	// controlTimeout bounds a report or an order.
+	controlTimeout = 800 * time.Millisecond
+	// firstLook is when a sampler is first asked whether it took its order;
+	// lookInterval is the pause between looks.
+	firstLook    = 900 * time.Millisecond
+	lookInterval = 150 * time.Millisecond
+	// loadPatience is how long an order may take before the sampler is judged
+	// anew.
+	loadPatience = 4 * time.Second
+)
+
+// orderWeights begins the orders that are due. It is called under the lock.
+func (e *executor) orderWeights(now time.Time) {
+	if _, ok := e.node.ownership.mayOrder(jobPartition, now); !ok {
+		return
+	}
+	targets := e.node.targets()
+	if len(targets) == 0 {
+		return
+	}
+	var members []weights.Member
+	for _, load := range e.scheduler.Loads() {
+		members = append(members, weights.Member{ID: load.ID, Versions: load.Versions, Running: load.Running, Leaving: load.Leaving})
+	}
+	for _, step := range e.roll.Next(now, members, targets) {
+		sampler, ok := e.scheduler.Sampler(step.SamplerID)
+		if !ok {
+			e.roll.Done(step.SamplerID, false, now)
+			continue
+		}
+		session, scheduler := e.session, e.scheduler
+		e.work.Go(func() {
+			began := time.Now()
+			reached := e.move(session, scheduler, sampler, step)
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			if e.scheduler != scheduler {
+				return
+			}
+			scheduler.SetLoading(step.SamplerID, false)
+			e.roll.Done(step.SamplerID, reached, time.Now())
+			e.node.metrics.versionMove(reached, time.Since(began))
+			e.wake()
+		})
+	}
+}
+
+// move brings one sampler to a version. It reports whether the sampler was seen
+// to serve it.
+func (e *executor) move(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
+	report, err := e.report(ctx, sampler)
+	if err != nil {
+		e.node.logger.Log(event.WeightsFailed, "sampler", sampler.ID, "model", step.Model, "version", step.Version, "detail", err.Error())
+		return false
+	}
+	e.noteVersions(scheduler, sampler.ID, report.Versions)
+	if report.Versions[step.Model] >= step.Version {
+		return true
+	}
+	if report.Busy {
+		return e.awaitVersion(ctx, scheduler, sampler, step)
+	}
+	fence, ok := e.node.ownership.mayOrder(jobPartition, time.Now())
+	if !ok || ctx.Err() != nil {
+		return false
+	}
+	e.setLoading(scheduler, sampler.ID, true)
+	callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
+	answer, err := e.node.ports.Control.Order(callCtx, sampler, VersionOrder{
+		Model: step.Model, Version: step.Version, Holder: e.node.settings.Name, Fence: fence, AfterOrders: report.Orders,
+	})
+	cancel()
+	detail := ""
+	if err != nil {
+		detail = err.Error()
+	}
+	e.node.logger.Log(event.WeightsOrdered, "sampler", sampler.ID, "model", step.Model, "version", step.Version,
+		"fence", fence, "after_orders", report.Orders, "answer", int(answer), "detail", detail)
+	switch answer {
+	case OrderTaken, OrderUnknown, OrderConflict:
+		return e.awaitVersion(ctx, scheduler, sampler, step)
+	case OrderHolds:
+		e.noteVersions(scheduler, sampler.ID, map[string]uint64{step.Model: step.Version})
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitVersion asks a sampler until it serves a version.
+func (e *executor) awaitVersion(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
+	e.setLoading(scheduler, sampler.ID, true)
+	began := time.Now()
+	wait.For(ctx, firstLook)
+	idle := 0
+	for ctx.Err() == nil && time.Since(began) < loadPatience {
+		report, err := e.report(ctx, sampler)
+		if err == nil {
+			e.noteVersions(scheduler, sampler.ID, report.Versions)
+			if report.Versions[step.Model] >= step.Version && !report.Busy {
+				return true
+			}
+			if idle = idleLooks(idle, report); idle > maxIdleLooks {
+				return false
+			}
+		}
+		wait.For(ctx, lookInterval)
+	}
+	return false
+}
+
+// maxIdleLooks is how many reports in a row may show neither the version nor an
+// order under way before the order counts as not taken.
+const maxIdleLooks = 2
+
+func idleLooks(before int, report SamplerReport) int {
+	if report.Busy {
+		return 0
+	}
+	return before + 1
+}
+
+func (e *executor) report(ctx context.Context, sampler schedule.Sampler) (SamplerReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return e.node.ports.Control.Report(ctx, sampler)
+}
+
+func (e *executor) noteVersions(scheduler *schedule.Scheduler, samplerID string, versions map[string]uint64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for model, version := range versions {
+		scheduler.SetVersion(samplerID, model, version)
+	}
+	e.wake()
+}
+
+func (e *executor) setLoading(scheduler *schedule.Scheduler, samplerID string, loading bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	scheduler.SetLoading(samplerID, loading)
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -60,6 +60,7 @@
 	JobOwnerLost     Code = 4003
 	VersionWentBack  Code = 4004
 	GenerationFailed Code = 4005
+	ItemUnknown      Code = 4006
 
 	ConfigInvalid   Code = 5001
 	ConfigConflict  Code = 5002
@@ -67,6 +68,7 @@
 	LogUnknown      Code = 5004
 	RecordMalformed Code = 5005
 	LeaseConflict   Code = 5006
+	LogTruncated    Code = 5007
 
 	FrameTooLarge       Code = 6001
 	FrameMalformed      Code = 6002
--- /dev/null
+++ b/internal/schedule/item.go
@@ -0,0 +1,112 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/ledger"
+)
+
+// Key names an item of a job.
+type Key struct {
+	Job  string
+	Item string
+}
+
+// Policy is how the items of a job are run.
+type Policy struct {
+	// Services may generate the items.
+	Services []string
+	// MaxFailures is the number of failed runs after which an item is dead.
+	MaxFailures int
+	// SingleVersion wants each text made by one weight version.
+	SingleVersion bool
+	// Due is when the results are wanted.
+	Due time.Time
+}
+
+// Event is one event of a sampler's stream.
+type Event struct {
+	// ID numbers the events of a text from 1.
+	ID uint64
+	// Version is the weight version that made it.
+	Version uint64
+	Data    []byte
+}
+
+// phase is where an item stands.
+type phase int
+
+const (
+	pending phase = iota
+	running
+	// scoring means that the text is whole and its reward call is under way.
+	scoring
+	// settled means that the result waits for its place in the log.
+	settled
+)
+
+type item struct {
+	key   Key
+	spec  *pathbendv1.BatchItem
+	job   *job
+	phase phase
+	// rank orders the items of a job.
+	rank int
+
+	text     []byte
+	events   uint64
+	versions []uint64
+	// saved counts the events that the log keeps.
+	saved      uint64
+	savedBytes int
+
+	sampler   *samplerState
+	run       uint64
+	startedAt time.Time
+	lastEvent time.Time
+	notBefore time.Time
+	// avoid is the sampler that failed the item last.
+	avoid    string
+	failures int
+	refusals int
+}
+
+type job struct {
+	id     string
+	spec   *pathbendv1.BatchJob
+	policy Policy
+	items  []*item
+}
+
+// restart drops the text, so that the item begins anew.
+func (i *item) restart() {
+	i.text, i.events, i.versions, i.saved, i.savedBytes = nil, 0, nil, 0, 0
+}
+
+// resume takes over a kept text if its versions fit the job.
+func (i *item) resume(kept ledger.Progress) {
+	if !i.job.fits(kept.Versions) {
+		return
+	}
+	i.text, i.events, i.versions = slices.Clip(kept.Text), kept.Events, kept.Versions
+	i.saved, i.savedBytes = kept.Events, len(kept.Text)
+}
+
+// fits reports whether text of these versions may be part of a result.
+func (j *job) fits(versions []uint64) bool {
+	if len(versions) == 0 {
+		return true
+	}
+	if j.policy.SingleVersion && len(versions) > 1 {
+		return false
+	}
+	return versions[0] >= j.spec.MinVersion
+}
+
+// remaining estimates the events that are still to come.
+func (i *item) remaining(tokensPerEvent float64) float64 {
+	expected := float64(i.spec.ExpectedTokens) / tokensPerEvent
+	return max(expected-float64(i.events), 1)
+}
--- /dev/null
+++ b/internal/sharedlog/follow.go
@@ -0,0 +1,206 @@
+package sharedlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/wait"
+)
+
+const (
+	// pollWait is how long one read waits at the service for a record. It also
+	// bounds how long a follower that hears nothing counts as current.
+	pollWait = 400 * time.Millisecond
+	// readTimeout is added to pollWait to bound a whole read.
+	readTimeout = 700 * time.Millisecond
+	// retryPause is the pause after a failed read.
+	retryPause = 100 * time.Millisecond
+)
+
+// Health tells how a follower fares. It is safe for concurrent use.
+type Health struct {
+	mutex     sync.Mutex
+	currentAt time.Time
+	lost      bool
+}
+
+// CurrentAt is the time as of which the follower has every record: the start
+// of the last read that was answered. It is zero before the first.
+func (h *Health) CurrentAt() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.currentAt
+}
+
+// Lost reports whether the last read failed.
+func (h *Health) Lost() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.lost
+}
+
+// answered notes a read that began at a time. It reports whether reads failed
+// before, and for how long the follower was not current.
+func (h *Health) answered(began time.Time) (regained bool, after time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	regained, after = h.lost, began.Sub(h.currentAt)
+	h.lost = false
+	if began.After(h.currentAt) {
+		h.currentAt = began
+	}
+	return regained, after
+}
+
+// failed notes a failed read and reports whether it is the first in a row.
+func (h *Health) failed() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	first := !h.lost
+	h.lost = true
+	return first
+}
+
+// Observer is told of a follower's lost and regained contact.
+type Observer interface {
+	ReadFailed(partition Partition, err error)
+	ReadRecovered(partition Partition, after time.Duration)
+}
+
+// Follower reads a partition from its oldest record on, forever.
+type Follower struct {
+	Log       Log
+	Partition Partition
+	Observer  Observer
+	// Apply takes in records in order; offset is that of the first.
+	Apply func(offset uint64, records [][]byte)
+	// Pause is waited after a read that returned records, so that several join
+	// one read.
+	Pause  time.Duration
+	Health Health
+
+	reading sync.Mutex
+	next    uint64
+}
+
+// Run follows the partition until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.Pause
+		if err := f.step(ctx, pollWait); err != nil {
+			pause = retryPause
+		}
+		wait.For(ctx, pause)
+	}
+}
+
+// CatchUp reads the records that the partition holds at the time of the call.
+func (f *Follower) CatchUp(ctx context.Context) error { return f.step(ctx, 0) }
+
+func (f *Follower) step(ctx context.Context, poll time.Duration) error {
+	f.reading.Lock()
+	from := f.next
+	f.reading.Unlock()
+	began := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, poll+readTimeout)
+	defer cancel()
+	batch, err := f.Log.Read(callCtx, f.Partition, from, poll)
+	if result.Is(err, result.LogTruncated) {
+		f.skipTo(batch.First)
+		return err
+	}
+	if err != nil {
+		if ctx.Err() == nil && f.Health.failed() {
+			f.Observer.ReadFailed(f.Partition, err)
+		}
+		return err
+	}
+	f.apply(from, batch.Records)
+	if regained, after := f.Health.answered(began); regained {
+		f.Observer.ReadRecovered(f.Partition, after)
+	}
+	return nil
+}
+
+// apply hands over the records that were not handed over yet: two reads may
+// run at once and return the same ones.
+func (f *Follower) apply(from uint64, records [][]byte) {
+	f.reading.Lock()
+	defer f.reading.Unlock()
+	if from > f.next {
+		return
+	}
+	seen := f.next - from
+	if seen >= uint64(len(records)) {
+		return
+	}
+	f.Apply(f.next, records[seen:])
+	f.next = from + uint64(len(records))
+}
+
+func (f *Follower) skipTo(first uint64) {
+	f.reading.Lock()
+	defer f.reading.Unlock()
+	f.next = max(f.next, first)
+}
+
+// KeyedFollower reads the newest record of every key, then follows the
+// partition. Records may be handed over again after a truncation; the receiver
+// must not move backwards.
+type KeyedFollower struct {
+	Log       Log
+	Partition Partition
+	Observer  Observer
+	// Reset takes in the newest record of every key; keys that are missing are
+	// dropped. Apply takes in later records in order.
+	Reset  func(records []KeyedRecord)
+	Apply  func(records []KeyedRecord)
+	Pause  time.Duration
+	Health Health
+}
+
+// Run follows the partition until ctx ends.
+func (f *KeyedFollower) Run(ctx context.Context) {
+	known := false
+	var next uint64
+	for ctx.Err() == nil {
+		began := time.Now()
+		batch, err := f.read(ctx, known, next)
+		switch {
+		case result.Is(err, result.LogTruncated):
+			known = false
+			continue
+		case err != nil:
+			if ctx.Err() == nil && f.Health.failed() {
+				f.Observer.ReadFailed(f.Partition, err)
+			}
+			wait.For(ctx, retryPause)
+			continue
+		case !known && batch.End < next:
+			// A stale answer: what was applied already goes further.
+			wait.For(ctx, retryPause)
+			continue
+		case !known:
+			f.Reset(batch.Records)
+			known, next = true, batch.End
+		case len(batch.Records) > 0:
+			f.Apply(batch.Records)
+			next = batch.Records[len(batch.Records)-1].Offset + 1
+		}
+		if regained, after := f.Health.answered(began); regained {
+			f.Observer.ReadRecovered(f.Partition, after)
+		}
+		wait.For(ctx, f.Pause)
+	}
+}
+
+func (f *KeyedFollower) read(ctx context.Context, known bool, next uint64) (KeyedBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
+	defer cancel()
+	if !known {
+		return f.Log.Newest(ctx, f.Partition)
+	}
+	return f.Log.ReadKeyed(ctx, f.Partition, next, pollWait)
+}
--- /dev/null
+++ b/internal/sharedlog/sharedlog.go
@@ -0,0 +1,71 @@
+// Package sharedlog is the product's view of a log service that a platform
+// runs: topics with numbered partitions, each an ordered series of records,
+// and groups that deal partitions out to their members. The platform's adapter
+// implements the interfaces; the package also holds the loops that follow a
+// partition.
+package sharedlog
+
+import (
+	"context"
+	"time"
+)
+
+// Partition names one partition of a topic.
+type Partition struct {
+	Topic  string
+	Number int
+}
+
+// Batch is what one read returned.
+type Batch struct {
+	// End is the offset after the last record of the partition.
+	End uint64
+	// First is the oldest offset that is still kept.
+	First   uint64
+	Records [][]byte
+}
+
+// KeyedRecord is a record of a keyed topic. An empty value drops the key.
+type KeyedRecord struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// KeyedBatch is what one read of a keyed partition returned.
+type KeyedBatch struct {
+	End     uint64
+	Records []KeyedRecord
+}
+
+// Log reads and appends records. Errors are *result.Error: LogUnavailable
+// means that nothing was done, LogUnknown that an append may have been done or
+// may still be, LogTruncated that the records asked for are gone.
+type Log interface {
+	// Append adds records in order, all or none, and returns the offset of the
+	// first.
+	Append(ctx context.Context, partition Partition, records [][]byte) (uint64, error)
+	// Read returns records from an offset on. It waits up to wait for one.
+	Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (Batch, error)
+	// ReadKeyed is Read for a keyed topic.
+	ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (KeyedBatch, error)
+	// Newest returns the newest record of each key and the offset from which
+	// reading goes on.
+	Newest(ctx context.Context, partition Partition) (KeyedBatch, error)
+}
+
+// Share is what a group deals out to one member.
+type Share struct {
+	// Generation rises with every change of the group.
+	Generation uint64
+	Partitions []Partition
+}
+
+// Group deals the partitions of a topic out to members that stay in touch.
+type Group interface {
+	// Join enters the group or stays in it. generation is the last one heard, 0
+	// if none. The share is the member's until ttl after the call was sent.
+	Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation uint64) (Share, error)
+	// Leave gives the share back at once.
+	Leave(ctx context.Context, group, member string) error
+}
