Read all parts of the log before counting as current

A read of the store returns at most max_kb; after a restart the follower took the first megabyte for the whole log, so the executor ran a job whose end lay further on (12.8 s after the end's acknowledgement) and denied jobs it had not read.

Ruled out: a late append of the end (it was acknowledged and lies in the log before the restart); a stale executor (the run came from the new process).

Change: a follower counts as current only once a read reached the end of the partition, and CatchUp reads on until then.

--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -88,18 +88,29 @@
 // Run follows the partition until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.Pause
-		if err := f.step(ctx, pollWait); err != nil {
-			pause = retryPause
+		whole, err := f.step(ctx, pollWait)
+		switch {
+		case err != nil:
+			wait.For(ctx, retryPause)
+		case whole:
+			wait.For(ctx, f.Pause)
 		}
-		wait.For(ctx, pause)
 	}
 }
 
 // CatchUp reads the records that the partition holds at the time of the call.
-func (f *Follower) CatchUp(ctx context.Context) error { return f.step(ctx, 0) }
+func (f *Follower) CatchUp(ctx context.Context) error {
+	for {
+		whole, err := f.step(ctx, 0)
+		if err != nil || whole {
+			return err
+		}
+	}
+}
 
-func (f *Follower) step(ctx context.Context, poll time.Duration) error {
+// step makes one read. It reports whether every record was read: one read
+// returns a bounded part of what is there.
+func (f *Follower) step(ctx context.Context, poll time.Duration) (whole bool, err error) {
 	f.reading.Lock()
 	from := f.next
 	f.reading.Unlock()
@@ -109,19 +120,22 @@
 	batch, err := f.Log.Read(callCtx, f.Partition, from, poll)
 	if result.Is(err, result.LogTruncated) {
 		f.skipTo(batch.First)
-		return err
+		return false, err
 	}
 	if err != nil {
 		if ctx.Err() == nil && f.Health.failed() {
 			f.Observer.ReadFailed(f.Partition, err)
 		}
-		return err
+		return false, err
 	}
 	f.apply(from, batch.Records)
+	if from+uint64(len(batch.Records)) < batch.End {
+		return false, nil
+	}
 	if regained, after := f.Health.answered(began); regained {
 		f.Observer.ReadRecovered(f.Partition, after)
 	}
-	return nil
+	return true, nil
 }
 
 // apply hands over the records that were not handed over yet: two reads may
