Chain the saved parts of an item's text

Two nodes believed to own the jobs for a while (the log was cut off from the former). Both saved progress of one item, and parts were joined by event number alone, so the text went on with a run that was not asked to.

Ruled out: the stream reader (ids follow one another within each run) and the scheduler of one executor (runs are told apart by number).

Change: every part names itself and the part it extends; a part that extends another than the newest is dropped. An executor sends a part again from the beginning if it was not read back within 2 s. TestPartsOfTwoRunsAreNeverJoined failed before.

--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -128,7 +129,7 @@
 	}
 	if now.Sub(e.progressedAt) >= progressInterval {
 		e.progressedAt = now
-		e.lister.addProgress(e.scheduler.Unsaved(progressEvents))
+		e.saveProgress(progressEvents, now)
 	}
 	e.orderWeights(now)
 }
@@ -147,7 +148,7 @@
 	e.takeChanges()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.scheduler = schedule.New()
+	e.scheduler = schedule.New(rand.Uint64)
 	e.session, e.endSession = context.WithCancel(ctx)
 	e.roll.Forget()
 	e.takeSamplers()
@@ -168,7 +169,7 @@
 		e.mutex.Unlock()
 		return
 	}
-	e.lister.addProgress(e.scheduler.Unsaved(1))
+	e.saveProgress(1, time.Now())
 	e.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, flushPatience)
 	defer cancel()
@@ -176,6 +177,12 @@
 	e.end()
 }
 
+func (e *executor) saveProgress(minEvents uint64, now time.Time) {
+	var unsaved map[string][]*pathbendv1.ItemProgress
+	e.node.jobs.withLedger(func(known *ledger.Ledger) { unsaved = e.scheduler.Unsaved(minEvents, known, now) })
+	e.lister.addProgress(unsaved)
+}
+
 func (e *executor) end() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -23,6 +23,8 @@
 
 // Progress is the text of an item that is not finished.
 type Progress struct {
+	// ID names the last part of the text.
+	ID uint64
 	// Events counts the events of the text.
 	Events   uint64
 	Text     []byte
@@ -210,10 +212,10 @@
 		if job.Item(item.ItemId) == nil || job.Listed(item.ItemId) {
 			continue
 		}
-		if item.AfterEvent != 0 && item.AfterEvent != kept.Events {
+		if item.Previous != 0 && item.Previous != kept.ID {
 			continue
 		}
-		if item.AfterEvent == 0 {
+		if item.Previous == 0 {
 			kept = Progress{}
 		}
 		l.progress[item.ItemId] = kept.extended(item)
@@ -227,6 +229,7 @@
 		text = append(text, '\n')
 	}
 	return Progress{
+		ID:       item.Id,
 		Events:   p.Events + item.Events,
 		Text:     append(text, item.Text...),
 		Versions: MergeVersions(p.Versions, item.Versions),
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,200 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/result"
+)
+
+const testRecordBytes = 512
+
+var start = time.Unix(1_000_000, 0)
+
+func submission(id string, items ...string) *pathbendv1.LedgerEntry {
+	job := &pathbendv1.BatchJob{Host: "h", Path: "/p/"}
+	for _, item := range items {
+		job.Items = append(job.Items, &pathbendv1.BatchItem{Id: item, Body: bytes.Repeat([]byte(item), 50)})
+	}
+	return &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: job}}
+}
+
+func listing(id string, results ...*pathbendv1.BatchResult) *pathbendv1.LedgerEntry {
+	return &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Listed{Listed: &pathbendv1.BatchResults{Results: results}}}
+}
+
+func ending(id string) *pathbendv1.LedgerEntry {
+	return &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}
+}
+
+func progress(id string, items ...*pathbendv1.ItemProgress) *pathbendv1.LedgerEntry {
+	return &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Progress{Progress: &pathbendv1.BatchProgress{Items: items}}}
+}
+
+func apply(t *testing.T, l *Ledger, entry *pathbendv1.LedgerEntry) Change {
+	t.Helper()
+	records, err := Encode(entry, rand.Uint64(), testRecordBytes)
+	require.NoError(t, err)
+	var last Change
+	for _, record := range records {
+		require.LessOrEqual(t, len(record), testRecordBytes)
+		change, err := l.Apply(record, start)
+		require.NoError(t, err)
+		last = change
+	}
+	return last
+}
+
+func TestFirstSubmissionAndFirstResultCount(t *testing.T) {
+	l := New()
+	require.Equal(t, Submitted, apply(t, l, submission("j", "a", "b")).Kind)
+	require.Equal(t, Nothing, apply(t, l, submission("j", "c")).Kind)
+	apply(t, l, listing("j", &pathbendv1.BatchResult{ItemId: "b", Text: []byte("first")}))
+	change := apply(t, l, listing("j",
+		&pathbendv1.BatchResult{ItemId: "b", Text: []byte("second")},
+		&pathbendv1.BatchResult{ItemId: "a", Text: []byte("only")},
+		&pathbendv1.BatchResult{ItemId: "stranger"},
+	))
+	require.Equal(t, Listed, change.Kind)
+	require.True(t, change.Complete)
+	require.Len(t, change.Listed, 1)
+	job := l.Job("j")
+	require.Equal(t, []string{"b", "a"}, []string{job.Results[0].ItemID, job.Results[1].ItemID})
+	require.Equal(t, "first", string(job.Results[0].Text))
+	require.False(t, job.Open())
+}
+
+func TestResultsMayFollowTheEnd(t *testing.T) {
+	l := New()
+	apply(t, l, submission("j", "a"))
+	require.Equal(t, Ended, apply(t, l, ending("j")).Kind)
+	require.Equal(t, Nothing, apply(t, l, ending("j")).Kind)
+	apply(t, l, listing("j", &pathbendv1.BatchResult{ItemId: "a"}))
+	require.Len(t, l.Job("j").Results, 1)
+	require.False(t, l.Job("j").Open())
+}
+
+// Two executors that both believed to own an item saved parts of different
+// runs; joined by event number alone, they made a text that no sampler made.
+func TestPartsOfTwoRunsAreNeverJoined(t *testing.T) {
+	l := New()
+	apply(t, l, submission("j", "a"))
+	part := func(id, previous uint64, text string) *pathbendv1.ItemProgress {
+		return &pathbendv1.ItemProgress{ItemId: "a", Id: id, Previous: previous, Text: []byte(text), Events: 1, Versions: []uint64{3}}
+	}
+	apply(t, l, progress("j", part(1, 0, "old-1")))
+	apply(t, l, progress("j", part(7, 0, "new-1"))) // a new executor begins anew
+	apply(t, l, progress("j", part(2, 1, "old-2"))) // the former one goes on
+	kept, ok := l.Progress("a")
+	require.True(t, ok)
+	require.Equal(t, "new-1", string(kept.Text))
+	apply(t, l, progress("j", part(8, 7, "new-2")))
+	kept, _ = l.Progress("a")
+	require.Equal(t, "new-1\nnew-2", string(kept.Text))
+	require.EqualValues(t, 2, kept.Events)
+	require.EqualValues(t, 8, kept.ID)
+	apply(t, l, listing("j", &pathbendv1.BatchResult{ItemId: "a"}))
+	_, ok = l.Progress("a")
+	require.False(t, ok)
+}
+
+func TestLargeEntriesTravelInChunksInAnyInterleaving(t *testing.T) {
+	l := New()
+	first, err := Encode(submission("j1", "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"), 1, testRecordBytes)
+	require.NoError(t, err)
+	second, err := Encode(submission("j2", "m", "n", "o", "p", "q", "r", "s", "t", "u", "v", "w", "x"), 2, testRecordBytes)
+	require.NoError(t, err)
+	require.Greater(t, len(first), 1)
+	for i := range max(len(first), len(second)) {
+		for _, records := range [][][]byte{first, second} {
+			if i < len(records) {
+				_, err := l.Apply(records[i], start)
+				require.NoError(t, err)
+			}
+		}
+	}
+	require.Len(t, l.Job("j1").Spec.Items, 12)
+	require.Len(t, l.Job("j2").Spec.Items, 12)
+}
+
+func TestBadRecordsAreRefusedAndChangeNothing(t *testing.T) {
+	l := New()
+	apply(t, l, submission("j", "a"))
+	noJob, err := proto.Marshal(&pathbendv1.LedgerChunk{Count: 1, Payload: nil})
+	require.NoError(t, err)
+	badIndex, err := proto.Marshal(&pathbendv1.LedgerChunk{Index: 3, Count: 2})
+	require.NoError(t, err)
+	for _, record := range [][]byte{nil, {0xff, 0xff}, noJob, badIndex, []byte("text")} {
+		_, err := l.Apply(record, start)
+		require.True(t, result.Is(err, result.RecordMalformed), "%v", err)
+	}
+	require.Len(t, l.Jobs(), 1)
+}
+
+func TestOldJobsAreForgotten(t *testing.T) {
+	l := New()
+	apply(t, l, submission("old", "a"))
+	records, err := Encode(submission("new", "b"), 9, testRecordBytes)
+	require.NoError(t, err)
+	_, err = l.Apply(records[0], start.Add(time.Minute))
+	require.NoError(t, err)
+	l.Expire(start.Add(time.Second))
+	require.Nil(t, l.Job("old"))
+	require.NotNil(t, l.Job("new"))
+}
+
+// Every reader of the same records holds the same results at the same places,
+// however often records were repeated.
+func TestReadersAgreeWhateverIsRepeated(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var log [][]byte
+	add := func(entry *pathbendv1.LedgerEntry) {
+		records, err := Encode(entry, random.Uint64(), testRecordBytes)
+		require.NoError(t, err)
+		log = append(log, records...)
+	}
+	add(submission("j", "0", "1", "2", "3", "4", "5", "6", "7"))
+	for range 40 {
+		item := fmt.Sprint(random.IntN(8))
+		add(listing("j", &pathbendv1.BatchResult{ItemId: item, Text: fmt.Append(nil, random.IntN(1000))}))
+	}
+	one, two := New(), New()
+	positions := make(map[int]string)
+	for _, record := range log {
+		_, err := one.Apply(record, start)
+		require.NoError(t, err)
+		if one.Job("j") == nil {
+			continue
+		}
+		for position, listed := range one.Job("j").Results {
+			if text, known := positions[position]; known {
+				require.Equal(t, text, string(listed.Text))
+			}
+			positions[position] = string(listed.Text)
+		}
+	}
+	for _, record := range log {
+		_, err := two.Apply(record, start.Add(time.Hour))
+		require.NoError(t, err)
+	}
+	require.Equal(t, one.Job("j").Results, two.Job("j").Results)
+}
+
+func FuzzApply(f *testing.F) {
+	records, err := Encode(submission("j", "a"), 1, testRecordBytes)
+	require.NoError(f, err)
+	f.Add(records[0])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, record []byte) {
+		l := New()
+		_, _ = l.Apply(record, start)
+		_, _ = l.Apply(record, start)
+	})
+}
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -58,9 +58,8 @@
 	text     []byte
 	events   uint64
 	versions []uint64
-	// saved counts the events that the log keeps.
-	saved      uint64
-	savedBytes int
+	// saved is the part of the text that was sent to the log.
+	saved savedText
 
 	sampler   *samplerState
 	run       uint64
@@ -73,6 +72,17 @@
 	refusals int
 }
 
+// savedText tells how much of an item's text was sent to the log.
+type savedText struct {
+	// id names the last part sent, 0 if there is none.
+	id     uint64
+	events uint64
+	bytes  int
+	// at is when it was sent; confirmed is set once it was read back.
+	at        time.Time
+	confirmed bool
+}
+
 type job struct {
 	id     string
 	spec   *pathbendv1.BatchJob
@@ -82,7 +92,7 @@
 
 // restart drops the text, so that the item begins anew.
 func (i *item) restart() {
-	i.text, i.events, i.versions, i.saved, i.savedBytes = nil, 0, nil, 0, 0
+	i.text, i.events, i.versions, i.saved = nil, 0, nil, savedText{}
 }
 
 // resume takes over a kept text if its versions fit the job.
@@ -91,7 +101,7 @@
 		return
 	}
 	i.text, i.events, i.versions = slices.Clip(kept.Text), kept.Events, kept.Versions
-	i.saved, i.savedBytes = kept.Events, len(kept.Text)
+	i.saved = savedText{id: kept.ID, events: kept.Events, bytes: len(kept.Text), confirmed: true}
 }
 
 // fits reports whether text of these versions may be part of a result.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -25,6 +25,8 @@
 	// maxItemPause bounds the growing pause of an item that is refused again
 	// and again.
 	maxItemPause = 500 * time.Millisecond
+	// confirmTimeout is how long a saved part may take to be read back.
+	confirmTimeout = 2 * time.Second
 	// assumedTokensPerEvent serves to turn expected tokens into events.
 	assumedTokensPerEvent = 45
 )
@@ -38,11 +40,13 @@
 	// seenGroups are groups that a job brought already.
 	seenGroups map[string]struct{}
 	runs       uint64
+	newID      func() uint64
 }
 
-// New returns an empty scheduler.
-func New() *Scheduler {
+// New returns an empty scheduler. newID draws ids that no other executor draws.
+func New(newID func() uint64) *Scheduler {
 	return &Scheduler{
+		newID:      newID,
 		jobs:       make(map[string]*job),
 		items:      make(map[Key]*item),
 		samplers:   make(map[string]*samplerState),
@@ -587,27 +591,52 @@
 }
 
 // Unsaved returns the text that the log does not keep yet of every running
-// item that has made at least minEvents events since, and counts it as saved.
-func (s *Scheduler) Unsaved(minEvents uint64) map[string][]*pathbendv1.ItemProgress {
+// item that has made at least minEvents events since, and counts it as sent. A
+// part that was not read back in time is sent again with all that is before it:
+// the log may have lost it, or another executor may have begun the item anew.
+func (s *Scheduler) Unsaved(minEvents uint64, kept Kept, now time.Time) map[string][]*pathbendv1.ItemProgress {
 	unsaved := make(map[string][]*pathbendv1.ItemProgress)
 	for _, key := range s.runningKeys() {
 		entry := s.items[key]
-		if entry.events < entry.saved+minEvents {
+		if !entry.saved.settle(kept, key.Item, now) || entry.events < entry.saved.events+minEvents {
 			continue
 		}
-		fresh := entry.text[entry.savedBytes:]
-		if entry.saved > 0 {
-			fresh = fresh[1:] // the line feed between two events
-		}
-		unsaved[key.Job] = append(unsaved[key.Job], &pathbendv1.ItemProgress{
-			ItemId: key.Item, AfterEvent: entry.saved, Text: slices.Clone(fresh),
-			Versions: entry.versions, Events: entry.events - entry.saved,
-		})
-		entry.saved, entry.savedBytes = entry.events, len(entry.text)
+		unsaved[key.Job] = append(unsaved[key.Job], entry.save(s.newID(), now))
 	}
 	return unsaved
 }
 
+// settle reports whether a further part may be sent.
+func (t *savedText) settle(kept Kept, itemID string, now time.Time) bool {
+	if t.id == 0 {
+		return true
+	}
+	progress, _ := kept.Progress(itemID)
+	if progress.ID == t.id {
+		t.confirmed = true
+		return true
+	}
+	if !t.confirmed && now.Sub(t.at) < confirmTimeout {
+		return false
+	}
+	*t = savedText{}
+	return true
+}
+
+// save returns the part of the text that was not sent yet.
+func (i *item) save(id uint64, now time.Time) *pathbendv1.ItemProgress {
+	fresh := i.text[i.saved.bytes:]
+	if i.saved.events > 0 {
+		fresh = fresh[1:] // the line feed between two events
+	}
+	part := &pathbendv1.ItemProgress{
+		ItemId: i.key.Item, Id: id, Previous: i.saved.id, Text: slices.Clone(fresh),
+		Versions: i.versions, Events: i.events - i.saved.events,
+	}
+	i.saved = savedText{id: id, events: i.events, bytes: len(i.text), at: now}
+	return part
+}
+
 // Counts tells how many items stand where.
 type Counts struct {
 	Pending, Running, Scoring, Settled int
