Give each model homes among the samplers

Loads went to whichever sampler was furthest behind, so no model had current samplers, and a load kept work of the other models away as well.

Change: weights.Roll gives each model an equal part of the samplers as homes, changed as little as possible when samplers come, go or do not follow; a load blocks only work of its model.

--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -50,7 +50,7 @@
 			if e.scheduler != scheduler {
 				return
 			}
-			scheduler.SetLoading(step.SamplerID, false)
+			scheduler.SetLoading(step.SamplerID, step.Model, false)
 			e.roll.Done(step.SamplerID, reached, time.Now())
 			e.node.metrics.versionMove(reached, time.Since(began))
 			e.wake()
@@ -77,7 +77,7 @@
 	if !ok || ctx.Err() != nil {
 		return false
 	}
-	e.setLoading(scheduler, sampler.ID, true)
+	e.setLoading(scheduler, step)
 	callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
 	answer, err := e.node.ports.Control.Order(callCtx, sampler, VersionOrder{
 		Model: step.Model, Version: step.Version, Holder: e.node.settings.Name, Fence: fence, AfterOrders: report.Orders,
@@ -102,7 +102,7 @@
 
 // awaitVersion asks a sampler until it serves a version.
 func (e *executor) awaitVersion(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
-	e.setLoading(scheduler, sampler.ID, true)
+	e.setLoading(scheduler, step)
 	began := time.Now()
 	wait.For(ctx, firstLook)
 	idle := 0
@@ -148,8 +148,8 @@
 	e.wake()
 }
 
-func (e *executor) setLoading(scheduler *schedule.Scheduler, samplerID string, loading bool) {
+func (e *executor) setLoading(scheduler *schedule.Scheduler, step weights.Step) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	scheduler.SetLoading(samplerID, loading)
+	scheduler.SetLoading(step.SamplerID, step.Model, true)
 }
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -22,8 +22,9 @@
 type samplerState struct {
 	Sampler
 	running int
-	// loading is set while an order to change weights is under way.
-	loading bool
+	// loading holds the models whose weights are being changed. Only work for
+	// these has to wait.
+	loading map[string]struct{}
 	// pace is a moving average of the time to one event of one item.
 	pace time.Duration
 	// notBefore is when the sampler may get work again after a refusal or a
@@ -60,8 +61,13 @@
 	return defaultSlots
 }
 
+func (s *samplerState) isLoading(model string) bool {
+	_, loading := s.loading[model]
+	return loading
+}
+
 func (s *samplerState) usable(now time.Time) bool {
-	return !s.Leaving && !s.loading && s.running < s.slots() && !now.Before(s.notBefore)
+	return !s.Leaving && s.running < s.slots() && !now.Before(s.notBefore)
 }
 
 // cost estimates the relative time that a new item would take.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -177,7 +177,7 @@
 		present[sampler.ID] = struct{}{}
 		state, ok := s.samplers[sampler.ID]
 		if !ok {
-			state = &samplerState{pace: initialPace, groups: make(map[string]time.Time)}
+			state = &samplerState{pace: initialPace, groups: make(map[string]time.Time), loading: make(map[string]struct{})}
 			s.samplers[sampler.ID] = state
 		}
 		known := state.Versions
@@ -212,10 +212,15 @@
 	}
 }
 
-// SetLoading records whether a sampler changes its weights.
-func (s *Scheduler) SetLoading(samplerID string, loading bool) {
-	if state, ok := s.samplers[samplerID]; ok {
-		state.loading = loading
+// SetLoading records whether a sampler changes the weights of a model.
+func (s *Scheduler) SetLoading(samplerID, model string, loading bool) {
+	state, ok := s.samplers[samplerID]
+	switch {
+	case !ok:
+	case loading:
+		state.loading[model] = struct{}{}
+	default:
+		delete(state.loading, model)
 	}
 }
 
@@ -233,7 +238,6 @@
 	ID      string
 	Running int
 	Pace    time.Duration
-	Loading bool
 	Leaving bool
 	// Versions maps a model to the version that it serves.
 	Versions map[string]uint64
@@ -245,7 +249,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.samplers)) {
 		state := s.samplers[id]
 		loads = append(loads, Load{
-			ID: id, Running: state.running, Pace: state.pace, Loading: state.loading, Leaving: state.Leaving,
+			ID: id, Running: state.running, Pace: state.pace, Leaving: state.Leaving,
 			Versions: maps.Clone(state.Versions),
 		})
 	}
@@ -348,7 +352,7 @@
 		return false
 	}
 	version, known := state.Versions[entry.job.spec.Model]
-	if !known || version < entry.job.spec.MinVersion {
+	if !known || version < entry.job.spec.MinVersion || state.isLoading(entry.job.spec.Model) {
 		return false
 	}
 	if entry.job.policy.SingleVersion && len(entry.versions) > 0 {
@@ -549,7 +553,7 @@
 		silent := now.Sub(entry.lastEvent)
 		move := Move{Key: key, Run: entry.run, From: entry.sampler.ID, Silent: silent, Pace: entry.sampler.pace}
 		switch {
-		case silent > silenceLimit && !entry.sampler.loading:
+		case silent > silenceLimit && !entry.sampler.isLoading(entry.job.spec.Model):
 			move.Reason = "silent"
 			entry.sampler.pause(now)
 		case s.fasterElsewhere(entry, now):
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -169,7 +169,9 @@
 
 func TestKeyedFollowerNeverMovesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		record := func(offset uint64) KeyedRecord { return KeyedRecord{Key: "k", Value: []byte{byte(offset)}, Offset: offset} }
+		record := func(offset uint64) KeyedRecord {
+			return KeyedRecord{Key: "k", Value: []byte{byte(offset)}, Offset: offset}
+		}
 		log := &fakeLog{keyed: []KeyedRecord{record(0)}, newest: []KeyedRecord{record(0)}}
 		var got []byte
 		take := func(records []KeyedRecord) {
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -23,44 +24,60 @@
 	Version   uint64
 }
 
-// Roll decides which samplers change their weights when. At most Together
-// samplers change at once: more would slow each other's loads down and take
-// slots from the work. It is pure and not safe for concurrent use.
+// Roll decides which samplers change their weights when. Loads are scarce: at
+// most Together samplers change at once, since more would slow each other's
+// loads down, and a new version of each model comes every few seconds. So each
+// model has homes, an equal part of the samplers, and only they follow its
+// versions; the other samplers keep what they have. A Roll is pure and not safe
+// for concurrent use.
 type Roll struct {
 	// Together bounds the changes under way.
 	Together int
 
+	homes     map[string]map[string]struct{} // by sampler: its models
 	moving    map[string]struct{}
 	notBefore map[string]time.Time
+	failures  map[string]int
 }
 
-// rollPause is how long a sampler rests after an order that was not seen to
-// take effect.
-const rollPause = 300 * time.Millisecond
+const (
+	// rollPause is how long a sampler rests after an order that was not seen to
+	// take effect.
+	rollPause = 300 * time.Millisecond
+	// failuresToLeave is how many such orders in a row make other samplers take
+	// its models over; it gets them back after rollRecovery.
+	failuresToLeave = 2
+	rollRecovery    = 5 * time.Second
+	// leastHomes is how many samplers follow a model at least, so that the loss
+	// of one does not stop it.
+	leastHomes = 2
+)
 
 // NewRoll returns a roll that changes up to together samplers at once.
 func NewRoll(together int) *Roll {
-	return &Roll{Together: together, moving: make(map[string]struct{}), notBefore: make(map[string]time.Time)}
+	roll := &Roll{Together: together}
+	roll.Forget()
+	return roll
 }
 
 // Next returns the orders to give now, towards the newest version of each
 // model. The samplers that are furthest behind come first, then those with the
 // least work.
 func (r *Roll) Next(now time.Time, members []Member, targets map[string]uint64) []Step {
+	r.settle(now, members, targets)
 	var behind []Step
-	running := make(map[string]int, len(members))
-	lag := make(map[string]uint64, len(members))
+	byID := make(map[string]Member, len(members))
 	for _, member := range members {
-		running[member.ID] = member.Running
+		byID[member.ID] = member
 		if step, ok := r.stepFor(now, member, targets); ok {
 			behind = append(behind, step)
-			lag[member.ID] = step.Version - member.Versions[step.Model]
 		}
 	}
+	lag := func(step Step) uint64 { return step.Version - byID[step.SamplerID].Versions[step.Model] }
 	slices.SortFunc(behind, func(a, b Step) int {
 		return cmp.Or(
-			cmp.Compare(lag[b.SamplerID], lag[a.SamplerID]),
-			cmp.Compare(running[a.SamplerID], running[b.SamplerID]),
+			cmp.Compare(lag(b), lag(a)),
+			cmp.Compare(byID[a.SamplerID].Running, byID[b.SamplerID].Running),
 			cmp.Compare(a.SamplerID, b.SamplerID),
 		)
 	})
@@ -72,13 +89,111 @@
 	return steps
 }
 
+// fit reports whether a sampler can follow models.
+func (r *Roll) fit(now time.Time, member Member) bool {
+	return !member.Leaving && (r.failures[member.ID] < failuresToLeave || !now.Before(r.notBefore[member.ID]))
+}
+
+// settle keeps the number of homes of each model even, with as few changes as
+// it takes.
+func (r *Roll) settle(now time.Time, members []Member, targets map[string]uint64) {
+	able := make(map[string]Member)
+	for _, member := range members {
+		if r.fit(now, member) && len(member.Versions) > 0 {
+			able[member.ID] = member
+		}
+	}
+	for id := range r.homes {
+		if _, ok := able[id]; !ok {
+			delete(r.homes, id)
+		}
+	}
+	models := slices.Sorted(maps.Keys(targets))
+	if len(models) == 0 {
+		return
+	}
+	for _, model := range models {
+		r.settleModel(model, able, targets[model], len(models))
+	}
+}
+
+func (r *Roll) settleModel(model string, able map[string]Member, target uint64, models int) {
+	var hosts []string
+	for _, id := range slices.Sorted(maps.Keys(able)) {
+		if _, serves := able[id].Versions[model]; serves {
+			hosts = append(hosts, id)
+		}
+	}
+	wanted := min(max((len(hosts)+models-1)/models, leastHomes), len(hosts))
+	r.addHomes(model, hosts, able, target, wanted)
+	r.dropHomes(model, hosts, able, wanted)
+}
+
+// addHomes gives a model more homes: samplers with the fewest models, then
+// those with the newest version.
+func (r *Roll) addHomes(model string, hosts []string, able map[string]Member, target uint64, wanted int) {
+	for r.count(model, hosts) < wanted {
+		best := ""
+		for _, id := range hosts {
+			if r.isHome(id, model) {
+				continue
+			}
+			if best == "" || cmp.Or(
+				cmp.Compare(len(r.homes[id]), len(r.homes[best])),
+				cmp.Compare(target-able[id].Versions[model], target-able[best].Versions[model]),
+			) < 0 {
+				best = id
+			}
+		}
+		if r.homes[best] == nil {
+			r.homes[best] = make(map[string]struct{})
+		}
+		r.homes[best][model] = struct{}{}
+	}
+}
+
+// dropHomes takes homes away from a model that has too many: samplers with the
+// most models, then those with the oldest version.
+func (r *Roll) dropHomes(model string, hosts []string, able map[string]Member, wanted int) {
+	for r.count(model, hosts) > wanted {
+		worst := ""
+		for _, id := range hosts {
+			if !r.isHome(id, model) {
+				continue
+			}
+			if worst == "" || cmp.Or(
+				cmp.Compare(len(r.homes[worst]), len(r.homes[id])),
+				cmp.Compare(able[id].Versions[model], able[worst].Versions[model]),
+			) < 0 {
+				worst = id
+			}
+		}
+		delete(r.homes[worst], model)
+	}
+}
+
+func (r *Roll) count(model string, hosts []string) int {
+	count := 0
+	for _, id := range hosts {
+		if r.isHome(id, model) {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *Roll) isHome(samplerID, model string) bool {
+	_, home := r.homes[samplerID][model]
+	return home
+}
+
 func (r *Roll) stepFor(now time.Time, member Member, targets map[string]uint64) (Step, bool) {
 	if _, moving := r.moving[member.ID]; moving || member.Leaving || now.Before(r.notBefore[member.ID]) {
 		return Step{}, false
 	}
 	best := Step{}
-	for model, serving := range member.Versions {
-		target := targets[model]
+	for _, model := range slices.Sorted(maps.Keys(r.homes[member.ID])) {
+		serving, target := member.Versions[model], targets[model]
 		if target <= serving {
 			continue
 		}
@@ -93,13 +208,22 @@
 // seen to serve the version.
 func (r *Roll) Done(samplerID string, reached bool, now time.Time) {
 	delete(r.moving, samplerID)
-	if !reached {
-		r.notBefore[samplerID] = now.Add(rollPause)
+	if reached {
+		delete(r.failures, samplerID)
+		return
+	}
+	r.failures[samplerID]++
+	pause := rollPause
+	if r.failures[samplerID] >= failuresToLeave {
+		pause = rollRecovery
 	}
+	r.notBefore[samplerID] = now.Add(pause)
 }
 
 // Forget drops what is known of orders under way, when another node takes over.
 func (r *Roll) Forget() {
-	clear(r.moving)
-	clear(r.notBefore)
+	r.homes = make(map[string]map[string]struct{})
+	r.moving = make(map[string]struct{})
+	r.notBefore = make(map[string]time.Time)
+	r.failures = make(map[string]int)
 }
--- /dev/null
+++ b/internal/weights/roll_test.go
@@ -0,0 +1,119 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func membersOf(count int, versions map[string]uint64) []Member {
+	members := make([]Member, count)
+	for i := range members {
+		own := make(map[string]uint64)
+		for model, version := range versions {
+			own[model] = version
+		}
+		members[i] = Member{ID: fmt.Sprintf("s%d", i), Versions: own}
+	}
+	return members
+}
+
+// play carries all orders out at once until none is left and counts them.
+func play(r *Roll, now time.Time, members []Member, targets map[string]uint64) int {
+	orders := 0
+	for {
+		steps := r.Next(now, members, targets)
+		if len(steps) == 0 {
+			return orders
+		}
+		for _, step := range steps {
+			for i := range members {
+				if members[i].ID == step.SamplerID {
+					members[i].Versions[step.Model] = step.Version
+				}
+			}
+			r.Done(step.SamplerID, true, now)
+			orders++
+		}
+	}
+}
+
+func TestOneModelIsFollowedByAllFewAtATime(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := membersOf(8, map[string]uint64{"m": 1})
+	require.Len(t, roll.Next(now, members, map[string]uint64{"m": 2}), 2)
+	require.Empty(t, roll.Next(now, members, map[string]uint64{"m": 2}), "two are under way")
+	roll.Forget()
+	require.Equal(t, 8, play(roll, now, members, map[string]uint64{"m": 2}))
+}
+
+// With three models before nine samplers, every version of each on every
+// sampler took three times the loads that there is time for: steps waited until
+// their deadline for a sampler of their version.
+func TestEachModelHasItsShareOfTheSamplers(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := membersOf(9, map[string]uint64{"a": 1, "b": 1, "c": 1})
+	for version := uint64(2); version < 6; version++ {
+		targets := map[string]uint64{"a": version, "b": version, "c": version}
+		require.Equal(t, 9, play(roll, now, members, targets))
+		for model := range targets {
+			current := 0
+			for _, member := range members {
+				if member.Versions[model] == version {
+					current++
+				}
+			}
+			require.Equal(t, 3, current, model)
+		}
+	}
+}
+
+func TestLostSamplersAreReplacedWithFewChanges(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := membersOf(9, map[string]uint64{"a": 1, "b": 1, "c": 1})
+	targets := map[string]uint64{"a": 2, "b": 2, "c": 2}
+	play(roll, now, members, targets)
+	members[0].Leaving = true
+	require.LessOrEqual(t, play(roll, now, members, targets), 1)
+	members[0].Leaving = false
+	require.Zero(t, play(roll, now, members, targets), "it has the version already")
+}
+
+func TestSamplerThatDoesNotFollowIsReplacedForAWhile(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(1)
+	members := membersOf(4, map[string]uint64{"a": 1, "b": 1})
+	targets := map[string]uint64{"a": 2, "b": 1}
+	first := roll.Next(now, members, targets)[0]
+	roll.Done(first.SamplerID, false, now)
+	now = now.Add(rollPause)
+	for range 2 {
+		step := roll.Next(now, members, targets)[0]
+		roll.Done(step.SamplerID, step.SamplerID != first.SamplerID, now)
+		if step.SamplerID != first.SamplerID {
+			for i := range members {
+				if members[i].ID == step.SamplerID {
+					members[i].Versions["a"] = 2
+				}
+			}
+		}
+	}
+	next := roll.Next(now, members, targets)
+	require.Len(t, next, 1)
+	require.NotEqual(t, first.SamplerID, next[0].SamplerID)
+}
+
+func TestMoreModelsThanSamplersStillHaveTwoHomes(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	versions, targets := map[string]uint64{}, map[string]uint64{}
+	for i := range 6 {
+		versions[fmt.Sprint(i)], targets[fmt.Sprint(i)] = 1, 2
+	}
+	require.Equal(t, 12, play(roll, now, membersOf(3, versions), targets))
+}
