Simulate the platform: store, samplers, callers, faults and a judge

Change: internal/platformsim runs real nodes through platform/ on a virtual clock against a store in log form (groups, keyed topics, lost and late answers), model samplers, applications, trainers, clients and lookers, with 21 kinds of faults and a judge that rules by what clients and samplers saw.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -171,6 +171,7 @@
 	outcome := d.exchanger.exchange(attemptCtx, outgoing{
 		method: request.Method,
 		url:    "http://" + endpoint.Address + request.Path,
+		host:   request.Host,
 		header: d.protocol.Header(request, endpoint, requestID),
 		body:   bodyOf(request),
 		judge: func(response *http.Response) Verdict {
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -23,8 +23,8 @@
 type lister struct {
 	node  *Node
 	woken chan struct{}
-	// writing is held during a round of appends.
-	writing sync.Mutex
+	// writing holds a token during a round of appends.
+	writing chan struct{}
 
 	mutex    sync.Mutex
 	results  map[string][]*pathbendv1.BatchResult
@@ -33,7 +33,7 @@
 
 func newLister(n *Node) *lister {
 	return &lister{
-		node: n, woken: make(chan struct{}, 1),
+		node: n, woken: make(chan struct{}, 1), writing: make(chan struct{}, 1),
 		results:  make(map[string][]*pathbendv1.BatchResult),
 		progress: make(map[string][]*pathbendv1.ItemProgress),
 	}
@@ -80,8 +80,14 @@
 // flush appends all that waits, until it is kept, not wanted any more, or ctx
 // ends.
 func (l *lister) flush(ctx context.Context) {
-	l.writing.Lock()
-	defer l.writing.Unlock()
+	// A round may last as long as the log is down; a caller whose time is over
+	// must not wait for it.
+	select {
+	case l.writing <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-l.writing }()
 	results, progress := l.take()
 	for ctx.Err() == nil {
 		results = l.unlisted(results)
--- /dev/null
+++ b/internal/platformsim/faults.go
@@ -0,0 +1,244 @@
+package platformsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// FaultKind is a kind of trouble.
+type FaultKind int
+
+// Kinds of faults.
+const (
+	NodeKill FaultKind = iota
+	NodeFreeze
+	NodeCutFromStore
+	NodeCutFromAll
+	NodeTerm
+	HerdKill
+	KillAll
+	StoreDown
+	StoreSilent
+	StoreSlow
+	StoreLost
+	StoreLate
+	StoreRebalance
+	SamplerCrash
+	SamplerSlow
+	SamplerCut
+	SamplerFail
+	SamplerSurplus
+	SamplerReplaced
+	SamplerLateOrders
+	ConfigChange
+	faultKinds
+)
+
+var faultNames = [...]string{
+	"node_kill", "node_freeze", "node_cut_from_store", "node_cut_from_all", "node_term", "herd_kill", "kill_all",
+	"store_down", "store_silent", "store_slow", "store_lost", "store_late", "store_rebalance",
+	"sampler_crash", "sampler_slow", "sampler_cut", "sampler_fail", "sampler_surplus", "sampler_replaced", "sampler_late_orders",
+	"config_change",
+}
+
+// String implements fmt.Stringer.
+func (k FaultKind) String() string { return faultNames[k] }
+
+// Fault is one trouble of a schedule.
+type Fault struct {
+	Kind FaultKind
+	At   time.Duration
+	For  time.Duration
+	// Target draws the machine.
+	Target uint64
+}
+
+// String implements fmt.Stringer.
+func (f Fault) String() string { return fmt.Sprintf("%v at %v for %v", f.Kind, f.At, f.For) }
+
+// Draw draws count faults within a time.
+func Draw(seed uint64, within time.Duration, count int) []Fault {
+	random := rand.New(rand.NewPCG(seed, 3))
+	faults := make([]Fault, 0, count)
+	for range count {
+		faults = append(faults, Fault{
+			Kind: FaultKind(random.IntN(int(faultKinds))), At: time.Duration(random.Int64N(int64(within))),
+			For: time.Second + time.Duration(random.Int64N(int64(7*time.Second))), Target: random.Uint64(),
+		})
+	}
+	slices.SortFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return faults
+}
+
+// Inject carries a fault out and heals it.
+func (w *World) Inject(fault Fault) {
+	node := w.nodes[fault.Target%uint64(len(w.nodes))]
+	machine := w.samplers[fault.Target%uint64(len(w.samplers))]
+	switch fault.Kind {
+	case NodeKill:
+		w.killFor(fault, node)
+	case HerdKill:
+		w.killFor(fault, w.nodes[:len(w.nodes)*2/3]...)
+	case KillAll:
+		w.killFor(fault, w.nodes...)
+	case NodeTerm:
+		w.term(node)
+	case NodeFreeze:
+		w.disturb(fault, node.name)
+		w.network.Pause(node.name)
+		time.Sleep(fault.For)
+		w.network.Resume(node.name)
+	case NodeCutFromStore:
+		w.cut(fault, node.name, []string{"store"})
+	case NodeCutFromAll:
+		w.cut(fault, node.name, w.others(node.name))
+	case ConfigChange:
+		w.PutConfig(int(fault.Target % 50))
+	case StoreRebalance:
+		w.Store.Rebalance()
+	default:
+		w.injectSurroundings(fault, machine)
+	}
+}
+
+func (w *World) injectSurroundings(fault Fault, machine *samplerMachine) {
+	switch fault.Kind {
+	case StoreDown:
+		w.troubleStore(fault, StoreFaults{Down: true})
+	case StoreSilent:
+		w.troubleStore(fault, StoreFaults{Silent: true})
+	case StoreSlow:
+		w.troubleStore(fault, StoreFaults{Slow: 60})
+	case StoreLost:
+		w.troubleStore(fault, StoreFaults{Lose: 0.35})
+	case StoreLate:
+		w.troubleStore(fault, StoreFaults{Lose: 0.35, Late: true})
+	case SamplerCrash:
+		w.crashSampler(fault, machine)
+	case SamplerReplaced:
+		w.replaceSampler(fault, machine)
+	case SamplerSlow:
+		w.troubleSampler(fault, machine, SamplerFaults{Slow: 4})
+	case SamplerCut:
+		w.troubleSampler(fault, machine, SamplerFaults{Cut: 0.3})
+	case SamplerFail:
+		w.troubleSampler(fault, machine, SamplerFaults{Fail: 0.3})
+	case SamplerSurplus:
+		w.troubleSampler(fault, machine, SamplerFaults{Surplus: 0.3})
+	case SamplerLateOrders:
+		w.troubleSampler(fault, machine, SamplerFaults{LateOrders: true})
+	}
+}
+
+func (w *World) disturb(fault Fault, machine string) {
+	w.Truth.Disturb(machine, time.Now().Add(fault.For))
+}
+
+func (w *World) killFor(fault Fault, machines ...*nodeMachine) {
+	var killed []*nodeMachine
+	for _, machine := range machines {
+		w.disturb(fault, machine.name)
+		w.mutex.Lock()
+		down := machine.down
+		w.mutex.Unlock()
+		if !down {
+			w.kill(machine)
+			killed = append(killed, machine)
+		}
+	}
+	time.Sleep(fault.For)
+	for _, machine := range killed {
+		w.restart(machine)
+		w.Truth.Disturb(machine.name, time.Now())
+	}
+}
+
+// term stops a node as planned work does and starts it again.
+func (w *World) term(machine *nodeMachine) {
+	w.mutex.Lock()
+	down := machine.down
+	if !down {
+		machine.down = true
+	}
+	w.mutex.Unlock()
+	if down {
+		return
+	}
+	w.Truth.Disturb(machine.name, time.Now().Add(graceS*time.Second))
+	machine.stop()
+	<-machine.done
+	w.startNode(machine)
+}
+
+func (w *World) others(name string) []string {
+	others := []string{"store"}
+	for _, machine := range w.nodes {
+		if machine.name != name {
+			others = append(others, machine.name)
+		}
+	}
+	for _, machine := range w.samplers {
+		others = append(others, machine.host)
+	}
+	return others
+}
+
+func (w *World) cut(fault Fault, name string, others []string) {
+	w.disturb(fault, name)
+	for _, other := range others {
+		w.network.Hold(name, other)
+		w.network.Hold(other, name)
+	}
+	time.Sleep(fault.For)
+	for _, other := range others {
+		w.network.Release(name, other)
+		w.network.Release(other, name)
+	}
+}
+
+func (w *World) troubleStore(fault Fault, faults StoreFaults) {
+	w.disturb(fault, "")
+	w.Store.SetFaults(faults)
+	time.Sleep(fault.For)
+	w.Store.SetFaults(StoreFaults{})
+	w.Truth.Disturb("", time.Now())
+}
+
+func (w *World) troubleSampler(fault Fault, machine *samplerMachine, faults SamplerFaults) {
+	machine.sampler.SetFaults(faults)
+	time.Sleep(fault.For)
+	machine.sampler.SetFaults(SamplerFaults{})
+}
+
+// silentBeats is how long the entry of a sampler outlasts its end.
+const silentBeats = 3
+
+func (w *World) crashSampler(fault Fault, machine *samplerMachine) {
+	if machine.down {
+		return
+	}
+	machine.down = true
+	_ = machine.server.Close()
+	w.network.Crash(machine.host)
+	time.Sleep(silentBeats * heartbeat)
+	machine.sampler.Remove()
+	time.Sleep(fault.For)
+	w.network.Restore(machine.host)
+	w.startSampler(machine)
+}
+
+// replaceSampler drains a sampler and starts another at its address.
+func (w *World) replaceSampler(_ Fault, machine *samplerMachine) {
+	if machine.down {
+		return
+	}
+	machine.sampler.Leave()
+	time.Sleep(drainBound + slack + time.Second)
+	machine.down = true
+	_ = machine.server.Close()
+	machine.sampler.Remove()
+	time.Sleep(drainBound)
+	w.startSampler(machine)
+}
--- /dev/null
+++ b/internal/platformsim/simulation_test.go
@@ -0,0 +1,117 @@
+package platformsim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of TestSeeds")
+	seeds     = flag.Uint64("seeds", 6, "number of seeds of TestSeeds")
+	faultsRun = flag.Int("faults", 6, "faults of a run")
+	traceRun  = flag.Bool("trace", false, "print the nodes' logs")
+)
+
+const (
+	settleTime = 10 * time.Second
+	faultTime  = 45 * time.Second
+	healTime   = 25 * time.Second
+	closeTime  = 30 * time.Second
+)
+
+// play runs a world through faults and returns it closed.
+func play(t *testing.T, options Options, faults []Fault) *World {
+	t.Helper()
+	var world *World
+	synctest.Test(t, func(t *testing.T) {
+		world = NewWorld(options)
+		// Handlers of the stand-ins end after their last pause.
+		defer time.Sleep(closeTime)
+		defer world.Close()
+		background, stop := context.WithCancel(context.Background())
+		var loops conc.WaitGroup
+		loops.Go(func() { world.heartbeats(background) })
+		loops.Go(func() { world.watchReadiness(background) })
+		time.Sleep(500 * time.Millisecond)
+		world.PutConfig(0)
+		time.Sleep(settleTime)
+		var running conc.WaitGroup
+		traffic, stopTraffic := context.WithTimeout(background, faultTime+healTime)
+		running.Go(func() { world.Traffic(traffic) })
+		began := time.Now()
+		for _, fault := range faults {
+			time.Sleep(time.Until(began.Add(fault.At)))
+			running.Go(func() { world.Inject(fault) })
+		}
+		running.Wait()
+		stopTraffic()
+		time.Sleep(settleTime)
+		stop()
+		loops.Wait()
+		world.JudgeEnd(context.Background())
+	})
+	return world
+}
+
+func example(seed uint64, logs io.Writer) Options {
+	return Options{Seed: seed, NodesPerZone: 2, Samplers: 6, Applications: 3, Models: []string{"m1", "m2"}, Logs: logs}
+}
+
+func TestCalmDayIsServedWhole(t *testing.T) {
+	world := play(t, example(1, nil), nil)
+	require.Empty(t, world.Truth.Violations())
+	counts := world.Truth.counts
+	require.Zero(t, counts["requests refused"]+counts["requests lost"], counts)
+	require.Positive(t, counts["requests served"])
+	require.GreaterOrEqual(t, counts["steps"], 30)
+	require.Equal(t, counts["steps"], counts["steps whole"], counts)
+	require.Positive(t, counts["orders"])
+}
+
+func TestSeeds(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			var logs io.Writer
+			if *traceRun {
+				logs = os.Stdout
+			}
+			faults := Draw(seed, faultTime, *faultsRun)
+			world := play(t, example(seed, logs), faults)
+			violations := world.Truth.Violations()
+			for _, violation := range violations {
+				t.Error(violation)
+			}
+			if len(violations) > 0 {
+				t.Logf("faults %v", faults)
+				t.Logf("repeat with: go test ./internal/platformsim -run 'TestSeeds/seed=%d$' -first-seed=%d -seeds=1 -faults=%d -trace", seed, seed, *faultsRun)
+			}
+			require.Positive(t, world.Truth.counts["steps whole"], "%v", faults)
+		})
+	}
+}
+
+// Each kind of fault alone, twice, under all kinds of work.
+func TestEachFault(t *testing.T) {
+	for kind := range faultKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			faults := []Fault{
+				{Kind: kind, At: 6 * time.Second, For: 4 * time.Second, Target: 1},
+				{Kind: kind, At: 25 * time.Second, For: 6 * time.Second, Target: 4},
+			}
+			world := play(t, example(uint64(kind)+100, nil), faults)
+			require.Empty(t, world.Truth.Violations())
+			require.Positive(t, world.Truth.counts["steps whole"])
+		})
+	}
+}
--- /dev/null
+++ b/internal/platformsim/world.go
@@ -0,0 +1,375 @@
+package platformsim
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/simnet"
+	"github.com/pathbend/pathbend/platform"
+)
+
+const (
+	frontPort     = ":80"
+	readinessPort = ":81"
+	storeAddress  = "store:82"
+	samplerPort   = ":90"
+	graceS        = 8
+
+	host              = "app.example"
+	applicationPrefix = "/app/"
+	rolloutPrefix     = "/roll/"
+	modelService      = "llm"
+	applicationName   = "api"
+)
+
+var zones = []string{"a", "b", "c"}
+
+func latency(from, to string) time.Duration {
+	if from == to {
+		return 100 * time.Microsecond
+	}
+	return 700 * time.Microsecond
+}
+
+// Options describe a world.
+type Options struct {
+	Seed         uint64
+	NodesPerZone int
+	Samplers     int
+	Applications int
+	Models       []string
+	Logs         io.Writer
+}
+
+// World is a cluster of real nodes with everything around it.
+type World struct {
+	Truth *Truth
+	Store *Store
+
+	options Options
+	network *simnet.Network
+	servers []*http.Server
+	config  uint64
+
+	mutex    sync.Mutex
+	nodes    []*nodeMachine
+	samplers []*samplerMachine
+	ready    []string
+	versions map[string]uint64
+	work     conc.WaitGroup
+}
+
+// nodeMachine is a machine that runs a node.
+type nodeMachine struct {
+	name, zone string
+	process    *platform.Process
+	stop       context.CancelFunc
+	done       chan struct{}
+	down       bool
+}
+
+// samplerMachine is a machine that runs a sampler.
+type samplerMachine struct {
+	host    string
+	spec    SamplerSpec
+	sampler *Sampler
+	server  *http.Server
+	starts  int
+	down    bool
+}
+
+// NewWorld starts the store, the samplers and the nodes.
+func NewWorld(options Options) *World {
+	w := &World{
+		Truth: NewTruth(), Store: NewStore(options.Seed), options: options,
+		network: simnet.New(options.Seed, latency), versions: make(map[string]uint64),
+	}
+	for _, model := range options.Models {
+		w.versions[model] = 1
+	}
+	w.serve("store", zones[0], storeAddress, w.Store)
+	for i := range options.Samplers {
+		w.addSampler(modelService, i, 8, 12*time.Millisecond)
+	}
+	for i := range options.Applications {
+		w.addSampler(applicationName, options.Samplers+i, 6, 20*time.Millisecond)
+	}
+	for _, zone := range zones {
+		for i := range options.NodesPerZone {
+			machine := &nodeMachine{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone}
+			w.nodes = append(w.nodes, machine)
+			w.startNode(machine)
+		}
+	}
+	return w
+}
+
+func (w *World) serve(name, zone, address string, handler http.Handler) *http.Server {
+	listener, err := w.network.For(name, zone).Listen(address)
+	if err != nil {
+		panic(err)
+	}
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	w.work.Go(func() { _ = server.Serve(listener) })
+	w.servers = append(w.servers, server)
+	return server
+}
+
+func (w *World) addSampler(service string, index, slots int, pace time.Duration) {
+	machine := &samplerMachine{host: fmt.Sprintf("s%d", index)}
+	machine.spec = SamplerSpec{
+		Address: machine.host + samplerPort, Zone: zones[index%len(zones)], Service: service, Slots: slots, Work: pace,
+	}
+	w.samplers = append(w.samplers, machine)
+	w.startSampler(machine)
+}
+
+func (w *World) startSampler(machine *samplerMachine) {
+	var models map[string]uint64
+	if machine.spec.Service == modelService {
+		models = make(map[string]uint64)
+		w.mutex.Lock()
+		for model, version := range w.versions {
+			models[model] = version
+		}
+		w.mutex.Unlock()
+	}
+	machine.starts++
+	id := fmt.Sprintf("i-%s-%d", machine.host, machine.starts)
+	machine.sampler = newSampler(id, machine.spec, models, w.Truth, w.Store, w.options.Seed+uint64(machine.starts)*1000)
+	machine.server = w.serve(machine.host, machine.spec.Zone, machine.spec.Address, machine.sampler)
+	machine.down = false
+}
+
+func (w *World) settings(machine *nodeMachine) platform.Settings {
+	var settings platform.Settings
+	settings.Node, settings.Zone, settings.IP = machine.name, machine.zone, machine.name
+	settings.Listen.Front, settings.Listen.Readiness = machine.name+frontPort, machine.name+readinessPort
+	settings.Bounds.GraceS, settings.Bounds.SettleMS, settings.Bounds.LeaseMS = graceS, 1000, 3000
+	settings.Bounds.StatusIntervalS = 120
+	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = storeAddress, 32<<10, 256<<10
+	settings.Store.TTLMinMS = 1000
+	return settings
+}
+
+func (w *World) startNode(machine *nodeMachine) {
+	logger := event.Discard()
+	if w.options.Logs != nil {
+		logger = event.NewLogger(w.options.Logs, slog.LevelDebug, "node", machine.name)
+	}
+	process := platform.NewProcess(w.settings(machine), w.network.For(machine.name, machine.zone), logger)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	w.mutex.Lock()
+	machine.process, machine.stop, machine.done, machine.down = process, stop, done, false
+	w.mutex.Unlock()
+	w.work.Go(func() {
+		defer close(done)
+		_ = process.Run(ctx, "")
+	})
+}
+
+// pickNode returns a node that calls itself ready, or any if none does.
+func (w *World) pickNode(random *rand.Rand) string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.ready) > 0 {
+		return w.ready[random.IntN(len(w.ready))]
+	}
+	return w.nodes[random.IntN(len(w.nodes))].name
+}
+
+// watchReadiness asks every node each second whether it is ready.
+func (w *World) watchReadiness(ctx context.Context) {
+	asker := w.newCaller("entry", zones[0], "", 0)
+	for ctx.Err() == nil {
+		var ready []string
+		for _, machine := range w.nodes {
+			askCtx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+			request, err := http.NewRequestWithContext(askCtx, http.MethodGet, "http://"+machine.name+readinessPort+platform.PathReady, nil)
+			if err != nil {
+				panic(err)
+			}
+			response, err := asker.client.Do(request)
+			if err == nil {
+				response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					ready = append(ready, machine.name)
+				}
+			}
+			cancel()
+		}
+		w.mutex.Lock()
+		w.ready = ready
+		w.mutex.Unlock()
+		sleep(ctx, time.Second)
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// PutConfig writes the next version of the configuration.
+func (w *World) PutConfig(extraRoutes int) {
+	w.config += 2
+	document := platform.ConfigDocument{Version: w.config}
+	add := func(name, prefix, kind, service string, dueMS float64) {
+		document.Routes = append(document.Routes, platform.RouteDocument{
+			Name: name, Host: host, Prefix: prefix, Kind: kind, TimeoutMS: 1500, ObjectiveMS: 150,
+			Attempts: itemAttempts, Service: service, DueMS: dueMS,
+		})
+	}
+	add("application", applicationPrefix, platform.KindSafe, applicationName, 0)
+	add("rollout", rolloutPrefix, platform.KindRollout, modelService, 7500)
+	for i := range extraRoutes {
+		add(fmt.Sprint("extra", i), fmt.Sprintf("/extra%d/", i), platform.KindSafe, applicationName, 0)
+	}
+	document.Services = []platform.ServiceDocument{{Name: modelService}, {Name: applicationName}}
+	content, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	w.Store.Put(platform.TopicOperator, platform.KeyConfig, content)
+}
+
+// nameVersion writes a trainer's new version.
+func (w *World) nameVersion(model string, version uint64) {
+	content, err := json.Marshal(platform.VersionDocument{Model: model, Version: version})
+	if err != nil {
+		panic(err)
+	}
+	w.mutex.Lock()
+	w.versions[model] = version
+	w.mutex.Unlock()
+	w.Store.Put(platform.TopicOperator, platform.KeyVersionPrefix+model, content)
+}
+
+// Heartbeats keep the samplers' entries fresh until ctx ends.
+func (w *World) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, heartbeat)
+		for _, machine := range slices.Clone(w.samplers) {
+			if !machine.down {
+				machine.sampler.register()
+			}
+		}
+	}
+}
+
+// Traffic runs trainers, clients and lookers until ctx ends.
+func (w *World) Traffic(ctx context.Context) {
+	var callers conc.WaitGroup
+	for i, model := range w.options.Models {
+		trainer := w.newCaller("trainer-"+model, zones[i%len(zones)], host, w.options.Seed+uint64(i)*17)
+		callers.Go(func() { trainer.runTrainer(ctx, model, 6, 4) })
+	}
+	for i, zone := range zones {
+		client := w.newCaller("client-"+zone, zone, host, w.options.Seed+uint64(i)*19+5)
+		callers.Go(func() { client.runClient(ctx, 250*time.Millisecond) })
+		looker := w.newCaller("looker-"+zone, zone, host, w.options.Seed+uint64(i)*23+7)
+		callers.Go(func() { looker.runLooker(ctx) })
+	}
+	callers.Wait()
+}
+
+// acceptedJobs returns the accepted jobs, ordered.
+func (t *Truth) acceptedJobs() []*jobTruth {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var accepted []*jobTruth
+	for _, job := range t.jobs {
+		if !job.accepted.IsZero() {
+			accepted = append(accepted, job)
+		}
+	}
+	slices.SortFunc(accepted, func(a, b *jobTruth) int {
+		return cmp.Or(a.accepted.Compare(b.accepted), strings.Compare(a.id, b.id))
+	})
+	return accepted
+}
+
+// JudgeEnd reads every accepted job from the start at every node, once all is
+// healed.
+func (w *World) JudgeEnd(ctx context.Context) {
+	reader := w.newCaller("judge", zones[0], host, 99)
+	for _, machine := range w.nodes {
+		w.mutex.Lock()
+		w.ready = []string{machine.name}
+		w.mutex.Unlock()
+		for _, job := range w.Truth.acceptedJobs() {
+			w.judgeJob(ctx, reader, machine.name, job)
+		}
+	}
+}
+
+func (w *World) judgeJob(ctx context.Context, reader *caller, node string, job *jobTruth) {
+	seen := 0
+	for from := 0; ; {
+		page, ok := reader.read(ctx, job, from)
+		if !ok {
+			w.Truth.Update(job, func() { w.Truth.broken("LOST", "%s does not show job %s", node, job.id) })
+			return
+		}
+		seen += len(page.Results)
+		from = page.Next
+		if len(page.Results) == 0 {
+			break
+		}
+	}
+	w.Truth.Update(job, func() {
+		if seen < len(job.results) {
+			w.Truth.broken("LOST", "%s shows %d of %d results of job %s", node, seen, len(job.results), job.id)
+		}
+	})
+}
+
+// Close ends everything.
+func (w *World) Close() {
+	for _, machine := range w.nodes {
+		w.kill(machine)
+	}
+	for _, server := range w.servers {
+		_ = server.Close()
+	}
+	w.work.Wait()
+}
+
+// kill ends a node's process at once.
+func (w *World) kill(machine *nodeMachine) {
+	w.mutex.Lock()
+	already := machine.down
+	machine.down = true
+	w.mutex.Unlock()
+	if already {
+		return
+	}
+	w.network.Crash(machine.name)
+	machine.process.Abort()
+	<-machine.done
+	machine.stop()
+}
+
+// restart starts a node's process again.
+func (w *World) restart(machine *nodeMachine) {
+	w.network.Restore(machine.name)
+	w.startNode(machine)
+}
