Share catch-ups of the log; save only long texts while they grow

Every request for a job that was not read yet read the log by itself, a megabyte a call, all from the same place; with eleven machines they used up what the store gives away in a second (80 MB), and reads ran into their 700 ms.

Ruled out: the group (the share was dealt at 36.03 s); the fold (0.1 s).

Change: callers share a catch-up round; the first reading of a node is such a round; a read of what is there has 2 s. An empty long poll proves that the node is current up to its end, not its beginning. TestCatchUpsShareTheirReads failed before.

--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -21,8 +21,9 @@
 	executorTick = 50 * time.Millisecond
 	// progressInterval is how often the text of running items is saved.
 	progressInterval = 500 * time.Millisecond
-	// progressEvents is how many new events are worth saving.
-	progressEvents = 6
+	// progressEvents is how many new events are worth saving: a shorter text is
+	// made again sooner than it is kept by every node.
+	progressEvents = 24
 	// flushPatience bounds the last appends before a planned stop.
 	flushPatience = 700 * time.Millisecond
 	// defaultDue is assumed of routes that name no due time.
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -15,6 +15,8 @@
 	pollWait = 400 * time.Millisecond
 	// readTimeout is added to pollWait to bound a whole read.
 	readTimeout = 700 * time.Millisecond
+	// bulkTimeout bounds a read of records that are there already.
+	bulkTimeout = 2 * time.Second
 	// retryPause is the pause after a failed read.
 	retryPause = 100 * time.Millisecond
 )
@@ -83,10 +85,17 @@
 
 	reading sync.Mutex
 	next    uint64
+
+	rounds sync.Mutex
+	round  *catchUpRound
 }
 
 // Run follows the partition until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	// The first reading is shared with callers that need it at once.
+	for ctx.Err() == nil && f.CatchUp(ctx) != nil {
+		wait.For(ctx, retryPause)
+	}
 	for ctx.Err() == nil {
 		whole, err := f.step(ctx, pollWait)
 		switch {
@@ -98,8 +107,57 @@
 	}
 }
 
-// CatchUp reads the records that the partition holds at the time of the call.
+// CatchUp returns once the follower has the records that the partition held at
+// the time of the call. Callers share reads: of those that come while one is
+// under way, one makes the next read and the others wait for it, so that a crowd
+// of callers does not read the same records again and again.
 func (f *Follower) CatchUp(ctx context.Context) error {
+	began := time.Now()
+	for {
+		round, mine := f.joinRound()
+		if mine {
+			round.err = f.catchUp(ctx)
+			f.endRound(round)
+			return round.err
+		}
+		select {
+		case <-round.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !round.began.Before(began) {
+			return round.err
+		}
+	}
+}
+
+// catchUpRound is one shared catch-up.
+type catchUpRound struct {
+	began time.Time
+	done  chan struct{}
+	// err is set before done is closed.
+	err error
+}
+
+// joinRound returns the round under way, or begins one that is the caller's.
+func (f *Follower) joinRound() (round *catchUpRound, mine bool) {
+	f.rounds.Lock()
+	defer f.rounds.Unlock()
+	if f.round != nil {
+		return f.round, false
+	}
+	f.round = &catchUpRound{began: time.Now(), done: make(chan struct{})}
+	return f.round, true
+}
+
+func (f *Follower) endRound(round *catchUpRound) {
+	f.rounds.Lock()
+	defer f.rounds.Unlock()
+	f.round = nil
+	close(round.done)
+}
+
+func (f *Follower) catchUp(ctx context.Context) error {
 	for {
 		whole, err := f.step(ctx, 0)
 		if err != nil || whole {
@@ -115,7 +173,7 @@
 	from := f.next
 	f.reading.Unlock()
 	began := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, poll+readTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, poll+f.readTime(poll))
 	defer cancel()
 	batch, err := f.Log.Read(callCtx, f.Partition, from, poll)
 	if result.Is(err, result.LogTruncated) {
@@ -132,12 +190,26 @@
 	if from+uint64(len(batch.Records)) < batch.End {
 		return false, nil
 	}
+	if len(batch.Records) == 0 {
+		// The service waited in vain: there was nothing new at the end of the
+		// wait, which began no earlier than the call.
+		began = began.Add(poll)
+	}
 	if regained, after := f.Health.answered(began); regained {
 		f.Observer.ReadRecovered(f.Partition, after)
 	}
 	return true, nil
 }
 
+// readTime bounds the transfer of one answer: a catch-up after a start moves as
+// much as an answer holds, while many nodes read at once.
+func (f *Follower) readTime(poll time.Duration) time.Duration {
+	if poll > 0 {
+		return readTimeout
+	}
+	return bulkTimeout
+}
+
 // apply hands over the records that were not handed over yet: two reads may
 // run at once and return the same ones.
 func (f *Follower) apply(from uint64, records [][]byte) {
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -23,6 +23,9 @@
 	// failing makes calls fail; staleEnd, if not 0, is the end that Newest tells.
 	failing  bool
 	staleEnd uint64
+	// reads counts the reads, each of which takes readTime.
+	reads    int
+	readTime time.Duration
 	newest   []KeyedRecord
 }
 
@@ -35,6 +38,8 @@
 
 func (l *fakeLog) Read(ctx context.Context, _ Partition, from uint64, wait time.Duration) (Batch, error) {
 	deadline := time.Now().Add(wait)
+	l.set(func() { l.reads++ })
+	time.Sleep(l.readTime)
 	for {
 		l.mutex.Lock()
 		end := uint64(len(l.records))
@@ -199,3 +204,40 @@
 		}
 	})
 }
+
+// After a start of all nodes, each request for a job that was not read yet made
+// a reading of its own, and together they took as long as the log gives away in
+// seconds.
+func TestCatchUpsShareTheirReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{records: numbered(40), perRead: 10, readTime: 100 * time.Millisecond}
+		count := 0
+		follower := &Follower{
+			Log: log, Observer: &silentObserver{}, Apply: func(_ uint64, records [][]byte) { count += len(records) },
+		}
+		var callers sync.WaitGroup
+		for range 50 {
+			callers.Go(func() {
+				require.NoError(t, follower.CatchUp(t.Context()))
+				require.Equal(t, 40, count)
+			})
+		}
+		callers.Wait()
+		require.LessOrEqual(t, log.reads, 6)
+	})
+}
+
+func TestLateCallerIsNotServedByAnEarlierRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{records: numbered(1), perRead: 10, readTime: 100 * time.Millisecond}
+		count := 0
+		follower := &Follower{
+			Log: log, Observer: &silentObserver{}, Apply: func(_ uint64, records [][]byte) { count += len(records) },
+		}
+		go func() { _ = follower.CatchUp(t.Context()) }()
+		time.Sleep(50 * time.Millisecond)
+		log.set(func() { log.records = numbered(3) })
+		require.NoError(t, follower.CatchUp(t.Context()))
+		require.Equal(t, 3, count)
+	})
+}
