--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -285,3 +285,66 @@
 	}
 	require.LessOrEqual(t, float64(retries), budgetMax+requests*budgetRatio+1)
 }
+
+// failingProtocol is the own protocol but for answers of 500, which count as the
+// back end's own failure.
+type failingProtocol struct{ OwnProtocol }
+
+func (p failingProtocol) Verdict(request *Request, endpoint *routing.Endpoint, requestID string, response *http.Response) Verdict {
+	if response.StatusCode == http.StatusInternalServerError {
+		return Verdict{Ending: FailedByBackEnd}
+	}
+	return p.OwnProtocol.Verdict(request, endpoint, requestID, response)
+}
+
+func doFailing(t *testing.T, balancer *listBalancer, request *Request) (*Answer, error) {
+	t.Helper()
+	dispatcher := dispatcherOver(t, balancer)
+	dispatcher.protocol = failingProtocol{}
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	defer cancel()
+	answer, err := dispatcher.Do(ctx, request)
+	if answer != nil {
+		answer.Body.Close()
+	}
+	return answer, err
+}
+
+// A failure without an error of its own made the dispatcher panic on the bench.
+func TestBackEndsOwnFailureIsTriedElsewhereOrPassedOn(t *testing.T) {
+	failing := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusInternalServerError) }
+	first, firstRuns := backEnd(t, failing)
+	second, secondRuns := backEnd(t, func(http.ResponseWriter, *http.Request) {})
+
+	answer, err := doFailing(t, balancerOf(first, second), requestOf(false))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.Status)
+	require.EqualValues(t, 1, firstRuns.Load())
+	require.EqualValues(t, 1, secondRuns.Load())
+
+	answer, err = doFailing(t, balancerOf(first, second), requestOf(true))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, answer.Status, "a request that must not be repeated gets the failure")
+	require.EqualValues(t, 1, secondRuns.Load())
+
+	answer, err = doFailing(t, balancerOf(first, unusedAddress(t)), requestOf(false))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, answer.Status, "it ran, so no later refusal may say otherwise")
+}
+
+func TestSilentBackEndIsLeftAfterTheAttemptTimeout(t *testing.T) {
+	release := make(chan struct{})
+	silent, _ := backEnd(t, func(_ http.ResponseWriter, request *http.Request) {
+		select {
+		case <-release:
+		case <-request.Context().Done():
+		}
+	})
+	t.Cleanup(func() { close(release) })
+	quick, _ := backEnd(t, func(http.ResponseWriter, *http.Request) {})
+	request := requestOf(false)
+	request.AttemptTimeout = 20 * time.Millisecond
+	answer, err := do(t, balancerOf(silent, quick), request)
+	require.NoError(t, err)
+	require.Equal(t, 2, answer.Attempts)
+}
--- /dev/null
+++ b/internal/hosted/ownership_test.go
@@ -0,0 +1,149 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// scriptedGroup deals out what a test says.
+type scriptedGroup struct {
+	mutex  sync.Mutex
+	share  sharedlog.Share
+	down   bool
+	delay  time.Duration
+	left   bool
+	joined int
+}
+
+func (g *scriptedGroup) set(change func()) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	change()
+}
+
+func (g *scriptedGroup) Join(ctx context.Context, _, _, _ string, _ time.Duration, _ uint64) (sharedlog.Share, error) {
+	g.mutex.Lock()
+	delay, down, share := g.delay, g.down, g.share
+	g.joined++
+	g.mutex.Unlock()
+	time.Sleep(delay)
+	if down {
+		return sharedlog.Share{}, result.New(result.LogUnavailable, "down")
+	}
+	return share, ctx.Err()
+}
+
+func (g *scriptedGroup) Leave(context.Context, string, string) error {
+	g.set(func() { g.left = true })
+	return nil
+}
+
+func holding(generation uint64, partitions ...int) sharedlog.Share {
+	share := sharedlog.Share{Generation: generation}
+	for _, number := range partitions {
+		share.Partitions = append(share.Partitions, sharedlog.Partition{Topic: jobTopic, Number: number})
+	}
+	return share
+}
+
+// own runs an ownership against a group for the time of a test.
+func own(t *testing.T, test func(o *ownership, group *scriptedGroup)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		settings := Settings{Name: "n", ShortestTTL: time.Second, OrderGrace: 3 * time.Second}
+		group := &scriptedGroup{share: holding(4, 0)}
+		o := newOwnership(settings, group, event.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); o.run(ctx) }()
+		test(o, group)
+		cancel()
+		<-done
+	})
+}
+
+func TestNewHolderExecutesAtOnceAndOrdersAfterTheGrace(t *testing.T) {
+	own(t, func(o *ownership, _ *scriptedGroup) {
+		time.Sleep(10 * time.Millisecond)
+		require.True(t, o.executes(0, time.Now()))
+		require.False(t, o.executes(1, time.Now()))
+		_, ok := o.mayOrder(0, time.Now())
+		require.False(t, ok)
+		time.Sleep(3 * time.Second)
+		fence, ok := o.mayOrder(0, time.Now())
+		require.True(t, ok)
+		require.EqualValues(t, 4, fence)
+	})
+}
+
+func TestHolderThatCannotRenewStopsOrdersBeforeItsShareEnds(t *testing.T) {
+	own(t, func(o *ownership, group *scriptedGroup) {
+		time.Sleep(4 * time.Second)
+		group.set(func() { group.down = true })
+		time.Sleep(1400 * time.Millisecond)
+		_, ok := o.mayOrder(0, time.Now())
+		require.False(t, ok, "another may hold the share 1.5 s after the last renewal")
+		require.True(t, o.executes(0, time.Now()), "the log may be down for all")
+		time.Sleep(isolatedLimit)
+		require.False(t, o.executes(0, time.Now()))
+		group.set(func() { group.down = false })
+		time.Sleep(time.Second)
+		require.True(t, o.executes(0, time.Now()))
+		_, ok = o.mayOrder(0, time.Now())
+		require.False(t, ok, "another may have given orders meanwhile")
+	})
+}
+
+func TestFrozenHolderDoesNotOrderWhenItWakes(t *testing.T) {
+	own(t, func(o *ownership, group *scriptedGroup) {
+		time.Sleep(4 * time.Second)
+		frozen := time.Now().Add(5 * time.Second) // no loop ran meanwhile
+		_, ok := o.mayOrder(0, frozen)
+		require.False(t, ok)
+	})
+}
+
+func TestAnswerCountsFromItsQuestion(t *testing.T) {
+	own(t, func(o *ownership, group *scriptedGroup) {
+		time.Sleep(4 * time.Second)
+		group.set(func() { group.delay = 550 * time.Millisecond })
+		time.Sleep(2 * time.Second)
+		o.mutex.Lock()
+		age := time.Since(o.renewedAt)
+		o.mutex.Unlock()
+		require.GreaterOrEqual(t, age, 550*time.Millisecond)
+	})
+}
+
+func TestLostPartitionIsLeftAtOnce(t *testing.T) {
+	own(t, func(o *ownership, group *scriptedGroup) {
+		time.Sleep(4 * time.Second)
+		group.set(func() { group.share = holding(5, 3) })
+		time.Sleep(time.Second)
+		require.False(t, o.executes(0, time.Now()))
+		_, ok := o.mayOrder(0, time.Now())
+		require.False(t, ok)
+	})
+}
+
+func TestLeavingGivesTheShareBack(t *testing.T) {
+	own(t, func(o *ownership, group *scriptedGroup) {
+		time.Sleep(4 * time.Second)
+		o.leave(context.Background())
+		require.True(t, group.left)
+		require.False(t, o.executes(0, time.Now()))
+		joined := group.joined
+		time.Sleep(3 * time.Second)
+		require.LessOrEqual(t, group.joined, joined+1, "it does not join again")
+		require.False(t, o.executes(0, time.Now()))
+	})
+}
--- /dev/null
+++ b/internal/schedule/scheduler_test.go
@@ -0,0 +1,289 @@
+package schedule
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/ledger"
+)
+
+var began = time.Unix(1_000_000, 0)
+
+// kept is text of earlier runs.
+type kept struct {
+	progress map[string]ledger.Progress
+	finished map[string]ledger.Result
+}
+
+func (k kept) Progress(id string) (ledger.Progress, bool) { p, ok := k.progress[id]; return p, ok }
+func (k kept) Finished(id string) (ledger.Result, bool)   { r, ok := k.finished[id]; return r, ok }
+
+// bench is a scheduler with the means to drive it.
+type bench struct {
+	t   *testing.T
+	s   *Scheduler
+	now time.Time
+	ids uint64
+}
+
+func newBench(t *testing.T, samplers ...Sampler) *bench {
+	b := &bench{t: t, now: began}
+	b.s = New(func() uint64 { b.ids++; return b.ids })
+	b.s.Samplers(samplers)
+	return b
+}
+
+func sampler(id string, slots int, version uint64) Sampler {
+	return Sampler{ID: id, Service: "llm", Slots: slots, Versions: map[string]uint64{"m": version}}
+}
+
+// jobOf makes a job with one item per word "group:tokens".
+func (b *bench) jobOf(id string, minVersion uint64, words ...string) *ledger.Job {
+	b.t.Helper()
+	spec := &pathbendv1.BatchJob{Model: "m", MinVersion: minVersion}
+	for i, word := range words {
+		group, tokens, _ := strings.Cut(word, ":")
+		expected := uint64(0)
+		_, err := fmt.Sscan(tokens, &expected)
+		require.NoError(b.t, err)
+		spec.Items = append(spec.Items, &pathbendv1.BatchItem{
+			Id: fmt.Sprintf("%s-%d", id, i), Group: group, ExpectedTokens: expected, Reward: &pathbendv1.RewardCall{Id: "w"},
+		})
+	}
+	return b.jobOfSpec(id, spec)
+}
+
+func (b *bench) jobOfSpec(id string, spec *pathbendv1.BatchJob) *ledger.Job {
+	b.t.Helper()
+	l := ledger.New()
+	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
+	const large = 1 << 20
+	records, err := ledger.Encode(entry, 1, large)
+	require.NoError(b.t, err)
+	_, err = l.Apply(records[0], b.now)
+	require.NoError(b.t, err)
+	return l.Job(id)
+}
+
+func policy(due time.Duration) Policy {
+	return Policy{Services: []string{"llm"}, MaxFailures: 3, Due: began.Add(due)}
+}
+
+func (b *bench) starts() []Start { return b.s.Starts(b.now) }
+
+// feed makes events of a run.
+func (b *bench) feed(start Start, from, to, version uint64) bool {
+	for id := from; id <= to; id++ {
+		b.now = b.now.Add(10 * time.Millisecond)
+		if !b.s.Progress(start.Key, start.Run, Event{ID: id, Version: version, Data: fmt.Append(nil, id)}, b.now) {
+			return false
+		}
+	}
+	return true
+}
+
+func itemsOf(starts []Start) []string {
+	var items []string
+	for _, start := range starts {
+		items = append(items, start.Key.Item)
+	}
+	return items
+}
+
+func TestLongestGroupFirstAndOldestJobFirst(t *testing.T) {
+	b := newBench(t, sampler("s", 10, 1))
+	b.s.AddJob(b.jobOf("late", 1, "g:900"), policy(9*time.Second), kept{})
+	b.s.AddJob(b.jobOf("soon", 1, "g1:10", "g2:50", "g1:99", "g2:20"), policy(5*time.Second), kept{})
+	require.Equal(t, []string{"soon-2", "soon-0", "soon-1", "soon-3", "late-0"}, itemsOf(b.starts()))
+}
+
+func TestGroupsThatCameBeforeStandFirst(t *testing.T) {
+	b := newBench(t, sampler("s", 0, 1))
+	b.s.Samplers([]Sampler{sampler("s", 10, 1)})
+	b.s.AddJob(b.jobOf("a", 1, "old:5"), policy(time.Second), kept{})
+	b.s.DropJob("a")
+	b.s.AddJob(b.jobOf("b", 1, "new:500", "old:5"), policy(time.Second), kept{})
+	require.Equal(t, []string{"b-1", "b-0"}, itemsOf(b.starts()))
+}
+
+func TestSlotsServiceVersionAndLoadingAreHeeded(t *testing.T) {
+	old, leaving, other := sampler("old", 8, 1), sampler("leaving", 8, 2), sampler("other", 8, 2)
+	leaving.Leaving, other.Service = true, "api"
+	b := newBench(t, old, leaving, other, sampler("fit", 2, 2), sampler("loading", 8, 2))
+	b.s.SetLoading("loading", "m", true)
+	b.s.AddJob(b.jobOf("j", 2, "g:1", "g:1", "g:1", "g:1"), policy(time.Second), kept{})
+	starts := b.starts()
+	require.Len(t, starts, 2)
+	for _, start := range starts {
+		require.Equal(t, "fit", start.Sampler.ID)
+	}
+	b.s.SetLoading("loading", "m", false)
+	require.Len(t, b.starts(), 2)
+	require.Empty(t, b.starts())
+}
+
+func TestLoadingOneModelDoesNotBlockAnother(t *testing.T) {
+	b := newBench(t, sampler("s", 8, 2))
+	b.s.SetLoading("s", "another", true)
+	b.s.AddJob(b.jobOf("j", 2, "g:1"), policy(time.Second), kept{})
+	require.Len(t, b.starts(), 1)
+}
+
+func TestBrokenRunGoesOnAfterItsLastEvent(t *testing.T) {
+	b := newBench(t, sampler("s", 1, 3), sampler("t", 1, 3))
+	b.s.AddJob(b.jobOf("j", 2, "g:100"), policy(time.Second), kept{})
+	first := b.starts()[0]
+	require.True(t, b.feed(first, 1, 3, 3))
+	require.False(t, b.feed(first, 5, 5, 3), "a gap is no event")
+	b.s.RunEnded(first.Key, first.Run, Broken, b.now)
+	b.now = b.now.Add(time.Second)
+	second := b.starts()[0]
+	require.EqualValues(t, 3, second.AfterEvent)
+	require.NotEqual(t, first.Sampler.ID, second.Sampler.ID)
+	require.False(t, b.feed(first, 4, 4, 3), "the former run is over")
+	require.True(t, b.feed(second, 4, 4, 4))
+	verdict := b.s.RunEnded(second.Key, second.Run, Whole, b.now)
+	require.Equal(t, "1\n2\n3\n4", string(verdict.Finished.Text))
+	require.Equal(t, []uint64{3, 4}, verdict.Finished.Versions)
+}
+
+func TestOldWeightsAreNoEventAndTheSamplerIsKnown(t *testing.T) {
+	b := newBench(t, sampler("s", 1, 5))
+	b.s.AddJob(b.jobOf("j", 4, "g:100"), policy(time.Second), kept{})
+	start := b.starts()[0]
+	require.False(t, b.feed(start, 1, 1, 3))
+	b.s.RunEnded(start.Key, start.Run, Stopped, b.now)
+	b.now = b.now.Add(time.Second)
+	require.Empty(t, b.starts(), "its weights are older than was listed")
+}
+
+func TestSingleVersionTextIsMadeByOne(t *testing.T) {
+	b := newBench(t, sampler("s", 1, 5))
+	single := policy(time.Second)
+	single.SingleVersion = true
+	b.s.AddJob(b.jobOf("j", 4, "g:100"), single, kept{})
+	start := b.starts()[0]
+	require.True(t, b.feed(start, 1, 2, 5))
+	require.False(t, b.feed(start, 3, 3, 6))
+	b.s.RunEnded(start.Key, start.Run, Stopped, b.now)
+	b.now = b.now.Add(time.Second)
+	require.Zero(t, b.starts()[0].AfterEvent)
+}
+
+func TestFailuresEndAnItemOnlyAfterTheirNumber(t *testing.T) {
+	b := newBench(t, sampler("s", 1, 1))
+	b.s.AddJob(b.jobOf("j", 1, "g:1"), policy(time.Second), kept{})
+	for failure := 1; failure <= 3; failure++ {
+		b.now = b.now.Add(time.Minute)
+		start := b.starts()[0]
+		verdict := b.s.RunEnded(start.Key, start.Run, Failed, b.now)
+		require.Equal(t, failure == 3, verdict.Dead)
+	}
+	b.now = b.now.Add(time.Minute)
+	require.Empty(t, b.starts())
+}
+
+func TestSilentRunsMove(t *testing.T) {
+	b := newBench(t, sampler("dark", 1, 1))
+	b.s.AddJob(b.jobOf("j", 1, "g:100"), policy(time.Second), kept{})
+	start := b.starts()[0]
+	b.s.Samplers([]Sampler{sampler("dark", 1, 1), sampler("fit", 1, 1)})
+	b.now = b.now.Add(silenceLimit)
+	require.Empty(t, b.s.Moves(b.now))
+	b.now = b.now.Add(time.Millisecond)
+	moves := b.s.Moves(b.now)
+	require.Len(t, moves, 1)
+	require.Equal(t, "silent", moves[0].Reason)
+	require.Equal(t, "fit", b.starts()[0].Sampler.ID)
+	require.Equal(t, Verdict{}, b.s.RunEnded(start.Key, start.Run, Stopped, b.now), "the former run has no say")
+}
+
+func TestRunsOnASlowSamplerMoveWhereThereIsRoom(t *testing.T) {
+	b := newBench(t, sampler("slow", 1, 1))
+	b.s.AddJob(b.jobOf("j", 1, "g:9000"), policy(time.Second), kept{})
+	start := b.starts()[0]
+	for id := uint64(1); id < 20; id++ {
+		b.now = b.now.Add(200 * time.Millisecond)
+		require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: id, Version: 1, Data: []byte("x")}, b.now))
+	}
+	require.Empty(t, b.s.Moves(b.now), "there is no other sampler")
+	b.s.Samplers([]Sampler{sampler("slow", 1, 1), sampler("fit", 1, 1)})
+	moves := b.s.Moves(b.now)
+	require.Len(t, moves, 1)
+	require.Equal(t, "slow", moves[0].Reason)
+	next := b.starts()[0]
+	require.Equal(t, "fit", next.Sampler.ID)
+	require.EqualValues(t, 19, next.AfterEvent)
+}
+
+func TestKeptTextIsUsedIfItsVersionsFit(t *testing.T) {
+	earlier := kept{
+		progress: map[string]ledger.Progress{
+			"j-0": {ID: 9, Events: 2, Text: []byte("1\n2"), Versions: []uint64{4}},
+			"j-1": {ID: 8, Events: 2, Text: []byte("1\n2"), Versions: []uint64{2}},
+		},
+		finished: map[string]ledger.Result{
+			"j-2": {ItemID: "j-2", Text: []byte("whole"), Versions: []uint64{4, 5}, Score: "stamp", RewardID: "w"},
+			"j-3": {ItemID: "j-3", Text: []byte("whole"), Versions: []uint64{4}, Score: "stamp", RewardID: "another"},
+			"j-4": {ItemID: "j-4", Text: []byte("whole"), Versions: []uint64{1}, Score: "stamp", RewardID: "w"},
+		},
+	}
+	b := newBench(t, sampler("s", 8, 5))
+	finished := b.s.AddJob(b.jobOf("j", 4, "a:1", "a:1", "a:1", "a:1", "a:1"), policy(time.Second), earlier)
+	require.Len(t, finished, 2)
+	require.Equal(t, "stamp", finished[0].Score)
+	require.Empty(t, finished[1].Score, "it needs its own reward call")
+	after := make(map[string]uint64)
+	for _, start := range b.starts() {
+		after[start.Key.Item] = start.AfterEvent
+	}
+	require.Equal(t, map[string]uint64{"j-0": 2, "j-1": 0, "j-4": 0}, after)
+}
+
+func TestSavedPartsFormAChainAndAreSentAgainIfLost(t *testing.T) {
+	b := newBench(t, sampler("s", 1, 1))
+	b.s.AddJob(b.jobOf("j", 1, "g:100"), policy(time.Second), kept{})
+	start := b.starts()[0]
+	b.feed(start, 1, 2, 1)
+	first := b.s.Unsaved(2, kept{}, b.now)["j"][0]
+	require.Zero(t, first.Previous)
+	require.Equal(t, "1\n2", string(first.Text))
+	b.feed(start, 3, 4, 1)
+	require.Empty(t, b.s.Unsaved(2, kept{}, b.now), "the first part was not read back yet")
+	read := kept{progress: map[string]ledger.Progress{"j-0": {ID: first.Id, Events: 2}}}
+	second := b.s.Unsaved(2, read, b.now)["j"][0]
+	require.Equal(t, first.Id, second.Previous)
+	require.Equal(t, "3\n4", string(second.Text))
+	b.now = b.now.Add(confirmTimeout)
+	lost := b.s.Unsaved(2, read, b.now)["j"][0]
+	require.Zero(t, lost.Previous)
+	require.Equal(t, "1\n2\n3\n4", string(lost.Text))
+}
+
+func TestDroppedJobFreesItsSlots(t *testing.T) {
+	b := newBench(t, sampler("s", 2, 1))
+	b.s.AddJob(b.jobOf("j", 1, "g:1", "g:1"), policy(time.Second), kept{})
+	require.Len(t, b.starts(), 2)
+	require.Len(t, b.s.DropJob("j"), 2)
+	b.s.AddJob(b.jobOf("k", 1, "g:1", "g:1"), policy(time.Second), kept{})
+	require.Len(t, b.starts(), 2)
+	require.True(t, b.s.Settled(Key{Job: "k", Item: "k-0"}))
+	require.False(t, b.s.Settled(Key{Job: "k", Item: "k-0"}))
+	require.Equal(t, 1, b.s.Loads()[0].Running)
+}
+
+func TestGoneSamplerIsForgottenOnceItsRunsEnd(t *testing.T) {
+	b := newBench(t, sampler("s", 1, 1))
+	b.s.AddJob(b.jobOf("j", 1, "g:1"), policy(time.Second), kept{})
+	start := b.starts()[0]
+	b.s.Samplers(nil)
+	require.Len(t, b.s.Loads(), 1)
+	b.s.RunEnded(start.Key, start.Run, Broken, b.now)
+	b.s.Samplers(nil)
+	require.Empty(t, b.s.Loads())
+}
