Announce orders in the log, so that a new holder waits sampler by sampler

Ruled out: the executors themselves (taken over within 0.1 s); the samplers (loads took 1.05 s).

Change: a holder writes an order into the log before it sends it, and asks again whether it still may. A new holder reads these and leaves only the samplers alone that another ordered within the grace. Tests of ledger, roll and ownership.

Also measured with it: application requests prefer the own zone by the best score (internal/routing BestScore), long polls of 600 ms, renewals three times a share, a line request_served for each answered request.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -90,6 +91,7 @@
 		MaxAttempts: request.MaxAttempts,
 		Deadline:    request.Deadline,
 	}
+	received := time.Now()
 	route := &routing.Request{Pool: request.Pool, Zone: d.zone, Excluded: request.Excluded}
 	// ran is the outcome of an attempt that ran or may have: from then on no
 	// later refusal may claim that the request was not run.
@@ -106,9 +108,11 @@
 			outcome.answer.BackEnd = endpoint.ID
 		}
 		if outcome.ending == Answered {
+			d.logger.Log(event.RequestServed, "request_id", request.ID, "pool", request.Pool, "back_end", endpoint.ID,
+				"status", outcome.answer.Status, "attempts", outcome.answer.Attempts, "took_ms", time.Since(received).Milliseconds())
 			return outcome.answer, nil
 		}
-		d.logAttempt(request, endpoint, &outcome, plan.Attempts()+1)
+		d.logAttempt(request, endpoint, &outcome, plan.Attempts()+1, time.Since(route.Now))
 		if outcome.ending == Lost || outcome.ending == FailedByBackEnd {
 			ran = outcome
 		}
@@ -136,13 +140,16 @@
 	return nil, err
 }
 
-func (d *Dispatcher) logAttempt(request *Request, endpoint *routing.Endpoint, outcome *incoming, attempt int) {
+func (d *Dispatcher) logAttempt(request *Request, endpoint *routing.Endpoint, outcome *incoming, attempt int, took time.Duration) {
 	detail := ""
 	if outcome.err != nil {
 		detail = outcome.err.Error()
 	}
+	if outcome.answer != nil {
+		detail = "status " + strconv.Itoa(outcome.answer.Status)
+	}
 	d.logger.Log(event.AttemptFailed, "request_id", request.ID, "back_end", endpoint.ID, "attempt", attempt,
-		"ending", outcome.ending.String(), "detail", detail)
+		"ending", outcome.ending.String(), "took_ms", took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
 }
 
 func noBackEnd(pool string) error {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,7 @@
 	AttemptFailed        Number = 506
 	RequestGivenUp       Number = 507
 	RequestRefused       Number = 508
+	RequestServed        Number = 509
 	LeaseTaken           Number = 601
 	LeaseLost            Number = 602
 	WeightsOrdered       Number = 603
@@ -122,6 +123,7 @@
 	{AttemptFailed, "attempt_failed", slog.LevelInfo, "One attempt of a request failed; the line tells the back end, the ending and the cause.", "None unless frequent for one back end."},
 	{RequestGivenUp, "request_given_up", slog.LevelWarn, "A request got its final refusal or failure; the line tells the attempts and the result code.", "Look at the attempts with the same request id."},
 	{RequestRefused, "request_refused", slog.LevelWarn, "A request was refused before any attempt; the line tells why and when to come back.", "See the result code."},
+	{RequestServed, "request_served", slog.LevelInfo, "A request got a back end's answer; the line tells which, after how many attempts and how long.", "None."},
 	{LeaseTaken, "lease_taken", slog.LevelInfo, "This node holds a lease.", "None."},
 	{LeaseLost, "lease_lost", slog.LevelInfo, "Another node's claim replaced this node's lease.", "None."},
 	{WeightsOrdered, "weights_ordered", slog.LevelInfo, "An engine was ordered to load or switch to a weight version.", "None."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// NewHosted returns an empty fleet for a node whose endpoints send no load
+// reports.
+func NewHosted(random *rand.Rand, logger *event.Logger) *Fleet {
+	hosted := New(random, logger)
+	hosted.application = routing.NewHostedProfile(random)
+	return hosted
+}
+
 // Update takes in the machine list.
 func (f *Fleet) Update(machines []Machine) {
 	listed := make([]routing.Machine, 0, len(machines))
@@ -53,7 +61,7 @@
 			continue
 		}
 		listed = append(listed, routing.Machine{
-			ID: machine.ID, Pool: machine.Pool, Address: machine.Address, Zone: machine.Zone, Leaving: machine.Leaving,
+			ID: machine.ID, Pool: machine.Pool, Address: machine.Address, Zone: machine.Zone, Leaving: machine.Leaving, Capacity: machine.Capacity,
 		})
 	}
 	f.mutex.Lock()
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -31,6 +31,8 @@
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Capacity is the work that it takes at once; 0 if unknown.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 const (
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -60,7 +60,7 @@
 func New(settings Settings, ports Ports, logger *event.Logger) *Node {
 	n := &Node{
 		settings: settings, ports: ports, logger: logger,
-		fleet:     fleet.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), logger),
+		fleet:     fleet.NewHosted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), logger),
 		exchanger: dispatch.NewExchanger(ports.Network),
 		versions:  make(map[string]uint64),
 	}
@@ -178,7 +178,7 @@
 	for _, sampler := range listed {
 		machines = append(machines, fleet.Machine{
 			ID: sampler.ID, Role: fleet.RoleBackEnd, Pool: sampler.Service,
-			Address: sampler.Address, Zone: sampler.Zone, Leaving: sampler.Leaving,
+			Address: sampler.Address, Zone: sampler.Zone, Leaving: sampler.Leaving, Capacity: sampler.Slots,
 		})
 	}
 	n.fleet.Update(machines)
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -15,7 +15,7 @@
 	jobTopic = "pathbend-jobs"
 	jobGroup = "pathbend-executors"
 	// renewalsPerTTL is how often a share is renewed within its time.
-	renewalsPerTTL = 4
+	renewalsPerTTL = 3
 	// renewTimeout bounds one renewal.
 	renewTimeout = 600 * time.Millisecond
 	// orderMargin is kept between the last order and the end of the share.
@@ -34,14 +34,14 @@
 
 	mutex      sync.Mutex
 	generation uint64
-	held       map[int]time.Time
+	held       map[int]struct{}
 	renewedAt  time.Time
 	lost       bool
 	left       bool
 }
 
 func newOwnership(settings Settings, group sharedlog.Group, logger *event.Logger) *ownership {
-	return &ownership{settings: settings, group: group, logger: logger, held: make(map[int]time.Time)}
+	return &ownership{settings: settings, group: group, logger: logger, held: make(map[int]struct{})}
 }
 
 func (o *ownership) run(ctx context.Context) {
@@ -85,17 +85,11 @@
 	o.take(share, began)
 }
 
-// take puts an answer in force. A partition that was held without a gap keeps
-// the time from which it is held.
+// take puts an answer in force.
 func (o *ownership) take(share sharedlog.Share, began time.Time) {
-	gap := began.Sub(o.renewedAt) > o.settings.shareTTL()
-	held := make(map[int]time.Time, len(share.Partitions))
+	held := make(map[int]struct{}, len(share.Partitions))
 	for _, partition := range share.Partitions {
-		since, known := o.held[partition.Number]
-		if !known || gap {
-			since = time.Now()
-		}
-		held[partition.Number] = since
+		held[partition.Number] = struct{}{}
 	}
 	if share.Generation != o.generation {
 		o.logger.Log(event.GroupShareChanged, "generation", share.Generation, "from", o.generation, "partitions", len(held))
@@ -111,12 +105,13 @@
 	return held && !o.left && now.Sub(o.renewedAt) < isolatedLimit
 }
 
-// mayOrder returns the fence for orders if this node may give them now.
+// mayOrder returns the fence for orders if this node may give them now: no other
+// node holds the partition while the share lasts. Orders of the former holder to
+// a sampler are kept apart by the ledger.
 func (o *ownership) mayOrder(partition int, now time.Time) (fence uint64, ok bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	since, held := o.held[partition]
-	if !held || o.left || now.Sub(since) < o.settings.OrderGrace {
+	if _, held := o.held[partition]; !held || o.left {
 		return 0, false
 	}
 	if now.Sub(o.renewedAt) > o.settings.shareTTL()-orderMargin {
@@ -129,7 +124,7 @@
 func (o *ownership) leave(ctx context.Context) {
 	o.mutex.Lock()
 	o.left = true
-	o.held = make(map[int]time.Time)
+	o.held = make(map[int]struct{})
 	o.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -93,7 +93,7 @@
 	MaxCallBytes   int
 	// ShortestTTL is the shortest time for which the group deals out a share.
 	ShortestTTL time.Duration
-	// OrderGrace is how long a new holder waits before its first order.
+	// OrderGrace is how far apart orders of two nodes to one sampler must lie.
 	OrderGrace time.Duration
 	// Settle is how old a node's knowledge may be when it denies a job or a
 	// result.
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/internal/weights"
@@ -20,6 +22,8 @@
 	// loadPatience is how long an order may take before the sampler is judged
 	// anew.
 	loadPatience = 4 * time.Second
+	// announcePatience bounds how long an order waits for the log.
+	announcePatience = 700 * time.Millisecond
 )
 
 // orderWeights begins the orders that are due. It is called under the lock.
@@ -33,7 +37,10 @@
 	}
 	var members []weights.Member
 	for _, load := range e.scheduler.Loads() {
-		members = append(members, weights.Member{ID: load.ID, Versions: load.Versions, Running: load.Running, Leaving: load.Leaving})
+		members = append(members, weights.Member{
+			ID: load.ID, Versions: load.Versions, Running: load.Running, Leaving: load.Leaving,
+			Wait: e.orderedByAnother(load.ID, now),
+		})
 	}
 	for _, step := range e.roll.Next(now, members, targets) {
 		sampler, ok := e.scheduler.Sampler(step.SamplerID)
@@ -58,6 +65,35 @@
 	}
 }
 
+// orderedByAnother reports whether a sampler had an order of another node of
+// late. Orders of two nodes to one sampler must lie the grace apart.
+func (e *executor) orderedByAnother(samplerID string, now time.Time) bool {
+	waits := false
+	e.node.jobs.withLedger(func(known *ledger.Ledger) {
+		last, ok := known.LastOrder(samplerID)
+		waits = ok && last.Holder != e.node.settings.Name && now.Sub(last.ReadAt) < e.node.settings.OrderGrace+orderMargin
+	})
+	return waits
+}
+
+// announceOrder writes down that an order is about to be sent, so that the next
+// holder knows which samplers to leave alone for a while. It returns the fence,
+// and false if this node may not order after all.
+func (e *executor) announceOrder(ctx context.Context, sampler schedule.Sampler) (fence uint64, ok bool) {
+	fence, ok = e.node.ownership.mayOrder(jobPartition, time.Now())
+	if !ok {
+		return 0, false
+	}
+	entry := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Ordered{Ordered: &pathbendv1.WeightOrder{
+		SamplerId: sampler.ID, Holder: e.node.settings.Name, Fence: fence,
+	}}}
+	if err := e.node.jobs.record(ctx, announcePatience, nil, entry); err != nil {
+		return 0, false
+	}
+	// The share may have ended while the log was slow.
+	return e.node.ownership.mayOrder(jobPartition, time.Now())
+}
+
 // move brings one sampler to a version. It reports whether the sampler was seen
 // to serve it.
 func (e *executor) move(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
@@ -73,7 +109,7 @@
 	if report.Busy {
 		return e.awaitVersion(ctx, scheduler, sampler, step)
 	}
-	fence, ok := e.node.ownership.mayOrder(jobPartition, time.Now())
+	fence, ok := e.announceOrder(ctx, sampler)
 	if !ok || ctx.Err() != nil {
 		return false
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -79,6 +79,15 @@
 	// ended holds ends that came before their job, which a reader that begins
 	// in the middle of the log may see.
 	ended map[string]bool
+	// ordered holds the last order of each sampler.
+	ordered map[string]Ordered
+}
+
+// Ordered is an order to a sampler that was about to be sent.
+type Ordered struct {
+	Holder string
+	// ReadAt is when this process read of it, not before it was written.
+	ReadAt time.Time
 }
 
 // New returns an empty ledger.
@@ -89,6 +98,7 @@
 		progress:  make(map[string]Progress),
 		finished:  make(map[string]Result),
 		ended:     make(map[string]bool),
+		ordered:   make(map[string]Ordered),
 	}
 }
 
@@ -133,6 +143,8 @@
 		return l.list(entry.JobId, fact.Listed.Results), nil
 	case *pathbendv1.LedgerEntry_Progress:
 		return l.advance(entry.JobId, fact.Progress.Items), nil
+	case *pathbendv1.LedgerEntry_Ordered:
+		l.ordered[fact.Ordered.SamplerId] = Ordered{Holder: fact.Ordered.Holder, ReadAt: now}
 	}
 	return Change{}, nil
 }
@@ -261,6 +273,12 @@
 	return listed, ok
 }
 
+// LastOrder returns the last order of a sampler, false if none is known.
+func (l *Ledger) LastOrder(samplerID string) (Ordered, bool) {
+	last, ok := l.ordered[samplerID]
+	return last, ok
+}
+
 // Expire forgets the jobs received before a time.
 func (l *Ledger) Expire(before time.Time) {
 	kept := slices.IndexFunc(l.order, func(job *Job) bool { return !job.ReceivedAt.Before(before) })
@@ -275,4 +293,9 @@
 		}
 	}
 	l.order = slices.Clone(l.order[kept:])
+	for id, last := range l.ordered {
+		if last.ReadAt.Before(before) {
+			delete(l.ordered, id)
+		}
+	}
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -198,3 +198,20 @@
 		_, _ = l.Apply(record, start)
 	})
 }
+
+func TestLastOrderOfASamplerIsKnownToAll(t *testing.T) {
+	l := New()
+	_, known := l.LastOrder("s")
+	require.False(t, known)
+	for _, holder := range []string{"a", "b"} {
+		apply(t, l, &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Ordered{
+			Ordered: &pathbendv1.WeightOrder{SamplerId: "s", Holder: holder, Fence: 3},
+		}})
+	}
+	last, known := l.LastOrder("s")
+	require.True(t, known)
+	require.Equal(t, Ordered{Holder: "b", ReadAt: start}, last)
+	l.Expire(start.Add(time.Minute))
+	_, known = l.LastOrder("s")
+	require.False(t, known)
+}
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -177,7 +177,7 @@
 	}
 	return platform.ItemDocument{
 		ID: id, Path: rolloutPrefix + "run/" + id, Group: group, Tokens: uint64(events),
-		Headers: map[string]string{modelHeader: model, platform.HeaderTokens: fmt.Sprintf("100,%d", events)},
+		Headers: map[string]string{platform.HeaderModel: model, platform.HeaderTokens: fmt.Sprintf("100,%d", events)},
 		Body:    base64.StdEncoding.EncodeToString([]byte("prompt of " + id)),
 		Scorer: &platform.ScorerDocument{
 			ID: fmt.Sprintf("w%x", c.random.Uint64()), Host: c.host, Path: applicationPrefix + "score",
--- a/internal/routing/profile.go
+++ b/internal/routing/profile.go
@@ -85,6 +85,16 @@
 		TwoChoices{})
 }
 
+// NewHostedProfile returns the pipeline for nodes without load reports: the
+// endpoint of the own zone unless it has clearly more work, which keeps bytes in
+// their zone and the number of connections small.
+func NewHostedProfile(random *rand.Rand) *Profile {
+	return NewProfile(random,
+		[]Filter{NotLeaving{}, NotExcluded{}, NotEjected{}},
+		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, 1}},
+		BestScore{})
+}
+
 // NewGenerationProfile returns the pipeline for engines.
 func NewGenerationProfile(random *rand.Rand) *Profile {
 	return NewProfile(random,
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -15,6 +15,8 @@
 	Address string
 	Zone    string
 	Leaving bool
+	// Capacity is the work that it takes at once; 0 if unknown.
+	Capacity int
 }
 
 // Table holds the endpoints by pool. It is not safe for concurrent use.
@@ -65,6 +67,7 @@
 		endpoint, ok := t.byID[machine.ID]
 		if !ok || endpoint.Address != machine.Address || endpoint.Pool != machine.Pool {
 			endpoint = &Endpoint{ID: machine.ID, Address: machine.Address, Zone: machine.Zone, Pool: machine.Pool}
+			endpoint.Report.Capacity = machine.Capacity
 			_, endpoint.Leaving = t.leaving[machine.ID]
 			t.byID[machine.ID] = endpoint
 			changes.Added = append(changes.Added, endpoint)
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -12,7 +12,7 @@
 const (
 	// pollWait is how long one read waits at the service for a record. It also
 	// bounds how long a follower that hears nothing counts as current.
-	pollWait = 400 * time.Millisecond
+	pollWait = 600 * time.Millisecond
 	// readTimeout is added to pollWait to bound a whole read.
 	readTimeout = 700 * time.Millisecond
 	// bulkTimeout bounds a read of records that are there already.
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -15,6 +15,8 @@
 	// Running is the work that it has.
 	Running int
 	Leaving bool
+	// Wait is set while an order of another holder may still be in force.
+	Wait bool
 }
 
 // Step is an order to bring one sampler to a version.
@@ -188,7 +190,7 @@
 }
 
 func (r *Roll) stepFor(now time.Time, member Member, targets map[string]uint64) (Step, bool) {
-	if _, moving := r.moving[member.ID]; moving || member.Leaving || now.Before(r.notBefore[member.ID]) {
+	if _, moving := r.moving[member.ID]; moving || member.Leaving || member.Wait || now.Before(r.notBefore[member.ID]) {
 		return Step{}, false
 	}
 	best := Step{}
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -117,3 +117,14 @@
 	}
 	require.Equal(t, 12, play(roll, now, membersOf(3, versions), targets))
 }
+
+func TestSamplerThatAnotherOrderedIsLeftAloneAndKeepsItsModels(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := membersOf(2, map[string]uint64{"a": 1})
+	members[0].Wait = true
+	targets := map[string]uint64{"a": 2}
+	require.Equal(t, []Step{{SamplerID: "s1", Model: "a", Version: 2}}, roll.Next(now, members, targets))
+	members[0].Wait = false
+	require.Equal(t, []Step{{SamplerID: "s0", Model: "a", Version: 2}}, roll.Next(now, members, targets))
+}
