Wait for the first configuration; read and append the job log in larger parts

Change: a request waits up to 0.4 s for a node's first configuration, then gets its refusal. Results linger 50 ms before an append, followers pause 100 ms after records.

--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -31,7 +31,7 @@
 	// readHint is when to come back after a refused read.
 	readHint = 200 * time.Millisecond
 	// followPause lets several records join one read.
-	followPause = 10 * time.Millisecond
+	followPause = 100 * time.Millisecond
 	// expireInterval is how often old jobs are forgotten.
 	expireInterval = 5 * time.Second
 	// maxPageBytes bounds the texts of one page of results.
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -14,7 +14,7 @@
 
 const (
 	// listLinger is how long a result waits for others to share an append.
-	listLinger = 15 * time.Millisecond
+	listLinger = 50 * time.Millisecond
 	// listPatience bounds one round of appends; what is left is tried again.
 	listPatience = 5 * time.Second
 )
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -49,6 +49,9 @@
 
 	mutex    sync.Mutex
 	versions map[string]uint64
+	// informed is closed once the node knows routes and samplers.
+	informed     chan struct{}
+	informedOnce sync.Once
 
 	draining atomic.Bool
 	active   atomic.Int64
@@ -63,6 +66,7 @@
 		fleet:     fleet.NewHosted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), logger),
 		exchanger: dispatch.NewExchanger(ports.Network),
 		versions:  make(map[string]uint64),
+		informed:  make(chan struct{}),
 	}
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
@@ -137,9 +141,16 @@
 	if current == nil {
 		n.logger.Log(event.NodeReady, "version", taken.Version)
 	}
+	n.noteInformed()
 	n.executor.wake()
 }
 
+func (n *Node) noteInformed() {
+	if n.catalog.Load() != nil && n.samplers.Load() != nil {
+		n.informedOnce.Do(func() { close(n.informed) })
+	}
+}
+
 // RejectCatalog logs a configuration that could not be read.
 func (n *Node) RejectCatalog(err error) {
 	n.logger.Log(event.CatalogRejected, "detail", err.Error())
@@ -183,11 +194,14 @@
 	}
 	n.fleet.Update(machines)
 	n.samplers.Store(&listed)
+	n.noteInformed()
 	n.executor.wake()
 }
 
-// Route finds the route of a host and path.
-func (n *Node) Route(host, path string) (*catalog.Route, error) {
+// Route finds the route of a host and path. A node that has just started waits a
+// little for its first configuration.
+func (n *Node) Route(ctx context.Context, host, path string) (*catalog.Route, error) {
+	n.awaitInformed(ctx)
 	current := n.catalog.Load()
 	if current == nil {
 		return nil, result.New(result.NotReady, "no configuration yet").WithRetryAfter(notReadyHint)
@@ -199,5 +213,24 @@
 	return route, nil
 }
 
+func (n *Node) awaitInformed(ctx context.Context) {
+	select {
+	case <-n.informed:
+		return
+	default:
+	}
+	timer := time.NewTimer(startPatience)
+	defer timer.Stop()
+	select {
+	case <-n.informed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// startPatience is how long a request waits for the first configuration of a
+// node that has just started: reading it takes about 100 ms.
+const startPatience = 400 * time.Millisecond
+
 // notReadyHint is when to come back to a node that has no configuration.
 const notReadyHint = 300 * time.Millisecond
--- /dev/null
+++ b/internal/hosted/node_test.go
@@ -0,0 +1,66 @@
+package hosted
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+)
+
+func newTestNode() *Node {
+	return New(Settings{Name: "n", Zone: "a"}, Ports{Network: network.TCP{}}, event.Discard())
+}
+
+func catalogOf(t *testing.T, version uint64) *catalog.Catalog {
+	t.Helper()
+	built, err := catalog.New(version, []catalog.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: catalog.Repeatable, Shares: []catalog.Share{{Service: "s", Weight: 1}},
+	}}, nil, catalog.Limits{})
+	require.NoError(t, err)
+	return built
+}
+
+// A node that had started 6 ms before refused a request, although its
+// configuration came 100 ms later and the client asked only once more.
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newTestNode()
+		time.AfterFunc(100*time.Millisecond, func() {
+			node.TakeCatalog(catalogOf(t, 1))
+			node.TakeSamplers([]schedule.Sampler{})
+		})
+		route, err := node.Route(t.Context(), "h", "/x")
+		require.NoError(t, err)
+		require.Equal(t, "r", route.Name)
+		_, err = node.Route(t.Context(), "other", "/x")
+		require.True(t, result.Is(err, result.UnknownRoute))
+	})
+}
+
+func TestRequestIsRefusedAtOnceAfterThePatienceOfAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newTestNode()
+		began := time.Now()
+		_, err := node.Route(t.Context(), "h", "/x")
+		require.True(t, result.Is(err, result.NotReady), "no 404 out of ignorance")
+		require.Equal(t, notReadyHint, result.From(err).RetryAfter)
+		require.Equal(t, startPatience, time.Since(began))
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	node := newTestNode()
+	node.TakeCatalog(catalogOf(t, 5))
+	node.TakeCatalog(catalogOf(t, 3))
+	require.EqualValues(t, 5, node.Catalog().Version)
+	node.TakeVersion("m", 4)
+	node.TakeVersion("m", 2)
+	require.EqualValues(t, 4, node.targets()["m"])
+}
