--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -355,12 +355,13 @@
 		if !wanted {
 			return
 		}
-		listed := &pathbendv1.BatchResult{ItemId: whole.Key.Item, Dead: !alive}
-		if alive {
-			listed.Text, listed.Versions, listed.Score = whole.Text, whole.Versions, stamp
-			listed.RewardId = whole.Reward.GetId()
+		if !alive {
+			e.dead(whole.Key, 0, "its reward call failed too often")
+			return
 		}
-		e.lister.addResult(whole.Key.Job, listed)
+		e.lister.addResult(whole.Key.Job, &pathbendv1.BatchResult{
+			ItemId: whole.Key.Item, Text: whole.Text, Versions: whole.Versions, Score: stamp, RewardId: whole.Reward.GetId(),
+		})
 	})
 }
 
