--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,12 @@
 simulate:
 	$(GO) test -count=1 -timeout 0 ./internal/simulation -run TestSeeds -v \
 		-first-seed=$(FIRST_SEED) -seeds=$(SEEDS) -duration=$(DURATION)
+	$(GO) test -count=1 -timeout 0 ./internal/platformsim -run TestSeeds -v \
+		-first-seed=$(FIRST_SEED) -seeds=$(SEEDS)
 
 # Switches one mechanism off at a time and expects the simulation to fail.
 mutations:
-	$(GO) test -count=1 -timeout 0 -tags mutation ./internal/simulation -run TestEachMechanismIsNeeded -v
+	$(GO) test -count=1 -timeout 0 -tags mutation ./internal/simulation ./internal/platformsim -run TestEachMechanismIsNeeded -v
 
 # Measures the control cost of a node at several cluster sizes.
 scale:
@@ -52,6 +54,9 @@
 	$(GO) test ./internal/peer -run '^$$' -fuzz FuzzReadEnvelope -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/config -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/state -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/ledger -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzEvents -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDocuments -fuzztime $(FUZZTIME)
 
 # Regenerates the committed protobuf code; needs protoc and protoc-gen-go.
 generate:
