Spread refused callers; keep reward calls from filling one zone

Reward calls all come from the executor and preferred its zone. And callers refused in one moment were told the same time to come back.

Change: reward calls leave zones out of the choice; requests of clients prefer their zone only among equal load (TestHostedProfilePrefersItsZoneOnlyAmongEqualLoad failed before); Retry-After is drawn around its value (0.6 to 1.4).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,6 +39,8 @@
 	// AttemptTimeout bounds every attempt but the last of a request that may
 	// run again; 0 for no bound.
 	AttemptTimeout time.Duration
+	// AnyZone leaves the zones of the back ends out of the choice.
+	AnyZone bool
 	// Excluded are back ends that must not get the request.
 	Excluded []string
 }
@@ -93,6 +95,9 @@
 	}
 	received := time.Now()
 	route := &routing.Request{Pool: request.Pool, Zone: d.zone, Excluded: request.Excluded}
+	if request.AnyZone {
+		route.Zone = ""
+	}
 	// ran is the outcome of an attempt that ran or may have: from then on no
 	// later refusal may claim that the request was not run.
 	var ran incoming
--- a/internal/hosted/forward.go
+++ b/internal/hosted/forward.go
@@ -53,7 +53,20 @@
 		answer.Body = &closingBody{ReadCloser: answer.Body, done: cancel}
 	}
 	n.metrics.request(route.Name, answer, err, time.Since(began))
-	return answer, err
+	return answer, spread(err)
+}
+
+// spread draws the time after which a refused caller comes back around the one
+// that was set, so that callers that were refused together do not come back
+// together.
+func spread(err error) error {
+	if err == nil {
+		return nil
+	}
+	typed := result.From(err)
+	const least, width = 0.6, 0.8
+	typed.RetryAfter = time.Duration(float64(typed.RetryAfter) * (least + width*rand.Float64()))
+	return typed
 }
 
 func holdTime(route *catalog.Route, in *Inbound) time.Duration {
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -293,7 +293,7 @@
 	n.metrics.submission(err, took)
 	if err != nil {
 		n.logger.Log(event.BatchRefused, "job_id", id, "step", spec.Step, "took_ms", took.Milliseconds(), "detail", err.Error())
-		return err
+		return spread(err)
 	}
 	n.logger.Log(event.BatchSubmitted, "job_id", id, "step", spec.Step, "model", spec.Model,
 		"min_version", spec.MinVersion, "items", len(spec.Items), "took_ms", took.Milliseconds())
@@ -315,7 +315,7 @@
 		return err
 	}
 	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}
-	return n.jobs.record(ctx, submitPatience, ended, entry)
+	return spread(n.jobs.record(ctx, submitPatience, ended, entry))
 }
 
 // requireJob returns an error unless the job is known, after asking the log if
@@ -367,7 +367,7 @@
 	}
 	if err := n.jobs.current(ctx, id, from); err != nil {
 		n.logger.Log(event.BatchReadRefused, "job_id", id, "from", from, "detail", err.Error())
-		return Page{}, err
+		return Page{}, spread(err)
 	}
 	page, _, _ := n.jobs.page(id, from)
 	return page, nil
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -204,7 +204,7 @@
 	n.awaitInformed(ctx)
 	current := n.catalog.Load()
 	if current == nil {
-		return nil, result.New(result.NotReady, "no configuration yet").WithRetryAfter(notReadyHint)
+		return nil, spread(result.New(result.NotReady, "no configuration yet").WithRetryAfter(notReadyHint))
 	}
 	route := current.Find(host, path)
 	if route == nil {
--- a/internal/hosted/rewards.go
+++ b/internal/hosted/rewards.go
@@ -148,6 +148,8 @@
 		Pool: route.ServiceFor(reward.Id), Method: http.MethodPost, Path: reward.Path, Host: reward.Host,
 		Header: http.Header{}, Buffered: body, Length: int64(len(body)), MaxAttempts: 1,
 		Deadline: deadline, ID: reward.Id, Excluded: avoid,
+		// All reward calls come from one node; they must not fill its zone.
+		AnyZone: true,
 	}
 }
 
--- a/internal/routing/profile.go
+++ b/internal/routing/profile.go
@@ -85,13 +85,18 @@
 		TwoChoices{})
 }
 
+// hostedZoneWeight makes the own zone win while an endpoint there has no more
+// work than another: a request in flight at one with six slots outweighs it.
+// With more, a burst in one zone fills its endpoints while others are idle.
+const hostedZoneWeight = 0.4
+
 // NewHostedProfile returns the pipeline for nodes without load reports: the
-// endpoint of the own zone unless it has clearly more work, which keeps bytes in
-// their zone and the number of connections small.
+// endpoint with the least work of this node, in the own zone among equals, which
+// keeps bytes in their zone and the number of connections small.
 func NewHostedProfile(random *rand.Rand) *Profile {
 	return NewProfile(random,
 		[]Filter{NotLeaving{}, NotExcluded{}, NotEjected{}},
-		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, 1}},
+		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, hostedZoneWeight}},
 		BestScore{})
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -140,3 +140,21 @@
 		})
 	}
 }
+
+// With a heavier preference for its zone, one zone's endpoints took two and a
+// half times their share in a burst.
+func TestHostedProfilePrefersItsZoneOnlyAmongEqualLoad(t *testing.T) {
+	table := NewTable()
+	table.Update([]Machine{
+		{ID: "near", Pool: "p", Zone: "a", Capacity: 6}, {ID: "far", Pool: "p", Zone: "b", Capacity: 6},
+	})
+	profile := NewHostedProfile(rand.New(rand.NewPCG(1, 2)))
+	request := &Request{Pool: "p", Zone: "a"}
+	for range 20 {
+		require.Equal(t, "near", profile.Pick(table, request).ID)
+	}
+	table.Get("near").Started()
+	for range 20 {
+		require.Equal(t, "far", profile.Pick(table, request).ID)
+	}
+}
