Let runs end before new weights where a text must be of one version

Cause: on a route with singleVersion a text that goes on under new weights has to begin anew; the order always let texts go on.

Change: such orders let runs end first. The judge of the platform's simulation now knows which node sent a request (the simulated address has no port).

--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -49,6 +49,9 @@
 	// Holder and Fence name the node that gives the order and its right to.
 	Holder string
 	Fence  uint64
+	// FinishRuns lets runs end before the change; else they go on under the new
+	// weights.
+	FinishRuns bool
 	// AfterOrders is the number of orders that the sampler must have taken.
 	AfterOrders uint64
 }
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -116,7 +116,8 @@
 	e.setLoading(scheduler, step)
 	callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
 	answer, err := e.node.ports.Control.Order(callCtx, sampler, VersionOrder{
-		Model: step.Model, Version: step.Version, Holder: e.node.settings.Name, Fence: fence, AfterOrders: report.Orders,
+		Model: step.Model, Version: step.Version, Holder: e.node.settings.Name, Fence: fence,
+		FinishRuns: e.singleVersion(scheduler, step.Model), AfterOrders: report.Orders,
 	})
 	cancel()
 	detail := ""
@@ -184,6 +185,14 @@
 	e.wake()
 }
 
+// singleVersion reports whether a text that went on under new weights would have
+// to begin anew.
+func (e *executor) singleVersion(scheduler *schedule.Scheduler, model string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return scheduler.SingleVersion(model)
+}
+
 func (e *executor) setLoading(scheduler *schedule.Scheduler, step weights.Step) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -26,6 +26,8 @@
 	Edits   []Edit
 	// Test is the test that must fail; TestSeeds unless set.
 	Test string
+	// Package holds the test if it is not the simulation's.
+	Package string
 }
 
 // Simulation is a package of simulation tests. Arguments go to its tests.
@@ -47,8 +49,7 @@
 			if test == "" {
 				test = "TestSeeds"
 			}
-			arguments := []string{"test", "-overlay", overlay, s.Package, "-run", "^" + test + "$", "-failfast", "-timeout", "300s", "-args"}
-			command := exec.Command("go", append(arguments, s.Arguments...)...)
+			command := s.command(overlay, test, mutant.Package)
 			command.Dir = root
 			output, err := command.CombinedOutput()
 			require.Error(t, err, "the mutant was not caught")
@@ -58,6 +59,15 @@
 	}
 }
 
+func (s Simulation) command(overlay, test, other string) *exec.Cmd {
+	arguments := []string{"test", "-overlay", overlay, "-run", "^" + test + "$", "-failfast", "-timeout", "300s"}
+	if other != "" {
+		return exec.Command("go", append(arguments, other)...)
+	}
+	arguments = append(arguments, s.Package, "-args")
+	return exec.Command("go", append(arguments, s.Arguments...)...)
+}
+
 func writeOverlay(t *testing.T, root string, edits []Edit) string {
 	t.Helper()
 	contents := make(map[string]string)
--- a/internal/platformsim/mutation_test.go
+++ b/internal/platformsim/mutation_test.go
@@ -14,7 +14,7 @@
 		mutation.Replace("internal/schedule/scheduler.go", "if !known || version < entry.job.spec.MinVersion ||", "if !known ||"),
 		mutation.Replace("internal/schedule/item.go", "return versions[0] >= j.spec.MinVersion", "return true"),
 	}},
-	{Promise: "ORDER: parts of two runs are not joined", Test: "TestSeeds", Edits: []mutation.Edit{
+	{Promise: "ORDER: parts of two runs are not joined", Test: "TestPartsOfTwoRunsAreNeverJoined", Package: "./internal/ledger", Edits: []mutation.Edit{
 		mutation.Replace("internal/ledger/ledger.go", "if item.Previous != 0 && item.Previous != kept.ID {", "if false {"),
 	}},
 	{Promise: "TWICE: the first result counts", Edits: []mutation.Edit{
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return
 	}
-	node, _, _ := net.SplitHostPort(request.RemoteAddr)
+	node := hostOf(request.RemoteAddr)
 	if expected := request.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != s.ID {
 		writer.Header().Set(platform.HeaderInstance, s.ID)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
@@ -180,6 +180,15 @@
 	s.answer(writer, request, id, body)
 }
 
+// hostOf returns the host of an address, with or without a port.
+func hostOf(address string) string {
+	name, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return name
+}
+
 // enter waits for a slot.
 func (s *Sampler) enter(request *http.Request, model string) bool {
 	s.mutex.Lock()
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -256,16 +256,15 @@
 	return loads
 }
 
-// MinVersion returns the oldest version of a model that an open job needs, 0
-// if none does.
-func (s *Scheduler) MinVersion(model string) uint64 {
-	var need uint64
+// SingleVersion reports whether an open job of a model wants each text made by
+// one version.
+func (s *Scheduler) SingleVersion(model string) bool {
 	for _, open := range s.jobs {
-		if open.spec.Model == model {
-			need = max(need, open.spec.MinVersion)
+		if open.spec.Model == model && open.policy.SingleVersion {
+			return true
 		}
 	}
-	return need
+	return false
 }
 
 // Start asks the executor to run an item at a sampler.
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -166,7 +166,10 @@
 	b := newBench(t, sampler("s", 1, 5))
 	single := policy(time.Second)
 	single.SingleVersion = true
+	require.False(t, b.s.SingleVersion("m"))
 	b.s.AddJob(b.jobOf("j", 4, "g:100"), single, kept{})
+	require.True(t, b.s.SingleVersion("m"))
+	require.False(t, b.s.SingleVersion("another"))
 	start := b.starts()[0]
 	require.True(t, b.feed(start, 1, 2, 5))
 	require.False(t, b.feed(start, 3, 3, 6))
