Confirm a new generation of the group at once

The store passes a partition on once its holder has joined with the new generation, which it did only at its next renewal.

Change: a member that hears a new generation joins again after 20 ms. TestNewGenerationIsConfirmedAtOnce failed before.

--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -16,6 +16,8 @@
 	jobGroup = "pathbend-executors"
 	// renewalsPerTTL is how often a share is renewed within its time.
 	renewalsPerTTL = 3
+	// confirmPause is the pause before a new generation is confirmed.
+	confirmPause = 20 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = 600 * time.Millisecond
 	// orderMargin is kept between the last order and the end of the share.
@@ -48,8 +50,13 @@
 	interval := o.settings.shareTTL() / renewalsPerTTL
 	for ctx.Err() == nil && !o.hasLeft() {
 		began := time.Now()
-		o.renew(ctx, began)
-		wait.Until(ctx, began.Add(interval))
+		next := began.Add(interval)
+		if o.renew(ctx, began) {
+			// A partition that is to move passes on only once its holder has
+			// answered with the new generation.
+			next = began.Add(confirmPause)
+		}
+		wait.Until(ctx, next)
 	}
 }
 
@@ -59,7 +66,9 @@
 	return o.left
 }
 
-func (o *ownership) renew(ctx context.Context, began time.Time) {
+// renew makes one join. It reports whether the generation is new, so that it is
+// confirmed at once.
+func (o *ownership) renew(ctx context.Context, began time.Time) (changed bool) {
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	o.mutex.Lock()
@@ -69,20 +78,21 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if o.left || ctx.Err() != nil {
-		return
+		return false
 	}
 	if err != nil {
 		if !o.lost {
 			o.logger.Log(event.GroupContactLost, "generation", o.generation, "detail", err.Error())
 		}
 		o.lost = true
-		return
+		return false
 	}
 	if o.lost {
 		o.logger.Log(event.GroupContactRegained, "generation", share.Generation, "after_ms", began.Sub(o.renewedAt).Milliseconds())
 	}
 	o.lost = false
 	o.take(share, began)
+	return share.Generation != generation
 }
 
 // take puts an answer in force.
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -22,6 +22,7 @@
 	delay  time.Duration
 	left   bool
 	joined int
+	heard  uint64
 }
 
 func (g *scriptedGroup) set(change func()) {
@@ -30,10 +31,11 @@
 	change()
 }
 
-func (g *scriptedGroup) Join(ctx context.Context, _, _, _ string, _ time.Duration, _ uint64) (sharedlog.Share, error) {
+func (g *scriptedGroup) Join(ctx context.Context, _, _, _ string, _ time.Duration, generation uint64) (sharedlog.Share, error) {
 	g.mutex.Lock()
 	delay, down, share := g.delay, g.down, g.share
 	g.joined++
+	g.heard = generation
 	g.mutex.Unlock()
 	time.Sleep(delay)
 	if down {
@@ -144,3 +146,31 @@
 		require.False(t, o.executes(0, time.Now()))
 	})
 }
+
+// A holder that heard that its partition moves confirmed it only at its next
+// renewal, half a second later; until then nobody executed.
+func TestNewGenerationIsConfirmedAtOnce(t *testing.T) {
+	own(t, func(o *ownership, group *scriptedGroup) {
+		time.Sleep(4 * time.Second)
+		before := group.joins()
+		group.set(func() { group.share = holding(5) })
+		for group.joins() == before {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(2 * confirmPause)
+		require.Equal(t, before+2, group.joins())
+		require.EqualValues(t, 5, group.lastGeneration())
+	})
+}
+
+func (g *scriptedGroup) joins() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.joined
+}
+
+func (g *scriptedGroup) lastGeneration() uint64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.heard
+}
