--- a/internal/platformsim/mutation_test.go
+++ b/internal/platformsim/mutation_test.go
@@ -32,7 +32,7 @@
 	{Promise: "MIXED: an answer belongs to its request", Edits: []mutation.Edit{
 		mutation.Replace("platform/protocol.go", "echoed != \"\" && echoed != requestID {", "false && echoed != requestID {"),
 	}},
-	{Promise: "REFUSED: a lost append is not called not done", Edits: []mutation.Edit{
+	{Promise: "REFUSED: a lost append is not called not done", Test: "TestOnlyARefusedAppendIsCalledNotDone", Package: "./platform", Edits: []mutation.Edit{
 		mutation.Replace("platform/store.go", "return result.Wrap(result.LogUnknown, err, \"await the log's answer\")", "return result.Wrap(result.LogUnavailable, err, \"await the log's answer\")"),
 	}},
 	{Promise: "DRAIN: leaving samplers get nothing new", Edits: []mutation.Edit{
