Go on for 8 s without the log before giving the jobs up

Ruled out: giving up sooner when alone cut off: a node cannot tell, and running the same items twice costs slots only.

Change: isolatedLimit 6 s -> 8 s.

--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -25,7 +25,7 @@
 	// isolatedLimit is how long a node that cannot renew its share goes on with
 	// its jobs: the log service may be down for all, and then nobody else can
 	// take them over.
-	isolatedLimit = 6 * time.Second
+	isolatedLimit = 8 * time.Second
 )
 
 // ownership keeps this node's share of the job partitions.
