Join the group only once routes and samplers are known

Ruled out: the job partition (it could be read and appended to all the while).

Change: a node joins the group once it knows routes and samplers; until then its share passes on. TestNodeWithoutSamplersLeavesTheJobsToOthers failed before.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -81,10 +81,20 @@
 	ctx, n.stop = context.WithCancel(ctx)
 	n.loops.Go(func() { n.jobs.follower.Run(ctx) })
 	n.loops.Go(func() { n.jobs.expire(ctx) })
-	n.loops.Go(func() { n.ownership.run(ctx) })
+	n.loops.Go(func() { n.joinGroup(ctx) })
 	n.loops.Go(func() { n.executor.run(ctx) })
 }
 
+// joinGroup takes part in the group once the node knows routes and samplers: a
+// share of the jobs is of no use to a node that cannot run them.
+func (n *Node) joinGroup(ctx context.Context) {
+	select {
+	case <-n.informed:
+		n.ownership.run(ctx)
+	case <-ctx.Done():
+	}
+}
+
 // Drain makes the node unready and hands its share over. Requests go on.
 func (n *Node) Drain(ctx context.Context) {
 	if n.draining.Swap(true) {
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/sharedlog"
 )
 
 func newTestNode() *Node {
@@ -77,3 +79,31 @@
 	require.Greater(t, len(times), 40)
 	require.NoError(t, spread(nil))
 }
+
+// emptyLog has no records.
+type emptyLog struct{ sharedlog.Log }
+
+func (emptyLog) Read(_ context.Context, _ sharedlog.Partition, _ uint64, wait time.Duration) (sharedlog.Batch, error) {
+	time.Sleep(wait)
+	return sharedlog.Batch{}, nil
+}
+
+// An executor that had just restarted held the jobs for four seconds while it
+// could not read the list of samplers, which every other node knew.
+func TestNodeWithoutSamplersLeavesTheJobsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := &scriptedGroup{share: holding(4, 0)}
+		settings := Settings{Name: "n", Zone: "a", ShortestTTL: time.Second, OrderGrace: time.Second, KeepJobs: time.Minute}
+		node := New(settings, Ports{Network: network.TCP{}, Log: emptyLog{}, Group: group}, event.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		node.Start(ctx)
+		node.TakeCatalog(catalogOf(t, 1))
+		time.Sleep(5 * time.Second)
+		require.Zero(t, group.joins())
+		node.TakeSamplers([]schedule.Sampler{})
+		time.Sleep(time.Second)
+		require.Positive(t, group.joins())
+		cancel()
+		node.Stop()
+	})
+}
