Split the scheduler by what it decides; bad settings exit with their own code

Settings errors of added commands are marked for the command line (TestBadSettingsAreMarkedForTheCommandLine).

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -38,6 +38,9 @@
 // usageError marks an error in the command line itself.
 type usageError struct{ error }
 
+// settingsError is an error in a process's settings, as added commands report it.
+type settingsError interface{ InSettings() bool }
+
 // Run executes the command line, with more commands beside its own, and returns
 // the exit code.
 func Run(arguments []string, output, errorOutput io.Writer, more ...*cobra.Command) int {
@@ -57,11 +60,12 @@
 
 func exitCode(err error) int {
 	var usage usageError
+	var settings settingsError
 	var problems config.Problems
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &usage):
+	case errors.As(err, &usage) || errors.As(err, &settings):
 		return ExitUsage
 	case errors.As(err, &problems) || result.Is(err, result.ConfigInvalid):
 		return ExitInvalid
--- /dev/null
+++ b/internal/schedule/placement.go
@@ -0,0 +1,125 @@
+package schedule
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+)
+
+// Start asks the executor to run an item at a sampler.
+type Start struct {
+	Key     Key
+	Run     uint64
+	Sampler Sampler
+	Job     *pathbendv1.BatchJob
+	Item    *pathbendv1.BatchItem
+	// AfterEvent is the event to continue after, 0 to begin.
+	AfterEvent uint64
+	// Candidates and Running tell what the choice was made from.
+	Candidates int
+	Running    int
+	Pace       time.Duration
+}
+
+// Starts returns the runs to begin now.
+func (s *Scheduler) Starts(now time.Time) []Start {
+	var starts []Start
+	free := s.freeSlots(now)
+	for _, open := range s.byDue() {
+		for _, entry := range open.items {
+			if free == 0 {
+				return starts
+			}
+			if entry.phase != pending || now.Before(entry.notBefore) {
+				continue
+			}
+			chosen, candidates := s.choose(entry, now)
+			if chosen == nil {
+				continue
+			}
+			starts = append(starts, s.start(entry, chosen, candidates, now))
+			free--
+		}
+	}
+	return starts
+}
+
+func (s *Scheduler) freeSlots(now time.Time) int {
+	free := 0
+	for _, state := range s.samplers {
+		if state.usable(now) {
+			free += state.slots() - state.running
+		}
+	}
+	return free
+}
+
+func (s *Scheduler) byDue() []*job {
+	ordered := slices.Collect(maps.Values(s.jobs))
+	slices.SortFunc(ordered, func(a, b *job) int {
+		return cmp.Or(a.policy.Due.Compare(b.policy.Due), cmp.Compare(a.id, b.id))
+	})
+	return ordered
+}
+
+// choose returns the sampler that is expected to finish the item first, nil if
+// none may run it now, and the number of samplers that might.
+func (s *Scheduler) choose(entry *item, now time.Time) (*samplerState, int) {
+	var best *samplerState
+	bestCost, candidates := 0.0, 0
+	for _, id := range slices.Sorted(maps.Keys(s.samplers)) {
+		state := s.samplers[id]
+		if !state.usable(now) || !s.serves(state, entry) {
+			continue
+		}
+		candidates++
+		cost := state.cost(entry.spec.Group, now)
+		if state.ID == entry.avoid {
+			cost *= 2
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = state, cost
+		}
+	}
+	return best, candidates
+}
+
+// serves reports whether a sampler's service and weights fit an item.
+func (s *Scheduler) serves(state *samplerState, entry *item) bool {
+	if !slices.Contains(entry.job.policy.Services, state.Service) {
+		return false
+	}
+	version, known := state.Versions[entry.job.spec.Model]
+	if !known || version < entry.job.spec.MinVersion || state.isLoading(entry.job.spec.Model) {
+		return false
+	}
+	if entry.job.policy.SingleVersion && len(entry.versions) > 0 {
+		return entry.versions[0] == version
+	}
+	return true
+}
+
+func (s *Scheduler) start(entry *item, chosen *samplerState, candidates int, now time.Time) Start {
+	s.runs++
+	entry.phase, entry.sampler, entry.run = running, chosen, s.runs
+	entry.startedAt, entry.lastEvent = now, now
+	started := Start{
+		Key: entry.key, Run: s.runs, Sampler: chosen.Sampler, Job: entry.job.spec, Item: entry.spec,
+		AfterEvent: entry.events, Candidates: candidates, Running: chosen.running, Pace: chosen.pace,
+	}
+	chosen.running++
+	chosen.groups[entry.spec.Group] = now
+	return started
+}
+
+// free takes an item off its sampler.
+func (s *Scheduler) free(entry *item) {
+	if entry.sampler == nil {
+		return
+	}
+	entry.sampler.running--
+	entry.sampler = nil
+}
--- /dev/null
+++ b/internal/schedule/runs.go
@@ -0,0 +1,167 @@
+package schedule
+
+import (
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/ledger"
+)
+
+const (
+	// itemPause is how long an item rests after a refused or broken run.
+	itemPause = 30 * time.Millisecond
+	// maxItemPause bounds the growing pause of an item that is refused again
+	// and again.
+	maxItemPause = 500 * time.Millisecond
+)
+
+// Progress takes in an event of a run. It reports false if the run is not
+// wanted any more.
+func (s *Scheduler) Progress(key Key, run uint64, event Event, now time.Time) bool {
+	entry := s.current(key, run)
+	if entry == nil || event.ID != entry.events+1 {
+		return false
+	}
+	if event.Version < entry.job.spec.MinVersion {
+		entry.sampler.setVersion(entry.job.spec.Model, event.Version)
+		return false
+	}
+	versions := ledger.MergeVersions(entry.versions, []uint64{event.Version})
+	if !entry.job.fits(versions) {
+		entry.restart()
+		return false
+	}
+	if entry.events > 0 {
+		entry.text = append(entry.text, '\n')
+	}
+	entry.text = append(entry.text, event.Data...)
+	entry.events++
+	entry.versions = versions
+	if entry.lastEvent != entry.startedAt {
+		entry.sampler.observe(now.Sub(entry.lastEvent))
+	}
+	entry.lastEvent = now
+	if event.Version > entry.sampler.Versions[entry.job.spec.Model] {
+		entry.sampler.setVersion(entry.job.spec.Model, event.Version)
+	}
+	return true
+}
+
+func (s *Scheduler) current(key Key, run uint64) *item {
+	entry, ok := s.items[key]
+	if !ok || entry.phase != running || entry.run != run {
+		return nil
+	}
+	return entry
+}
+
+// Finished is an item whose text is whole.
+type Finished struct {
+	Key      Key
+	Text     []byte
+	Versions []uint64
+	Reward   *pathbendv1.RewardCall
+	// Score is set if the text was scored by the same call before.
+	Score string
+}
+
+func (i *item) finished() Finished {
+	return Finished{Key: i.key, Text: i.text, Versions: i.versions, Reward: i.spec.Reward}
+}
+
+// Ending is how a run ended.
+type Ending int
+
+// Endings of a run.
+const (
+	// Whole means that the stream ended as complete.
+	Whole Ending = iota + 1
+	// Refused means that the sampler did not begin.
+	Refused
+	// WrongSampler means that the address belongs to another sampler.
+	WrongSampler
+	// Failed means that the sampler ran the item and failed.
+	Failed
+	// Impossible means that the item can never be done.
+	Impossible
+	// Broken means that the stream ended early or made no sense.
+	Broken
+	// Stopped means that the executor stopped the run.
+	Stopped
+)
+
+var endingNames = [...]string{
+	Whole: "whole", Refused: "refused", WrongSampler: "wrong_sampler", Failed: "failed",
+	Impossible: "impossible", Broken: "broken", Stopped: "stopped",
+}
+
+// String implements fmt.Stringer.
+func (e Ending) String() string { return endingNames[e] }
+
+// Verdict is what follows from the end of a run.
+type Verdict struct {
+	// Finished is set if the text is whole and wants its score.
+	Finished *Finished
+	// Dead is set if the item is given up.
+	Dead bool
+	// Failures counts the failed runs of the item.
+	Failures int
+}
+
+// RunEnded takes in the end of a run.
+func (s *Scheduler) RunEnded(key Key, run uint64, ending Ending, now time.Time) Verdict {
+	entry := s.current(key, run)
+	if entry == nil {
+		return Verdict{}
+	}
+	sampler := entry.sampler
+	s.free(entry)
+	entry.phase = pending
+	entry.avoid = sampler.ID
+	switch ending {
+	case Whole:
+		if entry.events == 0 {
+			entry.notBefore = now.Add(itemPause)
+			return Verdict{}
+		}
+		entry.phase = scoring
+		whole := entry.finished()
+		return Verdict{Finished: &whole}
+	case Impossible:
+		entry.phase = settled
+		return Verdict{Dead: true}
+	case Failed:
+		return entry.failed(now)
+	case WrongSampler:
+		sampler.Leaving = true
+	case Refused, Broken:
+		sampler.pause(now)
+		entry.rest(now)
+	}
+	return Verdict{}
+}
+
+func (i *item) failed(now time.Time) Verdict {
+	i.failures++
+	if i.failures >= i.job.policy.MaxFailures {
+		i.phase = settled
+		return Verdict{Dead: true, Failures: i.failures}
+	}
+	i.rest(now)
+	return Verdict{Failures: i.failures}
+}
+
+func (i *item) rest(now time.Time) {
+	i.notBefore = now.Add(min(itemPause<<min(i.refusals, 5), maxItemPause))
+	i.refusals++
+}
+
+// Scored records that an item's result waits for its place in the log.
+func (s *Scheduler) Scored(key Key) bool {
+	entry, ok := s.items[key]
+	if !ok {
+		return false
+	}
+	entry.phase = settled
+	return true
+}
--- /dev/null
+++ b/internal/schedule/samplers.go
@@ -0,0 +1,93 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Samplers takes in the list of samplers. What is known of each is kept.
+func (s *Scheduler) Samplers(listed []Sampler) {
+	present := make(map[string]struct{}, len(listed))
+	for _, sampler := range listed {
+		present[sampler.ID] = struct{}{}
+		state, ok := s.samplers[sampler.ID]
+		if !ok {
+			state = &samplerState{pace: initialPace, groups: make(map[string]time.Time), loading: make(map[string]struct{})}
+			s.samplers[sampler.ID] = state
+		}
+		known := state.Versions
+		state.Sampler = sampler
+		state.Versions = newest(known, sampler.Versions)
+	}
+	for id, state := range s.samplers {
+		if _, ok := present[id]; !ok {
+			state.Leaving = true
+			if state.running == 0 {
+				delete(s.samplers, id)
+			}
+		}
+	}
+}
+
+func newest(known, listed map[string]uint64) map[string]uint64 {
+	merged := maps.Clone(listed)
+	if merged == nil {
+		merged = make(map[string]uint64)
+	}
+	for model, version := range known {
+		merged[model] = max(merged[model], version)
+	}
+	return merged
+}
+
+// SetVersion records the version that a sampler was found to serve.
+func (s *Scheduler) SetVersion(samplerID, model string, version uint64) {
+	if state, ok := s.samplers[samplerID]; ok {
+		state.setVersion(model, version)
+	}
+}
+
+// SetLoading records whether a sampler changes the weights of a model.
+func (s *Scheduler) SetLoading(samplerID, model string, loading bool) {
+	state, ok := s.samplers[samplerID]
+	switch {
+	case !ok:
+	case loading:
+		state.loading[model] = struct{}{}
+	default:
+		delete(state.loading, model)
+	}
+}
+
+// Sampler returns a sampler by id.
+func (s *Scheduler) Sampler(id string) (Sampler, bool) {
+	state, ok := s.samplers[id]
+	if !ok {
+		return Sampler{}, false
+	}
+	return state.Sampler, true
+}
+
+// Load tells how loaded a sampler is.
+type Load struct {
+	ID      string
+	Running int
+	Pace    time.Duration
+	Leaving bool
+	// Versions maps a model to the version that it serves.
+	Versions map[string]uint64
+}
+
+// Loads lists the samplers by id.
+func (s *Scheduler) Loads() []Load {
+	loads := make([]Load, 0, len(s.samplers))
+	for _, id := range slices.Sorted(maps.Keys(s.samplers)) {
+		state := s.samplers[id]
+		loads = append(loads, Load{
+			ID: id, Running: state.running, Pace: state.pace, Leaving: state.Leaving,
+			Versions: maps.Clone(state.Versions),
+		})
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/schedule/saved.go
@@ -0,0 +1,60 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+)
+
+const (
+	// confirmTimeout is how long a saved part may take to be read back.
+	confirmTimeout = 2 * time.Second
+)
+
+// Unsaved returns the text that the log does not keep yet of every running
+// item that has made at least minEvents events since, and counts it as sent. A
+// part that was not read back in time is sent again with all that is before it:
+// the log may have lost it, or another executor may have begun the item anew.
+func (s *Scheduler) Unsaved(minEvents uint64, kept Kept, now time.Time) map[string][]*pathbendv1.ItemProgress {
+	unsaved := make(map[string][]*pathbendv1.ItemProgress)
+	for _, key := range s.runningKeys() {
+		entry := s.items[key]
+		if !entry.saved.settle(kept, key.Item, now) || entry.events < entry.saved.events+minEvents {
+			continue
+		}
+		unsaved[key.Job] = append(unsaved[key.Job], entry.save(s.newID(), now))
+	}
+	return unsaved
+}
+
+// settle reports whether a further part may be sent.
+func (t *savedText) settle(kept Kept, itemID string, now time.Time) bool {
+	if t.id == 0 {
+		return true
+	}
+	progress, _ := kept.Progress(itemID)
+	if progress.ID == t.id {
+		t.confirmed = true
+		return true
+	}
+	if !t.confirmed && now.Sub(t.at) < confirmTimeout {
+		return false
+	}
+	*t = savedText{}
+	return true
+}
+
+// save returns the part of the text that was not sent yet.
+func (i *item) save(id uint64, now time.Time) *pathbendv1.ItemProgress {
+	fresh := i.text[i.saved.bytes:]
+	if i.saved.events > 0 {
+		fresh = fresh[1:] // the line feed between two events
+	}
+	part := &pathbendv1.ItemProgress{
+		ItemId: i.key.Item, Id: id, Previous: i.saved.id, Text: slices.Clone(fresh),
+		Versions: i.versions, Events: i.events - i.saved.events,
+	}
+	i.saved = savedText{id: id, events: i.events, bytes: len(i.text), at: now}
+	return part
+}
