Forget groups that cannot come again

Cause: read through for landing: an executor kept the name of every group that any job had brought, for as long as it lived.

Change: groups are kept for two minutes after a job brought them. TestGroupsAreForgottenOnceTheyCannotComeAgain failed before (100 names of 100).

--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/pathbend/pathbend/internal/ledger"
 )
@@ -14,8 +15,8 @@
 	jobs     map[string]*job
 	items    map[Key]*item
 	samplers map[string]*samplerState
-	// seenGroups are groups that a job brought already.
-	seenGroups map[string]struct{}
+	// seenGroups tells when a job last brought a group.
+	seenGroups map[string]time.Time
 	runs       uint64
 	newID      func() uint64
 }
@@ -27,7 +28,7 @@
 		jobs:       make(map[string]*job),
 		items:      make(map[Key]*item),
 		samplers:   make(map[string]*samplerState),
-		seenGroups: make(map[string]struct{}),
+		seenGroups: make(map[string]time.Time),
 	}
 }
 
@@ -59,10 +60,20 @@
 		}
 	}
 	s.rank(added)
+	s.noteGroups(open)
+	return finished
+}
+
+// carryTime is how long a group may take to come again in a later job.
+const carryTime = 2 * time.Minute
+
+// noteGroups remembers the groups of a job and forgets those that were not
+// brought for long.
+func (s *Scheduler) noteGroups(open *ledger.Job) {
+	maps.DeleteFunc(s.seenGroups, func(_ string, seen time.Time) bool { return open.ReceivedAt.Sub(seen) > carryTime })
 	for _, spec := range open.Spec.Items {
-		s.seenGroups[spec.Group] = struct{}{}
+		s.seenGroups[spec.Group] = open.ReceivedAt
 	}
-	return finished
 }
 
 // reuse takes over text of an earlier run, whole or in part.
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -290,3 +290,15 @@
 	b.s.Samplers(nil)
 	require.Empty(t, b.s.Loads())
 }
+
+// A long-lived executor kept the name of every group that it had ever seen.
+func TestGroupsAreForgottenOnceTheyCannotComeAgain(t *testing.T) {
+	b := newBench(t, sampler("s", 1, 1))
+	for number := range 100 {
+		id := fmt.Sprint("j", number)
+		b.s.AddJob(b.jobOf(id, 1, fmt.Sprintf("g%d:1", number)), policy(time.Second), kept{})
+		b.s.DropJob(id)
+		b.now = b.now.Add(4 * time.Second)
+	}
+	require.LessOrEqual(t, len(b.s.seenGroups), int(carryTime/(4*time.Second))+1)
+}
