Wait for the former holder's share to run out before the first order

The store had dealt all partitions anew at once (platform_compact, rebalance); the former holder hears of it at its next renewal, up to half a second later, and announced and sent an order meanwhile, after the new holder had read the log.

Ruled out: the fence (each used its own generation); the announcement (it was in the log, but after the new holder had looked).

TestHolderExecutesAndOrdersUnderItsGeneration failed before.

--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -36,14 +36,14 @@
 
 	mutex      sync.Mutex
 	generation uint64
-	held       map[int]struct{}
+	held       map[int]time.Time
 	renewedAt  time.Time
 	lost       bool
 	left       bool
 }
 
 func newOwnership(settings Settings, group sharedlog.Group, logger *event.Logger) *ownership {
-	return &ownership{settings: settings, group: group, logger: logger, held: make(map[int]struct{})}
+	return &ownership{settings: settings, group: group, logger: logger, held: make(map[int]time.Time)}
 }
 
 func (o *ownership) run(ctx context.Context) {
@@ -95,11 +95,17 @@
 	return share.Generation != generation
 }
 
-// take puts an answer in force.
+// take puts an answer in force. A partition that was held without a gap keeps
+// the time from which it is held.
 func (o *ownership) take(share sharedlog.Share, began time.Time) {
-	held := make(map[int]struct{}, len(share.Partitions))
+	gap := began.Sub(o.renewedAt) > o.settings.shareTTL()
+	held := make(map[int]time.Time, len(share.Partitions))
 	for _, partition := range share.Partitions {
-		held[partition.Number] = struct{}{}
+		since, known := o.held[partition.Number]
+		if !known || gap {
+			since = time.Now()
+		}
+		held[partition.Number] = since
 	}
 	if share.Generation != o.generation {
 		o.logger.Log(event.GroupShareChanged, "generation", share.Generation, "from", o.generation, "partitions", len(held))
@@ -115,13 +121,16 @@
 	return held && !o.left && now.Sub(o.renewedAt) < isolatedLimit
 }
 
-// mayOrder returns the fence for orders if this node may give them now: no other
-// node holds the partition while the share lasts. Orders of the former holder to
-// a sampler are kept apart by the ledger.
+// mayOrder returns the fence for orders if this node may give them now. When all
+// partitions are dealt anew, the former holder may not have heard of it for as
+// long as its own share lasts, so a new holder waits that long; what the former
+// one ordered until then it has announced in the log, which the ledger heeds
+// sampler by sampler.
 func (o *ownership) mayOrder(partition int, now time.Time) (fence uint64, ok bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if _, held := o.held[partition]; !held || o.left {
+	since, held := o.held[partition]
+	if !held || o.left || now.Sub(since) < o.settings.shareTTL()+orderMargin {
 		return 0, false
 	}
 	if now.Sub(o.renewedAt) > o.settings.shareTTL()-orderMargin {
@@ -134,7 +143,7 @@
 func (o *ownership) leave(ctx context.Context) {
 	o.mutex.Lock()
 	o.left = true
-	o.held = make(map[int]struct{})
+	o.held = make(map[int]time.Time)
 	o.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
