Pause by wait.For in the platform's simulation; drop what its store never used

Change: wait.For serves; two dead fields and their writes are gone. Behaviour and assertions are unchanged.

--- a/internal/platformsim/store.go
+++ b/internal/platformsim/store.go
@@ -42,16 +42,13 @@
 	groups  map[string]*group
 	faults  StoreFaults
 	changed chan struct{}
-	calls   map[string]int
-	// stableAt is the end of the last trouble.
-	stableAt time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore(seed uint64) *Store {
 	return &Store{
 		random: rand.New(rand.NewPCG(seed, 1)), topics: make(map[string][][][]byte), groups: make(map[string]*group),
-		changed: make(chan struct{}), calls: make(map[string]int),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -60,7 +57,6 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.faults = faults
-	s.stableAt = time.Now()
 	s.wake()
 }
 
@@ -101,7 +97,6 @@
 	}
 	s.mutex.Lock()
 	faults := s.faults
-	s.calls[request.URL.Path]++
 	lose := request.Method == http.MethodPost && s.random.Float64() < faults.Lose
 	delay := time.Duration(s.random.Int64N(int64(lateAppendMost)))
 	s.mutex.Unlock()
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -18,6 +18,7 @@
 
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/simnet"
+	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/platform"
 )
 
@@ -215,16 +216,7 @@
 		w.mutex.Lock()
 		w.ready = ready
 		w.mutex.Unlock()
-		sleep(ctx, time.Second)
-	}
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, time.Second)
 	}
 }
 
@@ -266,7 +258,7 @@
 // Heartbeats keep the samplers' entries fresh until ctx ends.
 func (w *World) heartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, heartbeat)
+		wait.For(ctx, heartbeat)
 		for _, machine := range slices.Clone(w.samplers) {
 			if !machine.down {
 				machine.sampler.register()
