Let only nodes with large machines execute the batch jobs

Ruled out: the store's rates (38,414 calls, 0.43 GB) and the nodes' memory (52 MB at the peak). Change: nodes announce their capacity in the job log; a node whose machine is at most half as large as the largest stays out of the group and asks once a second who holds partitions. It stands in after two looks without an executor and goes once a large node holds a partition (internal/election, pure). A planned stop no longer holds its share while it hands over.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -90,6 +90,7 @@
 	SettingsReloaded     Number = 806
 	LogAppendRetried     Number = 807
 	LinesDropped         Number = 808
+	StandingChanged      Number = 809
 )
 
 var definitions = []Definition{
@@ -157,6 +158,7 @@
 	{SettingsReloaded, "settings_reloaded", slog.LevelInfo, "The settings file was read again.", "None."},
 	{LogAppendRetried, "log_append_retried", slog.LevelInfo, "An append had no answer in time or was refused and is repeated.", "Check the log service if it lasts."},
 	{LinesDropped, "lines_dropped", slog.LevelWarn, "Log lines were dropped because the output did not keep up.", "Check the reader of the output."},
+	{StandingChanged, "standing_changed", slog.LevelInfo, "A node with a small machine enters the group of executors as no larger one is in it, or leaves it again.", "None, unless small nodes execute for long: the large ones are gone."},
 }
 
 var byNumber = indexByNumber()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -71,8 +71,8 @@
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
 	n.jobs = newJobBook(n)
-	n.ownership = newOwnership(settings, ports.Group, logger)
 	n.executor = newExecutor(n)
+	n.ownership = newOwnership(settings, ports.Group, n.jobs, n.executor.flush, logger)
 	return n
 }
 
@@ -82,6 +82,7 @@
 	n.loops.Go(func() { n.jobs.follower.Run(ctx) })
 	n.loops.Go(func() { n.jobs.expire(ctx) })
 	n.loops.Go(func() { n.joinGroup(ctx) })
+	n.loops.Go(func() { n.announce(ctx) })
 	n.loops.Go(func() { n.executor.run(ctx) })
 }
 
@@ -101,13 +102,9 @@
 		return
 	}
 	n.logger.Log(event.NodeDraining, "active", n.active.Load())
-	n.executor.flush(ctx)
 	n.ownership.leave(ctx)
 }
 
-// Idle reports whether no request is in progress.
-func (n *Node) Idle() bool { return n.active.Load() == 0 }
-
 // Stop ends the node's loops.
 func (n *Node) Stop() {
 	n.stop()
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pathbend/pathbend/internal/election"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -28,12 +29,33 @@
 	isolatedLimit = 8 * time.Second
 )
 
+// capacities is what nodes announced of their machines.
+type capacities interface {
+	// Announced returns what an election needs: the largest capacity known, the
+	// number of nodes and a way to look a node up. ok is false until the log was
+	// read once.
+	Announced() (announced announcements, ok bool)
+}
+
+// announcements are capacities in thousandths of a core.
+type announcements struct {
+	largest uint64
+	nodes   int
+	of      func(node string) uint64
+}
+
 // ownership keeps this node's share of the job partitions.
 type ownership struct {
-	settings Settings
-	group    sharedlog.Group
+	settings   Settings
+	group      sharedlog.Group
+	capacities capacities
+	// handOver saves what this node executes before it leaves the group.
+	handOver func(ctx context.Context)
 	logger   *event.Logger
 
+	standing election.Standing
+	lookedAt time.Time
+
 	mutex      sync.Mutex
 	generation uint64
 	held       map[int]time.Time
@@ -42,8 +64,11 @@
 	left       bool
 }
 
-func newOwnership(settings Settings, group sharedlog.Group, logger *event.Logger) *ownership {
-	return &ownership{settings: settings, group: group, logger: logger, held: make(map[int]time.Time)}
+func newOwnership(settings Settings, group sharedlog.Group, known capacities, handOver func(context.Context), logger *event.Logger) *ownership {
+	return &ownership{
+		settings: settings, group: group, capacities: known, handOver: handOver, logger: logger,
+		held: make(map[int]time.Time),
+	}
 }
 
 func (o *ownership) run(ctx context.Context) {
@@ -51,6 +76,10 @@
 	for ctx.Err() == nil && !o.hasLeft() {
 		began := time.Now()
 		next := began.Add(interval)
+		if !o.stands(ctx, began) {
+			wait.Until(ctx, next)
+			continue
+		}
 		if o.renew(ctx, began) {
 			// A partition that is to move passes on only once its holder has
 			// answered with the new generation.
@@ -60,6 +89,76 @@
 	}
 }
 
+// stands decides whether this node is to be in the group, and leaves the group
+// if it is not any more.
+func (o *ownership) stands(ctx context.Context, now time.Time) bool {
+	announced, ok := o.capacities.Announced()
+	if !ok {
+		return false
+	}
+	view := election.View{Own: o.settings.Millicores, Largest: announced.largest}
+	if view.Regular(view.Own) {
+		o.standing.Regular()
+		return true
+	}
+	if now.Sub(o.lookedAt) < lookEvery(announced.nodes) {
+		return o.standing.Joined()
+	}
+	o.lookedAt = now
+	before := o.standing.Joined()
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	owners, err := o.group.Owners(callCtx, jobGroup)
+	if err != nil {
+		return before
+	}
+	view.Owners = o.describe(owners, announced)
+	o.standing.Look(view)
+	if joined := o.standing.Joined(); joined != before {
+		o.logger.Log(event.StandingChanged, "joins", joined, "millicores", view.Own, "largest", view.Largest,
+			"owners", len(owners))
+		if !joined {
+			o.withdraw(ctx)
+		}
+	}
+	return o.standing.Joined()
+}
+
+const (
+	// shortestLook is the shortest pause between looks at the owners by a node
+	// that is too small to be in the group; lookPerNode lengthens it so that all
+	// nodes together ask no more than a hundred times a second.
+	shortestLook = time.Second
+	lookPerNode  = 10 * time.Millisecond
+)
+
+func lookEvery(nodes int) time.Duration {
+	return max(shortestLook, time.Duration(nodes)*lookPerNode)
+}
+
+func (o *ownership) describe(owners []sharedlog.Owner, announced announcements) []election.Owner {
+	var described []election.Owner
+	for _, owner := range owners {
+		if owner.Partition.Topic != jobTopic {
+			continue
+		}
+		described = append(described, election.Owner{
+			Millicores: announced.of(owner.Member), Self: owner.Member == o.settings.Name,
+			Jobs: owner.Partition.Number == jobPartition,
+		})
+	}
+	return described
+}
+
+// withdraw leaves the group until the node stands again.
+func (o *ownership) withdraw(ctx context.Context) {
+	o.mutex.Lock()
+	o.held = make(map[int]time.Time)
+	o.generation = 0
+	o.mutex.Unlock()
+	o.giveBack(ctx)
+}
+
 func (o *ownership) hasLeft() bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -145,10 +244,17 @@
 	o.left = true
 	o.held = make(map[int]time.Time)
 	o.mutex.Unlock()
+	o.giveBack(ctx)
+}
+
+// giveBack hands over what this node executed and tells the group. The share is
+// no longer held by then, so that nothing begins anew meanwhile.
+func (o *ownership) giveBack(ctx context.Context) {
+	o.handOver(ctx)
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	if err := o.group.Leave(callCtx, jobGroup, o.settings.Name); err != nil {
-		o.logger.Log(event.GroupContactLost, "generation", o.generation, "detail", err.Error())
+		o.logger.Log(event.GroupContactLost, "generation", o.current(), "detail", err.Error())
 	}
 }
 
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -23,6 +23,7 @@
 	left   bool
 	joined int
 	heard  uint64
+	owners []sharedlog.Owner
 }
 
 func (g *scriptedGroup) set(change func()) {
@@ -49,6 +50,26 @@
 	return nil
 }
 
+func (g *scriptedGroup) Owners(context.Context, string) ([]sharedlog.Owner, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.down {
+		return nil, result.New(result.LogUnavailable, "down")
+	}
+	return g.owners, nil
+}
+
+// announced is what nodes announced, by name.
+type announced map[string]uint64
+
+func (a announced) Announced() (announcements, bool) {
+	known := announcements{nodes: len(a), of: func(node string) uint64 { return a[node] }}
+	for _, millicores := range a {
+		known.largest = max(known.largest, millicores)
+	}
+	return known, true
+}
+
 func holding(generation uint64, partitions ...int) sharedlog.Share {
 	share := sharedlog.Share{Generation: generation}
 	for _, number := range partitions {
@@ -61,18 +82,23 @@
 func own(t *testing.T, test func(o *ownership, group *scriptedGroup)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		settings := Settings{Name: "n", ShortestTTL: time.Second, OrderGrace: 3 * time.Second}
-		group := &scriptedGroup{share: holding(4, 0)}
-		o := newOwnership(settings, group, event.Discard())
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); o.run(ctx) }()
-		test(o, group)
-		cancel()
-		<-done
+		ownWith(t, Settings{Name: "n", ShortestTTL: time.Second, OrderGrace: 3 * time.Second}, announced{}, test)
 	})
 }
 
+// ownWith is own with settings and announcements of its own, within a bubble.
+func ownWith(t *testing.T, settings Settings, known announced, test func(o *ownership, group *scriptedGroup)) {
+	t.Helper()
+	group := &scriptedGroup{share: holding(4, 0)}
+	o := newOwnership(settings, group, known, func(context.Context) {}, event.Discard())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); o.run(ctx) }()
+	test(o, group)
+	cancel()
+	<-done
+}
+
 func TestHolderExecutesAndOrdersUnderItsGeneration(t *testing.T) {
 	own(t, func(o *ownership, _ *scriptedGroup) {
 		time.Sleep(10 * time.Millisecond)
@@ -180,3 +206,42 @@
 	defer g.mutex.Unlock()
 	return g.heard
 }
+
+// A deployment of 80 nodes lost all its steps: the group had dealt the jobs to a
+// node with a fifth of a core, while 19 had four times as much.
+func TestSmallNodeLeavesTheJobsToLargerOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := Settings{Name: "small", Millicores: 192, ShortestTTL: time.Second, OrderGrace: time.Second}
+		known := announced{"small": 192, "large": 800}
+		ownWith(t, settings, known, func(o *ownership, group *scriptedGroup) {
+			group.set(func() { group.owners = []sharedlog.Owner{{Partition: jobs(0), Member: "large"}} })
+			time.Sleep(10 * time.Second)
+			require.Zero(t, group.joins())
+
+			group.set(func() { group.owners = nil })
+			time.Sleep(3 * time.Second)
+			require.Positive(t, group.joins(), "no other node executes")
+			require.True(t, o.executes(0, time.Now()))
+
+			group.set(func() { group.owners = []sharedlog.Owner{{Partition: jobs(3), Member: "large"}} })
+			time.Sleep(2 * time.Second)
+			require.True(t, group.left)
+			require.False(t, o.executes(0, time.Now()))
+		})
+	})
+}
+
+func TestSmallNodeKeepsItsPlaceWhileItCannotAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := Settings{Name: "small", Millicores: 192, ShortestTTL: time.Second, OrderGrace: time.Second}
+		ownWith(t, settings, announced{"large": 800}, func(_ *ownership, group *scriptedGroup) {
+			group.set(func() { group.down = true })
+			time.Sleep(10 * time.Second)
+			require.Zero(t, group.joins())
+		})
+	})
+}
+
+func jobs(number int) sharedlog.Partition {
+	return sharedlog.Partition{Topic: jobTopic, Number: number}
+}
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -103,8 +103,9 @@
 	Settle time.Duration
 	// KeepJobs is how long jobs can be read after their submission.
 	KeepJobs time.Duration
-	// DrainGrace bounds a planned stop.
-	DrainGrace time.Duration
+	// Millicores is the processor time a second that the node may use, 0 if that
+	// is not known.
+	Millicores uint64
 }
 
 const (
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -81,6 +82,8 @@
 	ended map[string]bool
 	// ordered holds the last order of each sampler.
 	ordered map[string]Ordered
+	// capacities holds what each node announced last.
+	capacities map[string]Capacity
 }
 
 // Ordered is an order to a sampler that was about to be sent.
@@ -90,6 +93,14 @@
 	ReadAt time.Time
 }
 
+// Capacity is what a node announced of its machine.
+type Capacity struct {
+	// Millicores is the processor time a second that the node may use.
+	Millicores uint64
+	// ReadAt is when this process read of it.
+	ReadAt time.Time
+}
+
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
@@ -99,6 +110,8 @@
 		finished:  make(map[string]Result),
 		ended:     make(map[string]bool),
 		ordered:   make(map[string]Ordered),
+
+		capacities: make(map[string]Capacity),
 	}
 }
 
@@ -145,6 +158,8 @@
 		return l.advance(entry.JobId, fact.Progress.Items), nil
 	case *pathbendv1.LedgerEntry_Ordered:
 		l.ordered[fact.Ordered.SamplerId] = Ordered{Holder: fact.Ordered.Holder, ReadAt: now}
+	case *pathbendv1.LedgerEntry_Announced:
+		l.capacities[fact.Announced.Node] = Capacity{Millicores: fact.Announced.Millicores, ReadAt: now}
 	}
 	return Change{}, nil
 }
@@ -279,7 +294,20 @@
 	return last, ok
 }
 
-// Expire forgets the jobs received before a time.
+// Millicores returns the capacity that a node announced, 0 if none is known.
+func (l *Ledger) Millicores(node string) uint64 { return l.capacities[node].Millicores }
+
+// LargestMillicores returns the largest capacity that any node announced, 0 if
+// none is known, and the number of nodes that did.
+func (l *Ledger) LargestMillicores() (largest uint64, nodes int) {
+	for _, announced := range l.capacities {
+		largest = max(largest, announced.Millicores)
+	}
+	return largest, len(l.capacities)
+}
+
+// Expire forgets the jobs received before a time, and what nodes and samplers
+// were last heard of before it.
 func (l *Ledger) Expire(before time.Time) {
 	kept := slices.IndexFunc(l.order, func(job *Job) bool { return !job.ReceivedAt.Before(before) })
 	if kept < 0 {
@@ -293,9 +321,6 @@
 		}
 	}
 	l.order = slices.Clone(l.order[kept:])
-	for id, last := range l.ordered {
-		if last.ReadAt.Before(before) {
-			delete(l.ordered, id)
-		}
-	}
+	maps.DeleteFunc(l.ordered, func(_ string, last Ordered) bool { return last.ReadAt.Before(before) })
+	maps.DeleteFunc(l.capacities, func(_ string, last Capacity) bool { return last.ReadAt.Before(before) })
 }
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -68,4 +68,12 @@
 	Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation uint64) (Share, error)
 	// Leave gives the share back at once.
 	Leave(ctx context.Context, group, member string) error
+	// Owners returns the partitions that members hold. Anyone may ask.
+	Owners(ctx context.Context, group string) ([]Owner, error)
+}
+
+// Owner is a partition with the member that holds it.
+type Owner struct {
+	Partition Partition
+	Member    string
 }
