--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -112,8 +112,8 @@
 	// shareTTLs is how long a share outlasts the last renewal, in units of the
 	// shortest time.
 	shareTTLs = 1.5
-	// loadsTogether is the number of samplers that change weights at once: more
-	// slow each other's loads down.
+	// loadsTogether is the number of samplers that change weights at once in a
+	// small fleet: more slow each other's loads down.
 	loadsTogether = 2
 	// settleMargin is kept free for an answer's way to the client.
 	settleMargin = 200 * time.Millisecond
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -215,3 +215,25 @@
 	_, known = l.LastOrder("s")
 	require.False(t, known)
 }
+
+func TestAnnouncedCapacitiesAreKnownUntilTheyAreOld(t *testing.T) {
+	l := New()
+	apply(t, l, announcement("small", 192))
+	apply(t, l, announcement("large", 800))
+	apply(t, l, announcement("large", 700))
+	largest, nodes := l.LargestMillicores()
+	require.EqualValues(t, 700, largest)
+	require.Equal(t, 2, nodes)
+	require.EqualValues(t, 192, l.Millicores("small"))
+	require.Zero(t, l.Millicores("other"))
+	l.Expire(start.Add(time.Second))
+	largest, nodes = l.LargestMillicores()
+	require.Zero(t, largest)
+	require.Zero(t, nodes)
+}
+
+func announcement(node string, millicores uint64) *pathbendv1.LedgerEntry {
+	return &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Announced{
+		Announced: &pathbendv1.NodeCapacity{Node: node, Millicores: millicores},
+	}}
+}
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -26,15 +26,15 @@
 	Version   uint64
 }
 
-// Roll decides which samplers change their weights when. Loads are scarce: at
-// most Together samplers change at once, since more would slow each other's
+// Roll decides which samplers change their weights when. Loads are scarce: only
+// a part of the samplers changes at once, since more would slow each other's
 // loads down, and a new version of each model comes every few seconds. So each
 // model has homes, an equal part of the samplers, and only they follow its
 // versions; the other samplers keep what they have. A Roll is pure and not safe
 // for concurrent use.
 type Roll struct {
-	// Together bounds the changes under way.
-	Together int
+	// Least is the number of changes that may be under way in the smallest fleet.
+	Least int
 
 	homes     map[string]map[string]struct{} // by sampler: its models
 	moving    map[string]struct{}
@@ -55,13 +55,29 @@
 	leastHomes = 2
 )
 
-// NewRoll returns a roll that changes up to together samplers at once.
-func NewRoll(together int) *Roll {
-	roll := &Roll{Together: together}
+// NewRoll returns a roll that changes up to least samplers at once, or a part of
+// the fleet if that is more.
+func NewRoll(least int) *Roll {
+	roll := &Roll{Least: least}
 	roll.Forget()
 	return roll
 }
 
+// togetherPart is the part of a fleet that may change at once: weights come from
+// a store whose rate grows with the fleet.
+const togetherPart = 5
+
+// together bounds the changes under way.
+func (r *Roll) together(members []Member) int {
+	able := 0
+	for _, member := range members {
+		if len(member.Versions) > 0 {
+			able++
+		}
+	}
+	return max(able/togetherPart, r.Least)
+}
+
 // Next returns the orders to give now, towards the newest version of each
 // model. The samplers that are furthest behind come first, then those with the
 // least work.
@@ -83,7 +99,7 @@
 			cmp.Compare(a.SamplerID, b.SamplerID),
 		)
 	})
-	room := max(r.Together-len(r.moving), 0)
+	room := max(r.together(members)-len(r.moving), 0)
 	steps := behind[:min(room, len(behind))]
 	for _, step := range steps {
 		r.moving[step.SamplerID] = struct{}{}
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -128,3 +128,13 @@
 	members[0].Wait = false
 	require.Equal(t, []Step{{SamplerID: "s0", Model: "a", Version: 2}}, roll.Next(now, members, targets))
 }
+
+// A fleet of 35 samplers with three models changed two at a time: twelve homes
+// took seven seconds, and a new version came every four.
+func TestLargerFleetChangesAPartOfItAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := append(membersOf(35, map[string]uint64{"a": 1}), Member{ID: "no-model"})
+	require.Len(t, roll.Next(now, members, map[string]uint64{"a": 2}), 7)
+	require.Len(t, NewRoll(2).Next(now, membersOf(9, map[string]uint64{"a": 1}), map[string]uint64{"a": 2}), 2)
+}
