--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,7 @@
 	RewardFailed         Number = 716
 	ExecutorStarted      Number = 717
 	ExecutorStopped      Number = 718
+	JobUnread            Number = 719
 	GroupShareChanged    Number = 801
 	GroupContactLost     Number = 802
 	GroupContactRegained Number = 803
@@ -150,6 +151,7 @@
 	{RewardFailed, "reward_failed", slog.LevelInfo, "A reward call failed and is repeated.", "None unless frequent."},
 	{ExecutorStarted, "executor_started", slog.LevelInfo, "This node runs the batch jobs; the line tells the generation and what it took over.", "None."},
 	{ExecutorStopped, "executor_stopped", slog.LevelInfo, "This node no longer runs the batch jobs.", "None."},
+	{JobUnread, "job_unread", slog.LevelWarn, "The items of a job, or the text that was made of one, could not be read from the log; the items are read again, the text is made again.", "Check the log service."},
 	{GroupShareChanged, "group_share_changed", slog.LevelInfo, "The log service dealt partitions anew; the line tells the generation and this node's part.", "None."},
 	{GroupContactLost, "group_contact_lost", slog.LevelWarn, "This node cannot renew its share; it gives no orders until it can.", "Check the log service."},
 	{GroupContactRegained, "group_contact_regained", slog.LevelInfo, "This node renews its share again.", "None."},
--- /dev/null
+++ b/internal/hosted/blobs_test.go
@@ -0,0 +1,184 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// blobLog keeps records by partition. Partitions may be down.
+type blobLog struct {
+	sharedlog.Log
+
+	mutex      sync.Mutex
+	partitions map[int][][]byte
+	down       map[int]bool
+	// lost loses the answers of so many appends that are done.
+	lost  int
+	reads int
+}
+
+func newBlobLog() *blobLog {
+	return &blobLog{partitions: make(map[int][][]byte), down: make(map[int]bool)}
+}
+
+func (l *blobLog) Append(_ context.Context, partition sharedlog.Partition, records [][]byte) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.down[partition.Number] {
+		return 0, result.New(result.LogUnavailable, "down")
+	}
+	offset := len(l.partitions[partition.Number])
+	l.partitions[partition.Number] = append(l.partitions[partition.Number], records...)
+	if l.lost > 0 {
+		l.lost--
+		return 0, result.New(result.LogUnknown, "lost")
+	}
+	return uint64(offset), nil
+}
+
+func (l *blobLog) ReadPart(_ context.Context, partition sharedlog.Partition, from uint64, maxBytes int) (sharedlog.Batch, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.reads++
+	kept := l.partitions[partition.Number]
+	if l.down[partition.Number] {
+		return sharedlog.Batch{}, result.New(result.LogUnavailable, "down")
+	}
+	batch := sharedlog.Batch{End: uint64(len(kept))}
+	size := 0
+	for _, record := range kept[min(int(from), len(kept)):] {
+		if size += len(record); size > maxBytes && len(batch.Records) > 0 {
+			break
+		}
+		batch.Records = append(batch.Records, record)
+	}
+	return batch, nil
+}
+
+const testPartitions = 4
+
+func newTestBlobs(log sharedlog.Log) *blobs {
+	settings := Settings{MaxRecordBytes: 128, MaxCallBytes: 1024, Partitions: testPartitions}
+	return &blobs{log: log, settings: settings, metrics: newTestNode().metrics}
+}
+
+func contentsOf(sizes ...int) [][]byte {
+	contents := make([][]byte, len(sizes))
+	for i, size := range sizes {
+		contents[i] = bytes.Repeat([]byte{byte('a' + i%26)}, size)
+	}
+	return contents
+}
+
+func TestBlobsComeBackAsTheyWere(t *testing.T) {
+	log := newBlobLog()
+	b := newTestBlobs(log)
+	contents := contentsOf(10, 0, 112, 113, 500, 800, 1)
+	named, err := b.put(t.Context(), textBlobs, time.Second, contents)
+	require.NoError(t, err)
+	require.Len(t, named, len(contents))
+	got, err := b.get(t.Context(), named)
+	require.NoError(t, err)
+	for i := range contents {
+		require.Equal(t, string(contents[i]), string(got[i]), i)
+	}
+	reversed := []*pathbendv1.Blob{named[6], named[3], named[0]}
+	got, err = b.get(t.Context(), reversed)
+	require.NoError(t, err)
+	require.Equal(t, string(contents[3]), string(got[1]))
+}
+
+func TestNeighbouringBlobsAreReadTogether(t *testing.T) {
+	log := newBlobLog()
+	b := newTestBlobs(log)
+	named, err := b.put(t.Context(), textBlobs, time.Second, contentsOf(10, 20, 30))
+	require.NoError(t, err)
+	_, err = b.get(t.Context(), named)
+	require.NoError(t, err)
+	require.Equal(t, 1, log.reads)
+}
+
+func TestBlobsGoElsewhereWhileAPartitionIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newBlobLog()
+		b := newTestBlobs(log)
+		first, err := b.put(t.Context(), textBlobs, time.Second, contentsOf(10))
+		require.NoError(t, err)
+		log.down[int(first[0].Partition)] = true
+		second, err := b.put(t.Context(), textBlobs, time.Second, contentsOf(10))
+		require.NoError(t, err)
+		require.NotEqual(t, first[0].Partition, second[0].Partition)
+		_, err = b.get(t.Context(), first)
+		require.True(t, result.Is(err, result.LogUnavailable), "not sure, not denied")
+		require.Positive(t, result.From(err).RetryAfter)
+		for partition := range testPartitions {
+			log.down[partition] = true
+		}
+		_, err = b.put(t.Context(), textBlobs, time.Second, contentsOf(10))
+		require.Error(t, err)
+	})
+}
+
+func TestLostAnswerIsRepeatedAndTheBlobNamedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newBlobLog()
+		log.lost = 1
+		b := newTestBlobs(log)
+		named, err := b.put(t.Context(), textBlobs, time.Second, contentsOf(10))
+		require.NoError(t, err)
+		got, err := b.get(t.Context(), named)
+		require.NoError(t, err)
+		require.Equal(t, contentsOf(10), got)
+	})
+}
+
+func TestContentLargerThanAnAppendIsRefused(t *testing.T) {
+	b := newTestBlobs(newBlobLog())
+	require.True(t, b.fits(make([]byte, 800)))
+	require.False(t, b.fits(make([]byte, 1024)))
+	_, err := b.put(t.Context(), textBlobs, time.Second, contentsOf(1024))
+	require.True(t, result.Is(err, result.BodyTooLarge))
+}
+
+func TestBlobThatIsNotThereIsNotDenied(t *testing.T) {
+	b := newTestBlobs(newBlobLog())
+	_, err := b.get(t.Context(), []*pathbendv1.Blob{{Records: 1, Bytes: 3}})
+	require.True(t, result.Is(err, result.LogUnavailable))
+}
+
+func TestItemsOfAJobTravelInParts(t *testing.T) {
+	b := newTestBlobs(newBlobLog())
+	spec := &pathbendv1.BatchJob{}
+	var items []*pathbendv1.BatchItem
+	for i := range 20 {
+		items = append(items, &pathbendv1.BatchItem{Id: fmt.Sprint(i), Body: make([]byte, 100)})
+	}
+	named, err := b.putItems(t.Context(), time.Second, items)
+	require.NoError(t, err)
+	require.Greater(t, len(named), 1)
+	spec.Items, spec.ItemIds = named, itemIDs(items)
+	got, err := b.getItems(t.Context(), spec)
+	require.NoError(t, err)
+	require.Equal(t, spec.ItemIds, itemIDs(got))
+}
+
+// A job whose items could not be kept never runs, so its refusal is a promise.
+func TestRefusalBeforeTheJobIsKeptPromisesThatItNeverRuns(t *testing.T) {
+	for _, code := range []result.Code{result.LogUnknown, result.LogUnavailable} {
+		err := notTaken(result.New(code, "x"))
+		require.True(t, result.Is(err, result.LogUnavailable))
+		require.Equal(t, submitHint, result.From(err).RetryAfter)
+	}
+	require.True(t, result.Is(notTaken(result.New(result.BodyTooLarge, "x")), result.BodyTooLarge))
+}
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/internal/weights"
 )
 
@@ -155,7 +157,7 @@
 	e.takeSamplers()
 	open := 0
 	for _, job := range e.node.jobs.open() {
-		e.add(job)
+		e.adopt(job)
 		open++
 	}
 	e.node.logger.Log(event.ExecutorStarted, "generation", e.node.ownership.current(), "open_jobs", open)
@@ -179,7 +181,7 @@
 }
 
 func (e *executor) saveProgress(minEvents uint64, now time.Time) {
-	var unsaved map[string][]*pathbendv1.ItemProgress
+	var unsaved partsByJob
 	e.node.jobs.withLedger(func(known *ledger.Ledger) { unsaved = e.scheduler.Unsaved(minEvents, known, now) })
 	e.lister.addProgress(unsaved)
 }
@@ -209,14 +211,14 @@
 func (e *executor) applyChange(change ledger.Change) {
 	switch change.Kind {
 	case ledger.Submitted:
-		e.add(change.Job)
+		e.adopt(change.Job)
 	case ledger.Ended:
 		stopped := e.scheduler.DropJob(change.Job.ID)
 		for _, key := range stopped {
 			e.cancel(key)
 		}
 		e.node.logger.Log(event.BatchEnded, "job_id", change.Job.ID, "listed", change.Results,
-			"items", len(change.Job.Spec.Items), "stopped", len(stopped))
+			"items", change.Job.Total(), "stopped", len(stopped))
 	case ledger.Listed:
 		for _, listed := range change.Listed {
 			key := schedule.Key{Job: change.Job.ID, Item: listed.ItemID}
@@ -238,27 +240,116 @@
 	}
 }
 
-// add hands a job to the scheduler. Without a route it waits for one.
-func (e *executor) add(job *ledger.Job) {
-	route := e.routeOf(job.Spec)
-	policy := schedule.Policy{Due: job.ReceivedAt.Add(defaultDue), MaxFailures: 1}
-	if route != nil {
-		policy.Services = servicesOf(route)
-		policy.MaxFailures = route.MaxAttempts
-		policy.SingleVersion = route.SingleVersion
-		if route.Due > 0 {
-			policy.Due = job.ReceivedAt.Add(route.Due)
+// adopt reads the items of a job and what was made of them, then hands the job to
+// the scheduler. It is called under the lock and goes on in a goroutine.
+func (e *executor) adopt(job *ledger.Job) {
+	session, scheduler := e.session, e.scheduler
+	e.work.Go(func() {
+		for session.Err() == nil && e.open(job) {
+			found, err := e.read(session, job)
+			if err == nil {
+				e.add(scheduler, job, found)
+				return
+			}
+			e.node.logger.Log(event.JobUnread, "job_id", job.ID, "detail", err.Error())
+			wait.For(session, adoptPause)
 		}
+	})
+}
+
+// adoptPause is the pause before the items of a job are read again.
+const adoptPause = 60 * time.Millisecond
+
+func (e *executor) open(job *ledger.Job) bool {
+	open := false
+	e.node.jobs.withLedger(func(*ledger.Ledger) { open = job.Open() })
+	return open
+}
+
+// adopted is a job's items with the text that was made of them. It implements
+// schedule.Kept.
+type adopted struct {
+	items    []*pathbendv1.BatchItem
+	begun    map[string]schedule.Begun
+	finished map[string]ledger.Result
+}
+
+// Begun implements schedule.Kept.
+func (a adopted) Begun(itemID string) (schedule.Begun, bool) {
+	begun, ok := a.begun[itemID]
+	return begun, ok
+}
+
+// Finished implements schedule.Kept.
+func (a adopted) Finished(itemID string) (ledger.Result, bool) {
+	listed, ok := a.finished[itemID]
+	return listed, ok
+}
+
+// read reads a job's items and the texts of those that were begun. Text that
+// cannot be read is made again.
+func (e *executor) read(ctx context.Context, job *ledger.Job) (adopted, error) {
+	found := adopted{begun: make(map[string]schedule.Begun), finished: make(map[string]ledger.Result)}
+	var err error
+	if found.items, err = e.node.jobs.blobs.getItems(ctx, job.Spec); err != nil {
+		return found, err
 	}
-	var finished []schedule.Finished
+	begun := make(map[string]ledger.Progress)
 	e.node.jobs.withLedger(func(known *ledger.Ledger) {
+		for _, item := range found.items {
+			if listed, ok := known.Finished(item.Id); ok {
+				found.finished[item.Id] = listed
+			} else if progress, ok := known.Progress(item.Id); ok {
+				begun[item.Id] = progress
+			}
+		}
+	})
+	for itemID, progress := range begun {
+		parts, err := e.node.jobs.blobs.get(ctx, progress.Parts)
+		if err != nil {
+			e.node.logger.Log(event.JobUnread, "job_id", job.ID, "item_id", itemID, "detail", err.Error())
+			continue
+		}
+		found.begun[itemID] = schedule.Begun{
+			ID: progress.ID, Events: progress.Events, Versions: progress.Versions, Text: bytes.Join(parts, []byte{'\n'}),
+		}
+	}
+	return found, nil
+}
+
+// add hands a job to the scheduler. Without a route it waits for one.
+func (e *executor) add(scheduler *schedule.Scheduler, job *ledger.Job, found adopted) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler != scheduler {
+		return
+	}
+	policy := e.policyOf(job)
+	var finished []schedule.Finished
+	e.node.jobs.withLedger(func(*ledger.Ledger) {
 		if job.Open() {
-			finished = e.scheduler.AddJob(job, policy, known)
+			finished = scheduler.AddJob(job, found.items, policy, found)
 		}
 	})
 	for _, whole := range finished {
 		e.finish(job.Spec, whole)
 	}
+	e.wake()
+}
+
+func (e *executor) policyOf(job *ledger.Job) schedule.Policy {
+	route := e.routeOf(job.Spec)
+	policy := schedule.Policy{Due: job.ReceivedAt.Add(defaultDue), MaxFailures: 1}
+	if route == nil {
+		return policy
+	}
+	policy.Services = servicesOf(route)
+	policy.MaxFailures = route.MaxAttempts
+	policy.SingleVersion = route.SingleVersion
+	if route.Due > 0 {
+		policy.Due = job.ReceivedAt.Add(route.Due)
+	}
+	return policy
 }
 
 func (e *executor) routeOf(spec *pathbendv1.BatchJob) *catalog.Route {
@@ -335,7 +426,7 @@
 
 func (e *executor) dead(key schedule.Key, failures int, detail string) {
 	e.node.logger.Log(event.ItemDead, "job_id", key.Job, "item_id", key.Item, "failures", failures, "detail", detail)
-	e.lister.addResult(key.Job, &pathbendv1.BatchResult{ItemId: key.Item, Dead: true})
+	e.lister.addResult(key.Job, &pathbendv1.BatchResult{ItemId: key.Item, Dead: true}, nil)
 }
 
 // finish scores a whole text and lists it.
@@ -359,9 +450,13 @@
 			e.dead(whole.Key, 0, "its reward call failed too often")
 			return
 		}
+		if whole.Kept == nil && !e.node.jobs.blobs.fits(whole.Text) {
+			e.dead(whole.Key, 0, "its text is too large for the log")
+			return
+		}
 		e.lister.addResult(whole.Key.Job, &pathbendv1.BatchResult{
-			ItemId: whole.Key.Item, Text: whole.Text, Versions: whole.Versions, Score: stamp, RewardId: whole.Reward.GetId(),
-		})
+			ItemId: whole.Key.Item, Text: whole.Kept, Versions: whole.Versions, Score: stamp, RewardId: whole.Reward.GetId(),
+		}, whole.Text)
 	})
 }
 
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -42,6 +42,7 @@
 type jobBook struct {
 	node     *Node
 	follower *sharedlog.Follower
+	blobs    *blobs
 
 	mutex  sync.Mutex
 	ledger *ledger.Ledger
@@ -50,7 +51,10 @@
 }
 
 func newJobBook(n *Node) *jobBook {
-	book := &jobBook{node: n, ledger: ledger.New(), changed: make(chan struct{})}
+	book := &jobBook{
+		node: n, ledger: ledger.New(), changed: make(chan struct{}),
+		blobs: &blobs{log: n.ports.Log, settings: n.settings, metrics: n.metrics},
+	}
 	book.follower = &sharedlog.Follower{
 		Log: n.ports.Log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
 		Observer: n, Apply: book.apply, Pause: followPause,
@@ -279,7 +283,7 @@
 
 // Submit keeps a batch job. An error of LogUnavailable promises that it was
 // not taken; LogUnknown promises nothing.
-func (n *Node) Submit(ctx context.Context, id string, spec *pathbendv1.BatchJob) error {
+func (n *Node) Submit(ctx context.Context, id string, spec *pathbendv1.BatchJob, items []*pathbendv1.BatchItem) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
 	began := time.Now()
@@ -287,8 +291,7 @@
 	if _, already := n.jobs.seen(known); already {
 		return nil
 	}
-	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
-	err := n.jobs.record(ctx, submitPatience, known, entry)
+	err := n.jobs.submit(ctx, id, spec, items, known)
 	took := time.Since(began)
 	n.metrics.submission(err, took)
 	if err != nil {
@@ -296,10 +299,40 @@
 		return spread(err)
 	}
 	n.logger.Log(event.BatchSubmitted, "job_id", id, "step", spec.Step, "model", spec.Model,
-		"min_version", spec.MinVersion, "items", len(spec.Items), "took_ms", took.Milliseconds())
+		"min_version", spec.MinVersion, "items", len(items), "took_ms", took.Milliseconds())
 	return nil
 }
 
+// submit keeps the items of a job and then the job itself. Items without their
+// job never run.
+func (b *jobBook) submit(ctx context.Context, id string, spec *pathbendv1.BatchJob, items []*pathbendv1.BatchItem, known func() bool) error {
+	began := time.Now()
+	named, err := b.blobs.putItems(ctx, submitPatience, items)
+	if err != nil {
+		return notTaken(err)
+	}
+	spec.ItemIds, spec.Items = itemIDs(items), named
+	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
+	return b.record(ctx, submitPatience-time.Since(began), known, entry)
+}
+
+func itemIDs(items []*pathbendv1.BatchItem) []string {
+	ids := make([]string, 0, len(items))
+	for _, item := range items {
+		ids = append(ids, item.Id)
+	}
+	return ids
+}
+
+// notTaken turns a failure to keep a job's items into a promise that the job was
+// not taken, whatever became of the append.
+func notTaken(err error) error {
+	if result.Is(err, result.LogUnknown) || result.Is(err, result.LogUnavailable) {
+		return result.Wrap(result.LogUnavailable, err, "keep the items").WithRetryAfter(submitHint)
+	}
+	return err
+}
+
 // End ends a batch job.
 func (n *Node) End(ctx context.Context, id string) error {
 	n.active.Add(1)
@@ -342,6 +375,8 @@
 type Page struct {
 	Total   int
 	Results []ledger.Result
+	// Texts are those of the results, in order, nil for dead items.
+	Texts [][]byte
 	// Next is the position after the last result of the page.
 	Next int
 }
@@ -359,7 +394,7 @@
 	for {
 		page, changed, settled := n.jobs.page(id, from)
 		if len(page.Results) > 0 {
-			return page, nil
+			return n.withTexts(ctx, id, page)
 		}
 		if settled || n.Draining() || !n.jobs.await(holdCtx, changed) {
 			break
@@ -370,6 +405,28 @@
 		return Page{}, spread(err)
 	}
 	page, _, _ := n.jobs.page(id, from)
+	return n.withTexts(ctx, id, page)
+}
+
+// withTexts reads the texts of a page.
+func (n *Node) withTexts(ctx context.Context, id string, page Page) (Page, error) {
+	var wanted []*pathbendv1.Blob
+	for _, listed := range page.Results {
+		if listed.Text != nil {
+			wanted = append(wanted, listed.Text)
+		}
+	}
+	texts, err := n.jobs.blobs.get(ctx, wanted)
+	if err != nil {
+		n.logger.Log(event.BatchReadRefused, "job_id", id, "texts", len(wanted), "detail", err.Error())
+		return Page{}, spread(err)
+	}
+	page.Texts = make([][]byte, len(page.Results))
+	for i, listed := range page.Results {
+		if listed.Text != nil {
+			page.Texts[i], texts = texts[0], texts[1:]
+		}
+	}
 	return page, nil
 }
 
@@ -381,12 +438,12 @@
 			settled = true
 			return
 		}
-		page.Total = len(job.Spec.Items)
+		page.Total = job.Total()
 		page.Next = from
 		settled = job.Ended || job.Complete()
 		bytes := 0
 		for _, listed := range job.Results[min(from, len(job.Results)):] {
-			if bytes += len(listed.Text); bytes > maxPageBytes && len(page.Results) > 0 {
+			if bytes += int(listed.Text.GetBytes()); bytes > maxPageBytes && len(page.Results) > 0 {
 				break
 			}
 			page.Results = append(page.Results, listed)
@@ -401,18 +458,23 @@
 	if err := n.requireJob(ctx, id); err != nil {
 		return nil, err
 	}
-	var body []byte
-	found := false
+	var spec *pathbendv1.BatchJob
 	n.jobs.view(id, func(job *ledger.Job) {
-		if job == nil || job.Listed(itemID) {
-			return
-		}
-		if item := job.Item(itemID); item != nil {
-			body, found = item.Body, true
+		if job != nil && job.Has(itemID) && !job.Listed(itemID) {
+			spec = job.Spec
 		}
 	})
-	if !found {
-		return nil, result.New(result.ItemUnknown, "batch job %q has no open item %q", id, itemID)
+	if spec != nil {
+		items, err := n.jobs.blobs.getItems(ctx, spec)
+		if err != nil {
+			n.logger.Log(event.BatchReadRefused, "job_id", id, "item_id", itemID, "detail", err.Error())
+			return nil, spread(err)
+		}
+		for _, item := range items {
+			if item.Id == itemID {
+				return item.Body, nil
+			}
+		}
 	}
-	return body, nil
+	return nil, result.New(result.ItemUnknown, "batch job %q has no open item %q", id, itemID)
 }
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -9,6 +9,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/wait"
 )
 
@@ -19,6 +20,19 @@
 	listPatience = 5 * time.Second
 )
 
+// pendingResult is a result that waits for its place in the log.
+type pendingResult struct {
+	listed *pathbendv1.BatchResult
+	// text is kept as a blob first, unless listed names one already.
+	text []byte
+}
+
+// resultsByJob are results that wait, by job id.
+type resultsByJob map[string][]pendingResult
+
+// partsByJob are parts of texts that wait, by job id.
+type partsByJob map[string][]schedule.Part
+
 // lister appends results and progress of items to the log, many in one call.
 type lister struct {
 	node  *Node
@@ -27,26 +41,26 @@
 	writing chan struct{}
 
 	mutex    sync.Mutex
-	results  map[string][]*pathbendv1.BatchResult
-	progress map[string][]*pathbendv1.ItemProgress
+	results  resultsByJob
+	progress partsByJob
 }
 
 func newLister(n *Node) *lister {
 	return &lister{
 		node: n, woken: make(chan struct{}, 1), writing: make(chan struct{}, 1),
-		results:  make(map[string][]*pathbendv1.BatchResult),
-		progress: make(map[string][]*pathbendv1.ItemProgress),
+		results:  make(resultsByJob),
+		progress: make(partsByJob),
 	}
 }
 
-func (l *lister) addResult(jobID string, listed *pathbendv1.BatchResult) {
+func (l *lister) addResult(jobID string, listed *pathbendv1.BatchResult, text []byte) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.results[jobID] = append(l.results[jobID], listed)
+	l.results[jobID] = append(l.results[jobID], pendingResult{listed: listed, text: text})
 	l.wake()
 }
 
-func (l *lister) addProgress(unsaved map[string][]*pathbendv1.ItemProgress) {
+func (l *lister) addProgress(unsaved partsByJob) {
 	if len(unsaved) == 0 {
 		return
 	}
@@ -91,12 +105,7 @@
 	results, progress := l.take()
 	for ctx.Err() == nil {
 		results = l.unlisted(results)
-		entries := entriesOf(results, progress)
-		if len(entries) == 0 {
-			return
-		}
-		err := l.node.jobs.record(ctx, listPatience, func() bool { return l.allListed(results, progress) }, entries...)
-		if err == nil {
+		if len(results)+len(progress) == 0 || l.append(ctx, results, progress) == nil {
 			return
 		}
 		// Progress that could not be saved in time is not worth more tries.
@@ -104,25 +113,69 @@
 	}
 }
 
-func (l *lister) take() (map[string][]*pathbendv1.BatchResult, map[string][]*pathbendv1.ItemProgress) {
+// append keeps the texts, then the entries that name them.
+func (l *lister) append(ctx context.Context, results resultsByJob, progress partsByJob) error {
+	if err := l.keepTexts(ctx, results); err != nil {
+		return err
+	}
+	if err := l.keepParts(ctx, progress); err != nil {
+		return err
+	}
+	kept := func() bool { return l.allListed(results, progress) }
+	return l.node.jobs.record(ctx, listPatience, kept, entriesOf(results, progress)...)
+}
+
+func (l *lister) keepTexts(ctx context.Context, results resultsByJob) error {
+	var unnamed []*pathbendv1.BatchResult
+	var texts [][]byte
+	for _, jobID := range slices.Sorted(maps.Keys(results)) {
+		for _, one := range results[jobID] {
+			if one.listed.Text == nil && !one.listed.Dead {
+				unnamed, texts = append(unnamed, one.listed), append(texts, one.text)
+			}
+		}
+	}
+	named, err := l.node.jobs.blobs.put(ctx, textBlobs, listPatience, texts)
+	for i, blob := range named {
+		unnamed[i].Text = blob
+	}
+	return err
+}
+
+func (l *lister) keepParts(ctx context.Context, progress partsByJob) error {
+	var unnamed []*pathbendv1.ItemProgress
+	var texts [][]byte
+	for _, jobID := range slices.Sorted(maps.Keys(progress)) {
+		for _, part := range progress[jobID] {
+			unnamed, texts = append(unnamed, part.Progress), append(texts, part.Text)
+		}
+	}
+	named, err := l.node.jobs.blobs.put(ctx, progressBlobs, listPatience, texts)
+	for i, blob := range named {
+		unnamed[i].Text = blob
+	}
+	return err
+}
+
+func (l *lister) take() (resultsByJob, partsByJob) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	results, progress := l.results, l.progress
-	l.results = make(map[string][]*pathbendv1.BatchResult)
-	l.progress = make(map[string][]*pathbendv1.ItemProgress)
+	l.results = make(resultsByJob)
+	l.progress = make(partsByJob)
 	return results, progress
 }
 
 // unlisted drops the results of jobs that are over and those that are listed.
-func (l *lister) unlisted(results map[string][]*pathbendv1.BatchResult) map[string][]*pathbendv1.BatchResult {
-	left := make(map[string][]*pathbendv1.BatchResult, len(results))
+func (l *lister) unlisted(results resultsByJob) resultsByJob {
+	left := make(resultsByJob, len(results))
 	for jobID, listed := range results {
 		l.node.jobs.view(jobID, func(job *ledger.Job) {
 			if job == nil || !job.Open() {
 				return
 			}
 			for _, one := range listed {
-				if !job.Listed(one.ItemId) {
+				if !job.Listed(one.listed.ItemId) {
 					left[jobID] = append(left[jobID], one)
 				}
 			}
@@ -133,7 +186,7 @@
 
 // allListed reports whether all results were read back. It is called under the
 // ledger's lock. Progress leaves no trace to look for.
-func (l *lister) allListed(results map[string][]*pathbendv1.BatchResult, progress map[string][]*pathbendv1.ItemProgress) bool {
+func (l *lister) allListed(results resultsByJob, progress partsByJob) bool {
 	if len(progress) > 0 {
 		return false
 	}
@@ -142,7 +195,7 @@
 		if job == nil || job.Ended {
 			continue
 		}
-		if !slices.ContainsFunc(listed, func(one *pathbendv1.BatchResult) bool { return !job.Listed(one.ItemId) }) {
+		if !slices.ContainsFunc(listed, func(one pendingResult) bool { return !job.Listed(one.listed.ItemId) }) {
 			continue
 		}
 		return false
@@ -150,17 +203,21 @@
 	return true
 }
 
-func entriesOf(results map[string][]*pathbendv1.BatchResult, progress map[string][]*pathbendv1.ItemProgress) []*pathbendv1.LedgerEntry {
+func entriesOf(results resultsByJob, progress partsByJob) []*pathbendv1.LedgerEntry {
 	var entries []*pathbendv1.LedgerEntry
 	for _, jobID := range slices.Sorted(maps.Keys(results)) {
-		entries = append(entries, &pathbendv1.LedgerEntry{JobId: jobID, Fact: &pathbendv1.LedgerEntry_Listed{
-			Listed: &pathbendv1.BatchResults{Results: results[jobID]},
-		}})
+		listed := &pathbendv1.BatchResults{}
+		for _, one := range results[jobID] {
+			listed.Results = append(listed.Results, one.listed)
+		}
+		entries = append(entries, &pathbendv1.LedgerEntry{JobId: jobID, Fact: &pathbendv1.LedgerEntry_Listed{Listed: listed}})
 	}
 	for _, jobID := range slices.Sorted(maps.Keys(progress)) {
-		entries = append(entries, &pathbendv1.LedgerEntry{JobId: jobID, Fact: &pathbendv1.LedgerEntry_Progress{
-			Progress: &pathbendv1.BatchProgress{Items: progress[jobID]},
-		}})
+		made := &pathbendv1.BatchProgress{}
+		for _, part := range progress[jobID] {
+			made.Items = append(made.Items, part.Progress)
+		}
+		entries = append(entries, &pathbendv1.LedgerEntry{JobId: jobID, Fact: &pathbendv1.LedgerEntry_Progress{Progress: made}})
 	}
 	return entries
 }
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -94,6 +94,8 @@
 	// MaxRecordBytes bounds a record of the log, MaxCallBytes one append.
 	MaxRecordBytes int
 	MaxCallBytes   int
+	// Partitions is the number of partitions of a topic.
+	Partitions int
 	// ShortestTTL is the shortest time for which the group deals out a share.
 	ShortestTTL time.Duration
 	// OrderGrace is how far apart orders of two nodes to one sampler must lie.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -13,8 +13,8 @@
 	ItemID string
 	// Dead is set for an item that was given up; it has no text.
 	Dead bool
-	// Text is the data of all events, separated by line feeds.
-	Text []byte
+	// Text names the data of all events, separated by line feeds.
+	Text *pathbendv1.Blob
 	// Versions are the weight versions that made events of the text, ascending.
 	Versions []uint64
 	// Score is the stamp of the reward call's answer; RewardID names that call.
@@ -27,8 +27,9 @@
 	// ID names the last part of the text.
 	ID uint64
 	// Events counts the events of the text.
-	Events   uint64
-	Text     []byte
+	Events uint64
+	// Parts name the text; a line feed lies between two of them.
+	Parts    []*pathbendv1.Blob
 	Versions []uint64
 }
 
@@ -42,17 +43,17 @@
 	// Results are the listed results; a result's position is its index.
 	Results []Result
 
-	items  map[string]int
+	items  map[string]struct{}
 	listed map[string]int
 }
 
-// Item returns an item by id, nil if the job has none.
-func (j *Job) Item(id string) *pathbendv1.BatchItem {
-	index, ok := j.items[id]
-	if !ok {
-		return nil
-	}
-	return j.Spec.Items[index]
+// Total is the number of items.
+func (j *Job) Total() int { return len(j.Spec.ItemIds) }
+
+// Has reports whether an item belongs to the job.
+func (j *Job) Has(itemID string) bool {
+	_, ok := j.items[itemID]
+	return ok
 }
 
 // Listed reports whether an item has a result.
@@ -170,12 +171,10 @@
 	}
 	job := &Job{
 		ID: id, Spec: spec, ReceivedAt: now, Ended: l.ended[id],
-		items: make(map[string]int, len(spec.Items)), listed: make(map[string]int),
+		items: make(map[string]struct{}, len(spec.ItemIds)), listed: make(map[string]int),
 	}
-	for index, item := range spec.Items {
-		if _, twice := job.items[item.Id]; !twice {
-			job.items[item.Id] = index
-		}
+	for _, itemID := range spec.ItemIds {
+		job.items[itemID] = struct{}{}
 	}
 	delete(l.ended, id)
 	l.jobs[id] = job
@@ -214,7 +213,7 @@
 }
 
 func (l *Ledger) listOne(job *Job, listed *pathbendv1.BatchResult) {
-	if job.Item(listed.ItemId) == nil || job.Listed(listed.ItemId) {
+	if !job.Has(listed.ItemId) || job.Listed(listed.ItemId) {
 		return
 	}
 	added := Result{
@@ -236,7 +235,7 @@
 	}
 	for _, item := range items {
 		kept := l.progress[item.ItemId]
-		if job.Item(item.ItemId) == nil || job.Listed(item.ItemId) {
+		if !job.Has(item.ItemId) || job.Listed(item.ItemId) {
 			continue
 		}
 		if item.Previous != 0 && item.Previous != kept.ID {
@@ -251,14 +250,10 @@
 }
 
 func (p Progress) extended(item *pathbendv1.ItemProgress) Progress {
-	text := slices.Clone(p.Text)
-	if p.Events > 0 {
-		text = append(text, '\n')
-	}
 	return Progress{
 		ID:       item.Id,
 		Events:   p.Events + item.Events,
-		Text:     append(text, item.Text...),
+		Parts:    append(slices.Clip(p.Parts), item.Text),
 		Versions: MergeVersions(p.Versions, item.Versions),
 	}
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,9 +1,9 @@
 package ledger
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,7 +21,7 @@
 func submission(id string, items ...string) *pathbendv1.LedgerEntry {
 	job := &pathbendv1.BatchJob{Host: "h", Path: "/p/"}
 	for _, item := range items {
-		job.Items = append(job.Items, &pathbendv1.BatchItem{Id: item, Body: bytes.Repeat([]byte(item), 50)})
+		job.ItemIds = append(job.ItemIds, item)
 	}
 	return &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: job}}
 }
@@ -38,6 +38,27 @@
 	return &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Progress{Progress: &pathbendv1.BatchProgress{Items: items}}}
 }
 
+func blob(offset uint64) *pathbendv1.Blob {
+	return &pathbendv1.Blob{Offset: offset, Records: 1, Bytes: 5}
+}
+
+func offsets(blobs []*pathbendv1.Blob) []uint64 {
+	var found []uint64
+	for _, one := range blobs {
+		found = append(found, one.Offset)
+	}
+	return found
+}
+
+// longIDs returns ids of which a few fill a record.
+func longIDs(prefix string, count int) []string {
+	ids := make([]string, count)
+	for i := range ids {
+		ids[i] = strings.Repeat(prefix, 100) + fmt.Sprint(i)
+	}
+	return ids
+}
+
 func apply(t *testing.T, l *Ledger, entry *pathbendv1.LedgerEntry) Change {
 	t.Helper()
 	records, err := Encode(entry, rand.Uint64(), testRecordBytes)
@@ -56,10 +77,10 @@
 	l := New()
 	require.Equal(t, Submitted, apply(t, l, submission("j", "a", "b")).Kind)
 	require.Equal(t, Nothing, apply(t, l, submission("j", "c")).Kind)
-	apply(t, l, listing("j", &pathbendv1.BatchResult{ItemId: "b", Text: []byte("first")}))
+	apply(t, l, listing("j", &pathbendv1.BatchResult{ItemId: "b", Text: blob(1)}))
 	change := apply(t, l, listing("j",
-		&pathbendv1.BatchResult{ItemId: "b", Text: []byte("second")},
-		&pathbendv1.BatchResult{ItemId: "a", Text: []byte("only")},
+		&pathbendv1.BatchResult{ItemId: "b", Text: blob(2)},
+		&pathbendv1.BatchResult{ItemId: "a", Text: blob(3)},
 		&pathbendv1.BatchResult{ItemId: "stranger"},
 	))
 	require.Equal(t, Listed, change.Kind)
@@ -67,7 +88,7 @@
 	require.Len(t, change.Listed, 1)
 	job := l.Job("j")
 	require.Equal(t, []string{"b", "a"}, []string{job.Results[0].ItemID, job.Results[1].ItemID})
-	require.Equal(t, "first", string(job.Results[0].Text))
+	require.EqualValues(t, 1, job.Results[0].Text.Offset)
 	require.False(t, job.Open())
 }
 
@@ -86,18 +107,18 @@
 func TestPartsOfTwoRunsAreNeverJoined(t *testing.T) {
 	l := New()
 	apply(t, l, submission("j", "a"))
-	part := func(id, previous uint64, text string) *pathbendv1.ItemProgress {
-		return &pathbendv1.ItemProgress{ItemId: "a", Id: id, Previous: previous, Text: []byte(text), Events: 1, Versions: []uint64{3}}
+	part := func(id, previous, offset uint64) *pathbendv1.ItemProgress {
+		return &pathbendv1.ItemProgress{ItemId: "a", Id: id, Previous: previous, Text: blob(offset), Events: 1, Versions: []uint64{3}}
 	}
-	apply(t, l, progress("j", part(1, 0, "old-1")))
-	apply(t, l, progress("j", part(7, 0, "new-1"))) // a new executor begins anew
-	apply(t, l, progress("j", part(2, 1, "old-2"))) // the former one goes on
+	apply(t, l, progress("j", part(1, 0, 11)))
+	apply(t, l, progress("j", part(7, 0, 21))) // a new executor begins anew
+	apply(t, l, progress("j", part(2, 1, 12))) // the former one goes on
 	kept, ok := l.Progress("a")
 	require.True(t, ok)
-	require.Equal(t, "new-1", string(kept.Text))
-	apply(t, l, progress("j", part(8, 7, "new-2")))
+	require.Equal(t, []uint64{21}, offsets(kept.Parts))
+	apply(t, l, progress("j", part(8, 7, 22)))
 	kept, _ = l.Progress("a")
-	require.Equal(t, "new-1\nnew-2", string(kept.Text))
+	require.Equal(t, []uint64{21, 22}, offsets(kept.Parts))
 	require.EqualValues(t, 2, kept.Events)
 	require.EqualValues(t, 8, kept.ID)
 	apply(t, l, listing("j", &pathbendv1.BatchResult{ItemId: "a"}))
@@ -107,9 +128,9 @@
 
 func TestLargeEntriesTravelInChunksInAnyInterleaving(t *testing.T) {
 	l := New()
-	first, err := Encode(submission("j1", "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"), 1, testRecordBytes)
+	first, err := Encode(submission("j1", longIDs("a", 12)...), 1, testRecordBytes)
 	require.NoError(t, err)
-	second, err := Encode(submission("j2", "m", "n", "o", "p", "q", "r", "s", "t", "u", "v", "w", "x"), 2, testRecordBytes)
+	second, err := Encode(submission("j2", longIDs("b", 12)...), 2, testRecordBytes)
 	require.NoError(t, err)
 	require.Greater(t, len(first), 1)
 	for i := range max(len(first), len(second)) {
@@ -120,8 +141,8 @@
 			}
 		}
 	}
-	require.Len(t, l.Job("j1").Spec.Items, 12)
-	require.Len(t, l.Job("j2").Spec.Items, 12)
+	require.Equal(t, longIDs("a", 12), l.Job("j1").Spec.ItemIds)
+	require.Equal(t, longIDs("b", 12), l.Job("j2").Spec.ItemIds)
 }
 
 func TestBadRecordsAreRefusedAndChangeNothing(t *testing.T) {
@@ -163,10 +184,10 @@
 	add(submission("j", "0", "1", "2", "3", "4", "5", "6", "7"))
 	for range 40 {
 		item := fmt.Sprint(random.IntN(8))
-		add(listing("j", &pathbendv1.BatchResult{ItemId: item, Text: fmt.Append(nil, random.IntN(1000))}))
+		add(listing("j", &pathbendv1.BatchResult{ItemId: item, Text: blob(random.Uint64N(1000))}))
 	}
 	one, two := New(), New()
-	positions := make(map[int]string)
+	positions := make(map[int]uint64)
 	for _, record := range log {
 		_, err := one.Apply(record, start)
 		require.NoError(t, err)
@@ -175,16 +196,20 @@
 		}
 		for position, listed := range one.Job("j").Results {
 			if text, known := positions[position]; known {
-				require.Equal(t, text, string(listed.Text))
+				require.Equal(t, text, listed.Text.Offset)
 			}
-			positions[position] = string(listed.Text)
+			positions[position] = listed.Text.Offset
 		}
 	}
 	for _, record := range log {
 		_, err := two.Apply(record, start.Add(time.Hour))
 		require.NoError(t, err)
 	}
-	require.Equal(t, one.Job("j").Results, two.Job("j").Results)
+	require.Len(t, two.Job("j").Results, len(one.Job("j").Results))
+	for position, listed := range two.Job("j").Results {
+		require.Equal(t, one.Job("j").Results[position].ItemID, listed.ItemID)
+		require.Equal(t, positions[position], listed.Text.Offset)
+	}
 }
 
 func FuzzApply(f *testing.F) {
--- a/internal/platformsim/group.go
+++ b/internal/platformsim/group.go
@@ -154,14 +154,47 @@
 	}
 }
 
-// rebalance deals all partitions anew at once.
+// rebalance deals all partitions anew at once, unasked: the former holders hear
+// of it at their next join.
 func (g *group) rebalance() {
 	names := slices.Sorted(maps.Keys(g.members))
+	if len(names) == 0 {
+		return
+	}
+	g.generation++
+	for i := range g.parts {
+		g.parts[i] = dealt{member: names[(i+int(g.generation))%len(names)], since: g.generation}
+	}
+}
+
+// serveOwners tells who holds what.
+func (s *Store) serveOwners(writer http.ResponseWriter, request *http.Request) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	document := platform.OwnersDocument{Parts: [][]json.RawMessage{}}
+	if dealing := s.groups[request.URL.Query().Get(platform.QueryGroup)]; dealing != nil {
+		document.Parts = dealing.owners()
+	}
+	writeDocument(writer, document)
+}
+
+func (g *group) owners() [][]json.RawMessage {
+	rows := [][]json.RawMessage{}
 	for i := range g.parts {
-		if len(names) > 0 {
-			g.move(i, names[(i+int(g.generation))%len(names)])
+		if g.parts[i].member != "" {
+			rows = append(rows, row(g.topic, i, g.parts[i].member, 0))
 		}
 	}
+	return rows
+}
+
+func row(columns ...any) []json.RawMessage {
+	encoded := make([]json.RawMessage, len(columns))
+	for i, column := range columns {
+		// Texts and numbers can always be encoded.
+		encoded[i], _ = json.Marshal(column)
+	}
+	return encoded
 }
 
 // Rebalance deals the partitions of every group anew.
@@ -177,9 +210,7 @@
 	document := platform.ShareDocument{Generation: g.generation, Parts: [][]json.RawMessage{}}
 	for i := range g.parts {
 		if g.parts[i].member == member && g.parts[i].next == "" {
-			topic, _ := json.Marshal(g.topic)
-			number, _ := json.Marshal(i)
-			document.Parts = append(document.Parts, []json.RawMessage{topic, number, []byte("0")})
+			document.Parts = append(document.Parts, row(g.topic, i, 0))
 		}
 	}
 	return document
--- a/internal/platformsim/mutation_test.go
+++ b/internal/platformsim/mutation_test.go
@@ -18,7 +18,7 @@
 		mutation.Replace("internal/ledger/ledger.go", "if item.Previous != 0 && item.Previous != kept.ID {", "if false {"),
 	}},
 	{Promise: "TWICE: the first result counts", Edits: []mutation.Edit{
-		mutation.Replace("internal/ledger/ledger.go", "if job.Item(listed.ItemId) == nil || job.Listed(listed.ItemId) {\n\t\treturn\n\t}\n\tadded", "if job.Item(listed.ItemId) == nil {\n\t\treturn\n\t}\n\tadded"),
+		mutation.Replace("internal/ledger/ledger.go", "if !job.Has(listed.ItemId) || job.Listed(listed.ItemId) {\n\t\treturn\n\t}\n\tadded", "if !job.Has(listed.ItemId) {\n\t\treturn\n\t}\n\tadded"),
 	}},
 	{Promise: "UNASKED: an ended job stops", Edits: []mutation.Edit{
 		mutation.Replace("internal/hosted/executor.go", "stopped := e.scheduler.DropJob(change.Job.ID)", "var stopped []schedule.Key"),
--- a/internal/platformsim/store.go
+++ b/internal/platformsim/store.go
@@ -137,6 +137,8 @@
 		s.serveNewest(writer, request)
 	case platform.PathJoin, platform.PathLeave:
 		s.serveGroup(writer, request, body)
+	case platform.PathOwners:
+		s.serveOwners(writer, request)
 	default:
 		writer.WriteHeader(http.StatusNotFound)
 	}
@@ -168,6 +170,7 @@
 	topic, part := partOf(request)
 	from, _ := strconv.Atoi(request.URL.Query().Get("from"))
 	hold, _ := strconv.Atoi(request.URL.Query().Get("waitMs"))
+	kilobytes, _ := strconv.Atoi(request.URL.Query().Get("max_kb"))
 	timer := time.NewTimer(time.Duration(hold) * time.Millisecond)
 	defer timer.Stop()
 	for waiting := hold > 0; ; {
@@ -180,7 +183,7 @@
 			return
 		}
 		if from < len(records) || !waiting {
-			writeRecords(writer, records, from)
+			writeRecords(writer, records, from, min(kilobytes<<10, maxReadBytes))
 			return
 		}
 		select {
@@ -193,11 +196,12 @@
 	}
 }
 
-func writeRecords(writer http.ResponseWriter, records [][]byte, from int) {
+func writeRecords(writer http.ResponseWriter, records [][]byte, from, maxBytes int) {
 	answer := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	answer = binary.BigEndian.AppendUint64(answer, 0)
+	empty := len(answer)
 	for _, record := range records[min(from, len(records)):] {
-		if len(answer)+len(record) > maxReadBytes {
+		if len(answer) > empty && len(answer)+len(record) > maxBytes {
 			break
 		}
 		answer = binary.BigEndian.AppendUint32(answer, uint32(len(record)))
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -162,6 +162,7 @@
 	settings.Bounds.GraceS, settings.Bounds.SettleMS, settings.Bounds.LeaseMS = graceS, 1000, 3000
 	settings.Bounds.StatusIntervalS = 120
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = storeAddress, 32<<10, 256<<10
+	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
 	return settings
 }
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -5,7 +5,6 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
-	"github.com/pathbend/pathbend/internal/ledger"
 )
 
 // Key names an item of a job.
@@ -96,7 +95,7 @@
 }
 
 // resume takes over a kept text if its versions fit the job.
-func (i *item) resume(kept ledger.Progress) {
+func (i *item) resume(kept Begun) {
 	if !i.job.fits(kept.Versions) {
 		return
 	}
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -57,8 +57,11 @@
 
 // Finished is an item whose text is whole.
 type Finished struct {
-	Key      Key
-	Text     []byte
+	Key  Key
+	Text []byte
+	// Kept names the text in the log, in place of Text, if an earlier job listed
+	// it.
+	Kept     *pathbendv1.Blob
 	Versions []uint64
 	Reward   *pathbendv1.RewardCall
 	// Score is set if the text was scored by the same call before.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/ledger"
 )
 
@@ -34,20 +35,30 @@
 
 // Kept finds text of items from earlier runs.
 type Kept interface {
-	Progress(itemID string) (ledger.Progress, bool)
+	// Begun returns the text of an item that was not finished.
+	Begun(itemID string) (Begun, bool)
 	Finished(itemID string) (ledger.Result, bool)
 }
 
-// AddJob takes in an open job. It returns the items whose text is whole
-// already, which need only their score.
-func (s *Scheduler) AddJob(open *ledger.Job, policy Policy, kept Kept) []Finished {
+// Begun is the kept text of an item that was not finished.
+type Begun struct {
+	// ID names the last part of the text in the log.
+	ID       uint64
+	Events   uint64
+	Text     []byte
+	Versions []uint64
+}
+
+// AddJob takes in an open job with its items. It returns the items whose text is
+// whole already, which need only their score.
+func (s *Scheduler) AddJob(open *ledger.Job, items []*pathbendv1.BatchItem, policy Policy, kept Kept) []Finished {
 	if _, known := s.jobs[open.ID]; known {
 		return nil
 	}
 	added := &job{id: open.ID, spec: open.Spec, policy: policy}
 	s.jobs[open.ID] = added
 	var finished []Finished
-	for _, spec := range open.Spec.Items {
+	for _, spec := range items {
 		key := Key{Job: open.ID, Item: spec.Id}
 		if open.Listed(spec.Id) || s.items[key] != nil {
 			continue
@@ -60,7 +71,7 @@
 		}
 	}
 	s.rank(added)
-	s.noteGroups(open)
+	s.noteGroups(items, open.ReceivedAt)
 	return finished
 }
 
@@ -69,26 +80,27 @@
 
 // noteGroups remembers the groups of a job and forgets those that were not
 // brought for long.
-func (s *Scheduler) noteGroups(open *ledger.Job) {
-	maps.DeleteFunc(s.seenGroups, func(_ string, seen time.Time) bool { return open.ReceivedAt.Sub(seen) > carryTime })
-	for _, spec := range open.Spec.Items {
-		s.seenGroups[spec.Group] = open.ReceivedAt
+func (s *Scheduler) noteGroups(items []*pathbendv1.BatchItem, now time.Time) {
+	maps.DeleteFunc(s.seenGroups, func(_ string, seen time.Time) bool { return now.Sub(seen) > carryTime })
+	for _, spec := range items {
+		s.seenGroups[spec.Group] = now
 	}
 }
 
 // reuse takes over text of an earlier run, whole or in part.
 func (i *item) reuse(kept Kept) (Finished, bool) {
 	if done, ok := kept.Finished(i.key.Item); ok && i.job.fits(done.Versions) && len(done.Versions) > 0 {
-		i.text, i.versions = done.Text, done.Versions
+		i.versions = done.Versions
 		i.phase = scoring
 		whole := i.finished()
+		whole.Kept = done.Text
 		if done.RewardID == i.spec.GetReward().GetId() {
 			whole.Score = done.Score
 		}
 		return whole, true
 	}
-	if progress, ok := kept.Progress(i.key.Item); ok {
-		i.resume(progress)
+	if begun, ok := kept.Begun(i.key.Item); ok {
+		i.resume(begun)
 	}
 	return Finished{}, false
 }
@@ -155,9 +167,6 @@
 // HasJob reports whether a job is known.
 func (s *Scheduler) HasJob(id string) bool { return s.jobs[id] != nil }
 
-// Jobs returns the ids of the jobs, ordered.
-func (s *Scheduler) Jobs() []string { return slices.Sorted(maps.Keys(s.jobs)) }
-
 // SingleVersion reports whether an open job of a model wants each text made by
 // one version.
 func (s *Scheduler) SingleVersion(model string) bool {
@@ -168,26 +177,3 @@
 	}
 	return false
 }
-
-// Counts tells how many items stand where.
-type Counts struct {
-	Pending, Running, Scoring, Settled int
-}
-
-// Counts counts the items by phase.
-func (s *Scheduler) Counts() Counts {
-	var counts Counts
-	for _, entry := range s.items {
-		switch entry.phase {
-		case pending:
-			counts.Pending++
-		case running:
-			counts.Running++
-		case scoring:
-			counts.Scoring++
-		case settled:
-			counts.Settled++
-		}
-	}
-	return counts
-}
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -16,12 +16,17 @@
 
 // kept is text of earlier runs.
 type kept struct {
-	progress map[string]ledger.Progress
+	begun    map[string]Begun
 	finished map[string]ledger.Result
 }
 
-func (k kept) Progress(id string) (ledger.Progress, bool) { p, ok := k.progress[id]; return p, ok }
-func (k kept) Finished(id string) (ledger.Result, bool)   { r, ok := k.finished[id]; return r, ok }
+func (k kept) Begun(id string) (Begun, bool)            { p, ok := k.begun[id]; return p, ok }
+func (k kept) Finished(id string) (ledger.Result, bool) { r, ok := k.finished[id]; return r, ok }
+
+// saved tells which part of an item's text the log holds last.
+type saved map[string]ledger.Progress
+
+func (s saved) Progress(id string) (ledger.Progress, bool) { p, ok := s[id]; return p, ok }
 
 // bench is a scheduler with the means to drive it.
 type bench struct {
@@ -43,23 +48,20 @@
 }
 
 // jobOf makes a job with one item per word "group:tokens".
-func (b *bench) jobOf(id string, minVersion uint64, words ...string) *ledger.Job {
+func (b *bench) jobOf(id string, minVersion uint64, words ...string) testJob {
 	b.t.Helper()
+	var items []*pathbendv1.BatchItem
 	spec := &pathbendv1.BatchJob{Model: "m", MinVersion: minVersion}
 	for i, word := range words {
 		group, tokens, _ := strings.Cut(word, ":")
 		expected := uint64(0)
 		_, err := fmt.Sscan(tokens, &expected)
 		require.NoError(b.t, err)
-		spec.Items = append(spec.Items, &pathbendv1.BatchItem{
+		items = append(items, &pathbendv1.BatchItem{
 			Id: fmt.Sprintf("%s-%d", id, i), Group: group, ExpectedTokens: expected, Reward: &pathbendv1.RewardCall{Id: "w"},
 		})
+		spec.ItemIds = append(spec.ItemIds, items[i].Id)
 	}
-	return b.jobOfSpec(id, spec)
-}
-
-func (b *bench) jobOfSpec(id string, spec *pathbendv1.BatchJob) *ledger.Job {
-	b.t.Helper()
 	l := ledger.New()
 	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
 	const large = 1 << 20
@@ -67,7 +69,17 @@
 	require.NoError(b.t, err)
 	_, err = l.Apply(records[0], b.now)
 	require.NoError(b.t, err)
-	return l.Job(id)
+	return testJob{open: l.Job(id), items: items}
+}
+
+// testJob is a job with its items.
+type testJob struct {
+	open  *ledger.Job
+	items []*pathbendv1.BatchItem
+}
+
+func (b *bench) addJob(job testJob, policy Policy, kept Kept) []Finished {
+	return b.s.AddJob(job.open, job.items, policy, kept)
 }
 
 func policy(due time.Duration) Policy {
@@ -97,17 +109,17 @@
 
 func TestLongestGroupFirstAndOldestJobFirst(t *testing.T) {
 	b := newBench(t, sampler("s", 10, 1))
-	b.s.AddJob(b.jobOf("late", 1, "g:900"), policy(9*time.Second), kept{})
-	b.s.AddJob(b.jobOf("soon", 1, "g1:10", "g2:50", "g1:99", "g2:20"), policy(5*time.Second), kept{})
+	b.addJob(b.jobOf("late", 1, "g:900"), policy(9*time.Second), kept{})
+	b.addJob(b.jobOf("soon", 1, "g1:10", "g2:50", "g1:99", "g2:20"), policy(5*time.Second), kept{})
 	require.Equal(t, []string{"soon-2", "soon-0", "soon-1", "soon-3", "late-0"}, itemsOf(b.starts()))
 }
 
 func TestGroupsThatCameBeforeStandFirst(t *testing.T) {
 	b := newBench(t, sampler("s", 0, 1))
 	b.s.Samplers([]Sampler{sampler("s", 10, 1)})
-	b.s.AddJob(b.jobOf("a", 1, "old:5"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("a", 1, "old:5"), policy(time.Second), kept{})
 	b.s.DropJob("a")
-	b.s.AddJob(b.jobOf("b", 1, "new:500", "old:5"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("b", 1, "new:500", "old:5"), policy(time.Second), kept{})
 	require.Equal(t, []string{"b-1", "b-0"}, itemsOf(b.starts()))
 }
 
@@ -116,7 +128,7 @@
 	leaving.Leaving, other.Service = true, "api"
 	b := newBench(t, old, leaving, other, sampler("fit", 2, 2), sampler("loading", 8, 2))
 	b.s.SetLoading("loading", "m", true)
-	b.s.AddJob(b.jobOf("j", 2, "g:1", "g:1", "g:1", "g:1"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 2, "g:1", "g:1", "g:1", "g:1"), policy(time.Second), kept{})
 	starts := b.starts()
 	require.Len(t, starts, 2)
 	for _, start := range starts {
@@ -130,13 +142,13 @@
 func TestLoadingOneModelDoesNotBlockAnother(t *testing.T) {
 	b := newBench(t, sampler("s", 8, 2))
 	b.s.SetLoading("s", "another", true)
-	b.s.AddJob(b.jobOf("j", 2, "g:1"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 2, "g:1"), policy(time.Second), kept{})
 	require.Len(t, b.starts(), 1)
 }
 
 func TestBrokenRunGoesOnAfterItsLastEvent(t *testing.T) {
 	b := newBench(t, sampler("s", 1, 3), sampler("t", 1, 3))
-	b.s.AddJob(b.jobOf("j", 2, "g:100"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 2, "g:100"), policy(time.Second), kept{})
 	first := b.starts()[0]
 	require.True(t, b.feed(first, 1, 3, 3))
 	require.False(t, b.feed(first, 5, 5, 3), "a gap is no event")
@@ -154,7 +166,7 @@
 
 func TestOldWeightsAreNoEventAndTheSamplerIsKnown(t *testing.T) {
 	b := newBench(t, sampler("s", 1, 5))
-	b.s.AddJob(b.jobOf("j", 4, "g:100"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 4, "g:100"), policy(time.Second), kept{})
 	start := b.starts()[0]
 	require.False(t, b.feed(start, 1, 1, 3))
 	b.s.RunEnded(start.Key, start.Run, Stopped, b.now)
@@ -167,7 +179,7 @@
 	single := policy(time.Second)
 	single.SingleVersion = true
 	require.False(t, b.s.SingleVersion("m"))
-	b.s.AddJob(b.jobOf("j", 4, "g:100"), single, kept{})
+	b.addJob(b.jobOf("j", 4, "g:100"), single, kept{})
 	require.True(t, b.s.SingleVersion("m"))
 	require.False(t, b.s.SingleVersion("another"))
 	start := b.starts()[0]
@@ -180,7 +192,7 @@
 
 func TestFailuresEndAnItemOnlyAfterTheirNumber(t *testing.T) {
 	b := newBench(t, sampler("s", 1, 1))
-	b.s.AddJob(b.jobOf("j", 1, "g:1"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 1, "g:1"), policy(time.Second), kept{})
 	for failure := 1; failure <= 3; failure++ {
 		b.now = b.now.Add(time.Minute)
 		start := b.starts()[0]
@@ -193,7 +205,7 @@
 
 func TestSilentRunsMove(t *testing.T) {
 	b := newBench(t, sampler("dark", 1, 1))
-	b.s.AddJob(b.jobOf("j", 1, "g:100"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 1, "g:100"), policy(time.Second), kept{})
 	start := b.starts()[0]
 	b.s.Samplers([]Sampler{sampler("dark", 1, 1), sampler("fit", 1, 1)})
 	b.now = b.now.Add(silenceLimit)
@@ -208,7 +220,7 @@
 
 func TestRunsOnASlowSamplerMoveWhereThereIsRoom(t *testing.T) {
 	b := newBench(t, sampler("slow", 1, 1))
-	b.s.AddJob(b.jobOf("j", 1, "g:9000"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 1, "g:9000"), policy(time.Second), kept{})
 	start := b.starts()[0]
 	for id := uint64(1); id < 20; id++ {
 		b.now = b.now.Add(200 * time.Millisecond)
@@ -224,22 +236,25 @@
 	require.EqualValues(t, 19, next.AfterEvent)
 }
 
+var wholeText = &pathbendv1.Blob{Offset: 3, Records: 1, Bytes: 5}
+
 func TestKeptTextIsUsedIfItsVersionsFit(t *testing.T) {
 	earlier := kept{
-		progress: map[string]ledger.Progress{
+		begun: map[string]Begun{
 			"j-0": {ID: 9, Events: 2, Text: []byte("1\n2"), Versions: []uint64{4}},
 			"j-1": {ID: 8, Events: 2, Text: []byte("1\n2"), Versions: []uint64{2}},
 		},
 		finished: map[string]ledger.Result{
-			"j-2": {ItemID: "j-2", Text: []byte("whole"), Versions: []uint64{4, 5}, Score: "stamp", RewardID: "w"},
-			"j-3": {ItemID: "j-3", Text: []byte("whole"), Versions: []uint64{4}, Score: "stamp", RewardID: "another"},
-			"j-4": {ItemID: "j-4", Text: []byte("whole"), Versions: []uint64{1}, Score: "stamp", RewardID: "w"},
+			"j-2": {ItemID: "j-2", Text: wholeText, Versions: []uint64{4, 5}, Score: "stamp", RewardID: "w"},
+			"j-3": {ItemID: "j-3", Text: wholeText, Versions: []uint64{4}, Score: "stamp", RewardID: "another"},
+			"j-4": {ItemID: "j-4", Text: wholeText, Versions: []uint64{1}, Score: "stamp", RewardID: "w"},
 		},
 	}
 	b := newBench(t, sampler("s", 8, 5))
-	finished := b.s.AddJob(b.jobOf("j", 4, "a:1", "a:1", "a:1", "a:1", "a:1"), policy(time.Second), earlier)
+	finished := b.addJob(b.jobOf("j", 4, "a:1", "a:1", "a:1", "a:1", "a:1"), policy(time.Second), earlier)
 	require.Len(t, finished, 2)
 	require.Equal(t, "stamp", finished[0].Score)
+	require.Same(t, wholeText, finished[0].Kept, "the text need not be read to be listed again")
 	require.Empty(t, finished[1].Score, "it needs its own reward call")
 	after := make(map[string]uint64)
 	for _, start := range b.starts() {
@@ -250,30 +265,30 @@
 
 func TestSavedPartsFormAChainAndAreSentAgainIfLost(t *testing.T) {
 	b := newBench(t, sampler("s", 1, 1))
-	b.s.AddJob(b.jobOf("j", 1, "g:100"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 1, "g:100"), policy(time.Second), kept{})
 	start := b.starts()[0]
 	b.feed(start, 1, 2, 1)
-	first := b.s.Unsaved(2, kept{}, b.now)["j"][0]
-	require.Zero(t, first.Previous)
+	first := b.s.Unsaved(2, saved{}, b.now)["j"][0]
+	require.Zero(t, first.Progress.Previous)
 	require.Equal(t, "1\n2", string(first.Text))
 	b.feed(start, 3, 4, 1)
-	require.Empty(t, b.s.Unsaved(2, kept{}, b.now), "the first part was not read back yet")
-	read := kept{progress: map[string]ledger.Progress{"j-0": {ID: first.Id, Events: 2}}}
+	require.Empty(t, b.s.Unsaved(2, saved{}, b.now), "the first part was not read back yet")
+	read := saved{"j-0": {ID: first.Progress.Id, Events: 2}}
 	second := b.s.Unsaved(2, read, b.now)["j"][0]
-	require.Equal(t, first.Id, second.Previous)
+	require.Equal(t, first.Progress.Id, second.Progress.Previous)
 	require.Equal(t, "3\n4", string(second.Text))
 	b.now = b.now.Add(confirmTimeout)
 	lost := b.s.Unsaved(2, read, b.now)["j"][0]
-	require.Zero(t, lost.Previous)
+	require.Zero(t, lost.Progress.Previous)
 	require.Equal(t, "1\n2\n3\n4", string(lost.Text))
 }
 
 func TestDroppedJobFreesItsSlots(t *testing.T) {
 	b := newBench(t, sampler("s", 2, 1))
-	b.s.AddJob(b.jobOf("j", 1, "g:1", "g:1"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 1, "g:1", "g:1"), policy(time.Second), kept{})
 	require.Len(t, b.starts(), 2)
 	require.Len(t, b.s.DropJob("j"), 2)
-	b.s.AddJob(b.jobOf("k", 1, "g:1", "g:1"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("k", 1, "g:1", "g:1"), policy(time.Second), kept{})
 	require.Len(t, b.starts(), 2)
 	require.True(t, b.s.Settled(Key{Job: "k", Item: "k-0"}))
 	require.False(t, b.s.Settled(Key{Job: "k", Item: "k-0"}))
@@ -282,7 +297,7 @@
 
 func TestGoneSamplerIsForgottenOnceItsRunsEnd(t *testing.T) {
 	b := newBench(t, sampler("s", 1, 1))
-	b.s.AddJob(b.jobOf("j", 1, "g:1"), policy(time.Second), kept{})
+	b.addJob(b.jobOf("j", 1, "g:1"), policy(time.Second), kept{})
 	start := b.starts()[0]
 	b.s.Samplers(nil)
 	require.Len(t, b.s.Loads(), 1)
@@ -296,7 +311,7 @@
 	b := newBench(t, sampler("s", 1, 1))
 	for number := range 100 {
 		id := fmt.Sprint("j", number)
-		b.s.AddJob(b.jobOf(id, 1, fmt.Sprintf("g%d:1", number)), policy(time.Second), kept{})
+		b.addJob(b.jobOf(id, 1, fmt.Sprintf("g%d:1", number)), policy(time.Second), kept{})
 		b.s.DropJob(id)
 		b.now = b.now.Add(4 * time.Second)
 	}
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -61,6 +61,10 @@
 	}
 }
 
+func (l *fakeLog) ReadPart(ctx context.Context, partition Partition, from uint64, _ int) (Batch, error) {
+	return l.Read(ctx, partition, from, 0)
+}
+
 func (l *fakeLog) ReadKeyed(_ context.Context, _ Partition, from uint64, wait time.Duration) (KeyedBatch, error) {
 	time.Sleep(min(wait, time.Millisecond))
 	l.mutex.Lock()
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -47,6 +47,9 @@
 	Append(ctx context.Context, partition Partition, records [][]byte) (uint64, error)
 	// Read returns records from an offset on. It waits up to wait for one.
 	Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (Batch, error)
+	// ReadPart returns records from an offset on that are there already, about
+	// maxBytes of them and at least one.
+	ReadPart(ctx context.Context, partition Partition, from uint64, maxBytes int) (Batch, error)
 	// ReadKeyed is Read for a keyed topic.
 	ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (KeyedBatch, error)
 	// Newest returns the newest record of each key and the offset from which
