--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -19,10 +19,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func submission(id string, items ...string) *pathbendv1.LedgerEntry {
-	job := &pathbendv1.BatchJob{Host: "h", Path: "/p/"}
-	for _, item := range items {
-		job.ItemIds = append(job.ItemIds, item)
-	}
+	job := &pathbendv1.BatchJob{Host: "h", Path: "/p/", ItemIds: items}
 	return &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: job}}
 }
 
