Give a slow sampler one item at a time; count an unknown one as the fleet

Two reasons: a sampler without an event was taken to make one in 35 ms while the loaded fleet takes 45, so it drew runs from all others; and the only free places under load are those at slow samplers, which were filled at once and left 400 ms later, over and over. Ruled out: the limit of 1.8 between paces (runs left samplers of 63 to 220 ms). Change: a moving average over the fleet stands for a sampler without an event; a sampler twice as slow as the fleet gets one item at a time.

--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -70,10 +70,14 @@
 		return false
 	}
 	best, _ := s.choose(entry, now)
-	if best == nil || best == entry.sampler {
+	if best == nil || best == entry.sampler || best.slow(s.fleetPace) {
 		return false
 	}
-	gain := float64(entry.sampler.pace) - float64(best.pace)
+	there := best.pace
+	if !best.observed {
+		there = s.fleetPace
+	}
+	gain := float64(entry.sampler.pace) - float64(there)
 	saved := time.Duration(gain * entry.remaining(assumedTokensPerEvent))
-	return float64(entry.sampler.pace) > moveRatio*float64(best.pace) && saved > moveWorth
+	return float64(entry.sampler.pace) > moveRatio*float64(there) && saved > moveWorth
 }
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -50,9 +50,7 @@
 func (s *Scheduler) freeSlots(now time.Time) int {
 	free := 0
 	for _, state := range s.samplers {
-		if state.usable(now) {
-			free += state.slots() - state.running
-		}
+		free += state.room(s.fleetPace, now)
 	}
 	return free
 }
@@ -72,11 +70,11 @@
 	bestCost, candidates := 0.0, 0
 	for _, id := range slices.Sorted(maps.Keys(s.samplers)) {
 		state := s.samplers[id]
-		if !state.usable(now) || !s.serves(state, entry) {
+		if state.room(s.fleetPace, now) == 0 || !s.serves(state, entry) {
 			continue
 		}
 		candidates++
-		cost := state.cost(entry.spec.Group, now)
+		cost := state.cost(entry.spec.Group, s.fleetPace, now)
 		if state.ID == entry.avoid {
 			cost *= 2
 		}
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -38,7 +38,7 @@
 	entry.events++
 	entry.versions = versions
 	if entry.lastEvent != entry.startedAt {
-		entry.sampler.observe(now.Sub(entry.lastEvent))
+		s.observe(entry.sampler, now.Sub(entry.lastEvent))
 	}
 	entry.lastEvent = now
 	if event.Version > entry.sampler.Versions[entry.job.spec.Model] {
@@ -47,6 +47,11 @@
 	return true
 }
 
+func (s *Scheduler) observe(state *samplerState, gap time.Duration) {
+	state.observe(gap, s.fleetPace)
+	s.fleetPace += time.Duration(fleetWeight * float64(gap-s.fleetPace))
+}
+
 func (s *Scheduler) current(key Key, run uint64) *item {
 	entry, ok := s.items[key]
 	if !ok || entry.phase != running || entry.run != run {
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -25,8 +25,10 @@
 	// loading holds the models whose weights are being changed. Only work for
 	// these has to wait.
 	loading map[string]struct{}
-	// pace is a moving average of the time to one event of one item.
-	pace time.Duration
+	// pace is a moving average of the time to one event of one item. It is that of
+	// the fleet until the sampler made an event.
+	pace     time.Duration
+	observed bool
 	// notBefore is when the sampler may get work again after a refusal or a
 	// failure; failures counts those in a row.
 	notBefore time.Time
@@ -36,8 +38,13 @@
 }
 
 const (
-	// initialPace is assumed of a sampler that has made no event yet.
+	// initialPace is assumed of the fleet before any event.
 	initialPace = 35 * time.Millisecond
+	// fleetWeight is the share of a new observation in the pace of the fleet.
+	fleetWeight = 0.01
+	// slowRatio is how much slower than the fleet a sampler is that gets one item
+	// at a time only, which shows when it is well again.
+	slowRatio = 2.0
 	// paceWeight is the share of a new observation in the moving average.
 	paceWeight = 0.15
 	// loadSlowdown is how much each running item slows the others.
@@ -66,13 +73,24 @@
 	return loading
 }
 
-func (s *samplerState) usable(now time.Time) bool {
-	return !s.Leaving && s.running < s.slots() && !now.Before(s.notBefore)
+// room is the number of items that the sampler may take on.
+func (s *samplerState) room(fleet time.Duration, now time.Time) int {
+	if s.Leaving || now.Before(s.notBefore) {
+		return 0
+	}
+	if s.slow(fleet) {
+		return max(1-s.running, 0)
+	}
+	return max(s.slots()-s.running, 0)
 }
 
 // cost estimates the relative time that a new item would take.
-func (s *samplerState) cost(group string, now time.Time) float64 {
-	estimated := float64(s.pace) * (1 + loadSlowdown*float64(s.running))
+func (s *samplerState) cost(group string, fleet time.Duration, now time.Time) float64 {
+	pace := fleet
+	if s.observed {
+		pace = s.pace
+	}
+	estimated := float64(pace) * (1 + loadSlowdown*float64(s.running))
 	if readAt, read := s.groups[group]; read && group != "" && now.Sub(readAt) < groupMemory {
 		estimated *= affinityGain
 	}
@@ -87,11 +105,20 @@
 	}
 }
 
-func (s *samplerState) observe(gap time.Duration) {
+// observe takes in the time to one event.
+func (s *samplerState) observe(gap, fleet time.Duration) {
+	if !s.observed {
+		s.pace, s.observed = fleet, true
+	}
 	s.pace += time.Duration(paceWeight * float64(gap-s.pace))
 	s.failures = 0
 }
 
+// slow reports whether the sampler is much slower than the fleet.
+func (s *samplerState) slow(fleet time.Duration) bool {
+	return s.observed && float64(s.pace) > slowRatio*float64(fleet)
+}
+
 // pause keeps work away after a failure.
 func (s *samplerState) pause(now time.Time) {
 	s.notBefore = now.Add(min(basePause<<min(s.failures, 6), maxPause))
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -13,7 +13,7 @@
 		present[sampler.ID] = struct{}{}
 		state, ok := s.samplers[sampler.ID]
 		if !ok {
-			state = &samplerState{pace: initialPace, groups: make(map[string]time.Time), loading: make(map[string]struct{})}
+			state = &samplerState{pace: s.fleetPace, groups: make(map[string]time.Time), loading: make(map[string]struct{})}
 			s.samplers[sampler.ID] = state
 		}
 		known := state.Versions
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -18,14 +18,17 @@
 	samplers map[string]*samplerState
 	// seenGroups tells when a job last brought a group.
 	seenGroups map[string]time.Time
-	runs       uint64
-	newID      func() uint64
+	// fleetPace is a moving average of the time to one event at any sampler.
+	fleetPace time.Duration
+	runs      uint64
+	newID     func() uint64
 }
 
 // New returns an empty scheduler. newID draws ids that no other executor draws.
 func New(newID func() uint64) *Scheduler {
 	return &Scheduler{
 		newID:      newID,
+		fleetPace:  initialPace,
 		jobs:       make(map[string]*job),
 		items:      make(map[Key]*item),
 		samplers:   make(map[string]*samplerState),
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -317,3 +317,37 @@
 	}
 	require.LessOrEqual(t, len(b.s.seenGroups), int(carryTime/(4*time.Second))+1)
 }
+
+// Every free place at a slow sampler was filled and left again 400 ms later: 745
+// of 4,009 runs of a day were moved.
+func TestSlowSamplerGetsOneItemAtATime(t *testing.T) {
+	b := newBench(t, sampler("fast", 4, 1), sampler("slow", 4, 1))
+	b.s.fleetPace = 20 * time.Millisecond
+	b.s.samplers["fast"].observe(20*time.Millisecond, b.s.fleetPace)
+	for range 30 {
+		b.s.samplers["slow"].observe(100*time.Millisecond, b.s.fleetPace)
+	}
+	b.addJob(b.jobOf("j", 1, "g:1", "g:1", "g:1", "g:1", "g:1", "g:1", "g:1"), policy(time.Second), kept{})
+	counts := make(map[string]int)
+	for _, start := range b.starts() {
+		counts[start.Sampler.ID]++
+	}
+	require.Equal(t, map[string]int{"fast": 4, "slow": 1}, counts)
+}
+
+// A sampler that had made no event yet was taken for faster than any that had,
+// and drew the runs of all others.
+func TestUnknownSamplerCountsAsTheFleetDoes(t *testing.T) {
+	b := newBench(t, sampler("known", 8, 1))
+	b.addJob(b.jobOf("j", 1, "g:9000", "g:9000"), policy(time.Second), kept{})
+	starts := b.starts()
+	b.s.fleetPace = 70 * time.Millisecond
+	for range 30 {
+		b.s.samplers["known"].observe(70*time.Millisecond, b.s.fleetPace)
+	}
+	b.s.Samplers([]Sampler{sampler("known", 8, 1), sampler("unknown", 8, 1)})
+	for _, start := range starts {
+		require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: 1, Version: 1, Data: []byte("x")}, b.now.Add(time.Second)))
+	}
+	require.Empty(t, b.s.Moves(b.now.Add(time.Second+moveAfter)))
+}
