Let a model's homes take turns where jobs allow the version before

Cause: under load items wait for one of the model's own samplers (candidates 1, running 5 of 6) while three quarters of the fleet have room. A job of step k allows version k - 1, so samplers that took the version before still serve it. Change: a model has twice its share of homes; each version goes to the half that is furthest behind. Loads stay as they were. Where a job allows only the newest version, and where one model has the whole fleet, nothing changes.

--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -324,6 +324,7 @@
 	if e.scheduler != scheduler {
 		return
 	}
+	e.roll.Allow(job.Spec.Model, e.slackOf(job.Spec))
 	policy := e.policyOf(job)
 	var finished []schedule.Finished
 	e.node.jobs.withLedger(func(*ledger.Ledger) {
@@ -337,6 +338,18 @@
 	e.wake()
 }
 
+// slackOf is how many versions behind the newest a job allows.
+func (e *executor) slackOf(spec *pathbendv1.BatchJob) uint64 {
+	newest := max(e.node.targets()[spec.Model], firstVersion)
+	if spec.MinVersion >= newest {
+		return 0
+	}
+	return newest - spec.MinVersion
+}
+
+// firstVersion is what samplers serve before any version is named.
+const firstVersion = 1
+
 func (e *executor) policyOf(job *ledger.Job) schedule.Policy {
 	route := e.routeOf(job.Spec)
 	policy := schedule.Policy{Due: job.ReceivedAt.Add(defaultDue), MaxFailures: 1}
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -29,15 +29,21 @@
 // Roll decides which samplers change their weights when. Loads are scarce: only
 // a part of the samplers changes at once, since more would slow each other's
 // loads down, and a new version of each model comes every few seconds. So each
-// model has homes, an equal part of the samplers, and only they follow its
-// versions; the other samplers keep what they have. A Roll is pure and not safe
-// for concurrent use.
+// model has homes, and only they follow its versions; the other samplers keep
+// what they have. Of the homes an equal share of the fleet takes each version.
+// Where jobs allow the version before the newest, a model has twice as many homes
+// and they take turns: half of them serve the newest version, half the one before,
+// for the same number of loads. A Roll is pure and not safe for concurrent use.
 type Roll struct {
 	// Least is the number of changes that may be under way in the smallest fleet.
 	Least int
 
-	homes     map[string]map[string]struct{} // by sampler: its models
-	moving    map[string]struct{}
+	homes map[string]map[string]struct{} // by sampler: its models
+	// share is the number of homes of a model that take each version.
+	share map[string]int
+	// slack is how many versions behind the newest the jobs of a model allow.
+	slack     map[string]uint64
+	moving    map[string]Step
 	notBefore map[string]time.Time
 	failures  map[string]int
 }
@@ -53,6 +59,8 @@
 	// leastHomes is how many samplers follow a model at least, so that the loss
 	// of one does not stop it.
 	leastHomes = 2
+	// turns is the number of parts of a model's homes that take versions in turn.
+	turns = 2
 )
 
 // NewRoll returns a roll that changes up to least samplers at once, or a part of
@@ -83,13 +91,11 @@
 // least work.
 func (r *Roll) Next(now time.Time, members []Member, targets map[string]uint64) []Step {
 	r.settle(now, members, targets)
-	var behind []Step
 	byID := make(map[string]Member, len(members))
+	var behind []Step
 	for _, member := range members {
 		byID[member.ID] = member
-		if step, ok := r.stepFor(now, member, targets); ok {
-			behind = append(behind, step)
-		}
+		behind = append(behind, r.stepsFor(now, member, targets)...)
 	}
 	lag := func(step Step) uint64 { return step.Version - byID[step.SamplerID].Versions[step.Model] }
 	slices.SortFunc(behind, func(a, b Step) int {
@@ -97,16 +103,43 @@
 			cmp.Compare(lag(b), lag(a)),
 			cmp.Compare(byID[a.SamplerID].Running, byID[b.SamplerID].Running),
 			cmp.Compare(a.SamplerID, b.SamplerID),
+			cmp.Compare(a.Model, b.Model),
 		)
 	})
-	room := max(r.together(members)-len(r.moving), 0)
-	steps := behind[:min(room, len(behind))]
-	for _, step := range steps {
-		r.moving[step.SamplerID] = struct{}{}
+	room := r.together(members) - len(r.moving)
+	fresh := r.fresh(members, targets)
+	var steps []Step
+	for _, step := range behind {
+		_, moving := r.moving[step.SamplerID]
+		if len(steps) >= room || moving || fresh[step.Model] >= r.share[step.Model] {
+			continue
+		}
+		fresh[step.Model]++
+		r.moving[step.SamplerID] = step
+		steps = append(steps, step)
 	}
 	return steps
 }
 
+// fresh counts the homes of each model that serve its newest version or are on
+// their way to it.
+func (r *Roll) fresh(members []Member, targets map[string]uint64) map[string]int {
+	fresh := make(map[string]int)
+	for _, member := range members {
+		moving := r.moving[member.ID]
+		for model := range r.homes[member.ID] {
+			if member.Versions[model] >= targets[model] || moving.Model == model && moving.Version >= targets[model] {
+				fresh[model]++
+			}
+		}
+	}
+	return fresh
+}
+
+// Allow takes in how many versions behind the newest the latest job of a model
+// allows.
+func (r *Roll) Allow(model string, slack uint64) { r.slack[model] = slack }
+
 // fit reports whether a sampler can follow models.
 func (r *Roll) fit(now time.Time, member Member) bool {
 	return !member.Leaving && (r.failures[member.ID] < failuresToLeave || !now.Before(r.notBefore[member.ID]))
@@ -142,7 +175,12 @@
 			hosts = append(hosts, id)
 		}
 	}
-	wanted := min(max((len(hosts)+models-1)/models, leastHomes), len(hosts))
+	share := min(max((len(hosts)+models-1)/models, leastHomes), len(hosts))
+	wanted := share
+	if r.slack[model] > 0 {
+		wanted = min(turns*share, len(hosts))
+	}
+	r.share[model] = share
 	r.addHomes(model, hosts, able, target, wanted)
 	r.dropHomes(model, hosts, able, wanted)
 }
@@ -205,21 +243,18 @@
 	return home
 }
 
-func (r *Roll) stepFor(now time.Time, member Member, targets map[string]uint64) (Step, bool) {
+// stepsFor returns the steps that would bring a member up to date.
+func (r *Roll) stepsFor(now time.Time, member Member, targets map[string]uint64) []Step {
 	if _, moving := r.moving[member.ID]; moving || member.Leaving || member.Wait || now.Before(r.notBefore[member.ID]) {
-		return Step{}, false
+		return nil
 	}
-	best := Step{}
-	for _, model := range slices.Sorted(maps.Keys(r.homes[member.ID])) {
-		serving, target := member.Versions[model], targets[model]
-		if target <= serving {
-			continue
-		}
-		if best.Model == "" || target-serving > best.Version-member.Versions[best.Model] {
-			best = Step{SamplerID: member.ID, Model: model, Version: target}
+	var steps []Step
+	for model := range r.homes[member.ID] {
+		if member.Versions[model] < targets[model] {
+			steps = append(steps, Step{SamplerID: member.ID, Model: model, Version: targets[model]})
 		}
 	}
-	return best, best.Model != ""
+	return steps
 }
 
 // Done records that an order is over. reached tells whether the sampler was
@@ -241,7 +276,9 @@
 // Forget drops what is known of orders under way, when another node takes over.
 func (r *Roll) Forget() {
 	r.homes = make(map[string]map[string]struct{})
-	r.moving = make(map[string]struct{})
+	r.share = make(map[string]int)
+	r.slack = make(map[string]uint64)
+	r.moving = make(map[string]Step)
 	r.notBefore = make(map[string]time.Time)
 	r.failures = make(map[string]int)
 }
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -138,3 +138,39 @@
 	require.Len(t, roll.Next(now, members, map[string]uint64{"a": 2}), 7)
 	require.Len(t, NewRoll(2).Next(now, membersOf(9, map[string]uint64{"a": 1}), map[string]uint64{"a": 2}), 2)
 }
+
+// Half of the samplers idled while a model's nine homes had a queue: jobs allow
+// the version before the newest, so twice as many samplers can serve them for the
+// same number of loads.
+func TestHomesTakeTurnsWhereJobsAllowTheVersionBefore(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := membersOf(9, map[string]uint64{"a": 1, "b": 1, "c": 1})
+	for version := uint64(2); version < 12; version++ {
+		for _, model := range []string{"a", "b", "c"} {
+			roll.Allow(model, 1)
+		}
+		targets := map[string]uint64{"a": version, "b": version, "c": version}
+		require.Equal(t, 9, play(roll, now, members, targets), "three loads a version of each model")
+		if version < 3 {
+			continue
+		}
+		for model := range targets {
+			usable := 0
+			for _, member := range members {
+				if member.Versions[model] >= version-1 {
+					usable++
+				}
+			}
+			require.GreaterOrEqual(t, usable, 6)
+		}
+	}
+}
+
+func TestOneModelIsStillFollowedByAll(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	roll.Allow("a", 1)
+	members := membersOf(8, map[string]uint64{"a": 1})
+	require.Equal(t, 8, play(roll, now, members, map[string]uint64{"a": 2}))
+}
