Tell the story of a failed request from log files: pathbend explain

Cause: an on-call engineer had to search the lines of all nodes by hand. Change: pathbend explain ID FILE... collects the lines of a request, batch job, item or reward call in time order with what its nodes believed, and gives outcome and cause (internal/explain, pure but for reading). Bad input names what to give.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -83,3 +83,20 @@
 		}
 	}
 }
+
+func TestExplainTellsAStoryAndNamesBadInput(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.log")
+	line := `{"time":"2026-05-01T10:00:00Z","msg":"request_served","node":"a","event":509,"request_id":"r","status":200,"attempts":1,"back_end":"s","took_ms":7}`
+	require.NoError(t, os.WriteFile(path, []byte(line+"\n"), 0o600))
+	var output, errorOutput strings.Builder
+	require.Equal(t, ExitOK, Run([]string{"explain", "r", path}, &output, &errorOutput))
+	require.Contains(t, output.String(), "outcome: answered with status 200 by s on a")
+	for _, arguments := range [][]string{{"explain", "r"}, {"explain", "r", "/does/not/exist"}} {
+		errorOutput.Reset()
+		require.Equal(t, ExitUsage, Run(arguments, &output, &errorOutput))
+		require.Contains(t, errorOutput.String(), "explain")
+	}
+	require.NoError(t, os.WriteFile(path, []byte("text\n"), 0o600))
+	require.Equal(t, ExitUsage, Run([]string{"explain", "r", path}, &output, &errorOutput))
+	require.Contains(t, errorOutput.String(), "no log lines of a node")
+}
--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,86 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/pathbend/pathbend/internal/explain"
+)
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID FILE...",
+		Short: "Tell one request's, batch job's or item's story from log files",
+		Long: "explain reads the log files of several nodes and prints every line that names ID, in\n" +
+			"time order, what the nodes involved believed meanwhile, the outcome and its cause.\n" +
+			"A file named - is standard input.",
+		Example: "  pathbend explain 9c41d07be2a35f68 node-a.log node-b.log",
+		Args: func(_ *cobra.Command, arguments []string) error {
+			if len(arguments) < 2 {
+				return usageError{errors.New("explain: name an id and at least one log file, or - for standard input")}
+			}
+			return nil
+		},
+		RunE: func(command *cobra.Command, arguments []string) error {
+			var lines []explain.Line
+			for _, path := range arguments[1:] {
+				read, err := readLog(path, command.InOrStdin())
+				if err != nil {
+					return err
+				}
+				lines = append(lines, read...)
+			}
+			if len(lines) == 0 {
+				return usageError{errors.New("explain: the files hold no log lines of a node; give files that pathbend wrote")}
+			}
+			writeStory(command.OutOrStdout(), explain.Tell(arguments[0], lines))
+			return nil
+		},
+	}
+}
+
+func readLog(path string, input io.Reader) ([]explain.Line, error) {
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, usageError{errors.Wrap(err, "explain")}
+		}
+		defer file.Close()
+		input = file
+	}
+	lines, _, err := explain.Read(input)
+	return lines, errors.Wrap(err, path)
+}
+
+func writeStory(output io.Writer, story explain.Story) {
+	fmt.Fprintf(output, "%s %s\n", story.Kind, story.ID)
+	writeLines(output, "lines", story.Lines)
+	writeLines(output, "what its nodes believed", story.Around)
+	fmt.Fprintf(output, "outcome: %s\ncause:   %s\n", story.Outcome, story.Cause)
+}
+
+func writeLines(output io.Writer, title string, lines []explain.Line) {
+	if len(lines) == 0 {
+		return
+	}
+	fmt.Fprintf(output, "\n%s\n", title)
+	for _, line := range lines {
+		fmt.Fprintf(output, "  %s %s %s%s\n", line.Time.Format("15:04:05.000"), line.Node, line.Name, attributesOf(line.Fields))
+	}
+	fmt.Fprintln(output)
+}
+
+func attributesOf(fields explain.Fields) string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		fmt.Fprintf(&text, " %s=%v", name, fields[name])
+	}
+	return text.String()
+}
