--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -359,6 +359,7 @@
 	policy.Services = servicesOf(route)
 	policy.MaxFailures = route.MaxAttempts
 	policy.SingleVersion = route.SingleVersion
+	policy.Priority = route.Priority
 	if route.Due > 0 {
 		policy.Due = job.ReceivedAt.Add(route.Due)
 	}
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -21,6 +21,8 @@
 	MaxFailures int
 	// SingleVersion wants each text made by one weight version.
 	SingleVersion bool
+	// Priority ranks the job, 0 first.
+	Priority int
 	// Due is when the results are wanted.
 	Due time.Time
 }
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -76,9 +76,14 @@
 	if entry.carried {
 		needed += carriedLead
 	}
+	needed -= time.Duration(entry.job.policy.Priority) * priorityLead
 	return entry.job.policy.Due.Add(-needed)
 }
 
+// priorityLead is how much earlier an item begins than one of a job that ranks
+// one behind.
+const priorityLead = time.Second
+
 // carriedLead is how much earlier than others an item begins whose group an
 // earlier job brought already: the job waits for it whichever others are whole.
 const carriedLead = 2 * time.Second
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -370,3 +370,14 @@
 	b.addJob(b.jobOf("b", 1, "new:450", "new:9000", "old:450"), policy(9*time.Second), kept{})
 	require.Equal(t, []string{"b-1", "b-2", "b-0"}, itemsOf(b.starts()))
 }
+
+// A job of the first rank was served less than one of the second that shared its
+// samplers.
+func TestItemsOfTheFirstRankLeadThoseAsLong(t *testing.T) {
+	b := newBench(t, sampler("s", 10, 1))
+	second := policy(5 * time.Second)
+	second.Priority = 1
+	b.addJob(b.jobOf("a-second", 1, "g:450"), second, kept{})
+	b.addJob(b.jobOf("b-first", 1, "g:450"), policy(5*time.Second), kept{})
+	require.Equal(t, []string{"b-first-0", "a-second-0"}, itemsOf(b.starts()))
+}
