Load the model first that the fewest samplers serve

Change: of the models that want samplers the one that fewest serve comes first. The test fails without the change.

--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -106,13 +106,12 @@
 			cmp.Compare(a.Model, b.Model),
 		)
 	})
-	room := r.together(members) - len(r.moving)
 	fresh := r.fresh(members, targets)
 	var steps []Step
-	for _, step := range behind {
-		_, moving := r.moving[step.SamplerID]
-		if len(steps) >= room || moving || fresh[step.Model] >= r.share[step.Model] {
-			continue
+	for room := r.together(members) - len(r.moving); room > 0; room-- {
+		step, ok := r.neediest(behind, fresh)
+		if !ok {
+			break
 		}
 		fresh[step.Model]++
 		r.moving[step.SamplerID] = step
@@ -121,6 +120,22 @@
 	return steps
 }
 
+// neediest returns the first step of the model that the fewest samplers serve in
+// its newest version, among those that want more.
+func (r *Roll) neediest(behind []Step, fresh map[string]int) (Step, bool) {
+	best, found := Step{}, false
+	for _, step := range behind {
+		_, moving := r.moving[step.SamplerID]
+		if moving || fresh[step.Model] >= r.share[step.Model] {
+			continue
+		}
+		if !found || fresh[step.Model] < fresh[best.Model] {
+			best, found = step, true
+		}
+	}
+	return best, found
+}
+
 // fresh counts the homes of each model that serve its newest version or are on
 // their way to it.
 func (r *Roll) fresh(members []Member, targets map[string]uint64) map[string]int {
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -174,3 +174,28 @@
 	members := membersOf(8, map[string]uint64{"a": 1})
 	require.Equal(t, 8, play(roll, now, members, map[string]uint64{"a": 2}))
 }
+
+// Versions of the model that came last by name were loaded last, so its steps had
+// no sampler for five seconds while the others had nine each.
+func TestModelThatFewestServeComesFirst(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := membersOf(12, map[string]uint64{"a": 1, "b": 1, "z": 1})
+	targets := map[string]uint64{"a": 2, "b": 2, "z": 2}
+	var order []string
+	for range 6 {
+		for _, step := range roll.Next(now, members, targets) {
+			order = append(order, step.Model)
+			for i := range members {
+				if members[i].ID == step.SamplerID {
+					members[i].Versions[step.Model] = step.Version
+				}
+			}
+			roll.Done(step.SamplerID, true, now)
+		}
+	}
+	require.Len(t, order, 12)
+	for round := range 4 {
+		require.ElementsMatch(t, []string{"a", "b", "z"}, order[3*round:3*round+3])
+	}
+}
