--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -21,6 +21,8 @@
 const (
 	// executorTick is how often the executor looks at what no event announces.
 	executorTick = 50 * time.Millisecond
+	// executorRest lets events of a moment be looked at together.
+	executorRest = 4 * time.Millisecond
 	// progressInterval is how often the text of running items is saved.
 	progressInterval = 500 * time.Millisecond
 	// progressEvents is how many new events are worth saving: a shorter text is
@@ -49,6 +51,7 @@
 	session      context.Context
 	endSession   context.CancelFunc
 	progressedAt time.Time
+	reviewedAt   time.Time
 	rewards      rewardSlots
 	work         conc.WaitGroup
 }
@@ -100,6 +103,7 @@
 		select {
 		case <-ticker.C:
 		case <-e.woken:
+			wait.For(ctx, executorRest)
 		case <-ctx.Done():
 		}
 	}
@@ -122,14 +126,25 @@
 	if e.scheduler == nil {
 		return
 	}
-	e.takeSamplers()
 	for _, change := range changes {
 		e.applyChange(change)
 	}
-	e.stopMoved(now)
+	review := now.Sub(e.reviewedAt) >= executorTick
+	if review {
+		e.reviewedAt = now
+		e.takeSamplers()
+		e.stopMoved(now)
+	}
 	for _, start := range e.scheduler.Starts(now) {
 		e.start(start)
 	}
+	if review {
+		e.review(now)
+	}
+}
+
+// review does what looks at the whole fleet and need not be done at every event.
+func (e *executor) review(now time.Time) {
 	if now.Sub(e.progressedAt) >= progressInterval {
 		e.progressedAt = now
 		e.saveProgress(progressEvents, now)
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -30,8 +30,6 @@
 	submitHint = 500 * time.Millisecond
 	// readHint is when to come back after a refused read.
 	readHint = 200 * time.Millisecond
-	// followPause lets several records join one read.
-	followPause = 100 * time.Millisecond
 	// expireInterval is how often old jobs are forgotten.
 	expireInterval = 5 * time.Second
 	// maxPageBytes bounds the texts of one page of results.
@@ -57,7 +55,7 @@
 	}
 	book.follower = &sharedlog.Follower{
 		Log: n.ports.Log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
-		Observer: n, Apply: book.apply, Pause: followPause,
+		Observer: n, Apply: book.apply, Pause: n.jobsPause,
 	}
 	return book
 }
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -105,6 +105,9 @@
 	Settle time.Duration
 	// KeepJobs is how long jobs can be read after their submission.
 	KeepJobs time.Duration
+	// ReadsPerSecond is how often all nodes together may read the log, 0 if that is
+	// not known.
+	ReadsPerSecond float64
 	// Millicores is the processor time a second that the node may use, 0 if that
 	// is not known.
 	Millicores uint64
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -32,6 +32,7 @@
 // much faster sampler, those on slow ones. Their items are pending again.
 func (s *Scheduler) Moves(now time.Time) []Move {
 	var moves []Move
+	fastest := s.fastestPace()
 	for _, key := range s.runningKeys() {
 		entry := s.items[key]
 		silent := now.Sub(entry.lastEvent)
@@ -40,7 +41,7 @@
 		case silent > silenceLimit && !entry.sampler.isLoading(entry.job.spec.Model):
 			move.Reason = "silent"
 			entry.sampler.pause(now)
-		case s.fasterElsewhere(entry, now):
+		case float64(entry.sampler.pace) > moveRatio*float64(fastest) && s.fasterElsewhere(entry, now):
 			move.Reason = "slow"
 		default:
 			continue
@@ -53,6 +54,17 @@
 	return moves
 }
 
+// fastestPace is a pace that no sampler betters.
+func (s *Scheduler) fastestPace() time.Duration {
+	fastest := s.fleetPace
+	for _, state := range s.ordered {
+		if state.observed {
+			fastest = min(fastest, state.pace)
+		}
+	}
+	return fastest
+}
+
 func (s *Scheduler) runningKeys() []Key {
 	var keys []Key
 	for _, open := range s.byDue() {
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -109,8 +109,7 @@
 func (s *Scheduler) choose(entry *item, now time.Time) (*samplerState, int) {
 	var best *samplerState
 	bestCost, candidates := 0.0, 0
-	for _, id := range slices.Sorted(maps.Keys(s.samplers)) {
-		state := s.samplers[id]
+	for _, state := range s.ordered {
 		if state.room(s.fleetPace, now) == 0 || !s.serves(state, entry) {
 			continue
 		}
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -28,6 +29,8 @@
 			}
 		}
 	}
+	s.ordered = slices.Collect(maps.Values(s.samplers))
+	slices.SortFunc(s.ordered, func(a, b *samplerState) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 func newest(known, listed map[string]uint64) map[string]uint64 {
@@ -82,10 +85,9 @@
 // Loads lists the samplers by id.
 func (s *Scheduler) Loads() []Load {
 	loads := make([]Load, 0, len(s.samplers))
-	for _, id := range slices.Sorted(maps.Keys(s.samplers)) {
-		state := s.samplers[id]
+	for _, state := range s.ordered {
 		loads = append(loads, Load{
-			ID: id, Running: state.running, Pace: state.pace, Leaving: state.Leaving,
+			ID: state.ID, Running: state.running, Pace: state.pace, Leaving: state.Leaving,
 			Versions: maps.Clone(state.Versions),
 		})
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -16,6 +16,8 @@
 	jobs     map[string]*job
 	items    map[Key]*item
 	samplers map[string]*samplerState
+	// ordered lists the samplers by id.
+	ordered []*samplerState
 	// seenGroups tells when a job last brought a group.
 	seenGroups map[string]time.Time
 	// fleetPace is a moving average of the time to one event at any sampler.
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -79,8 +79,8 @@
 	// Apply takes in records in order; offset is that of the first.
 	Apply func(offset uint64, records [][]byte)
 	// Pause is waited after a read that returned records, so that several join
-	// one read.
-	Pause  time.Duration
+	// one read; none if it is nil.
+	Pause  func() time.Duration
 	Health Health
 
 	reading sync.Mutex
@@ -102,7 +102,7 @@
 		case err != nil:
 			wait.For(ctx, retryPause)
 		case whole:
-			wait.For(ctx, f.Pause)
+			rest(ctx, f.Pause)
 		}
 	}
 }
@@ -243,7 +243,7 @@
 	// dropped. Apply takes in later records in order.
 	Reset  func(records []KeyedRecord)
 	Apply  func(records []KeyedRecord)
-	Pause  time.Duration
+	Pause  func() time.Duration
 	Health Health
 }
 
@@ -278,7 +278,7 @@
 		if regained, after := f.Health.answered(began); regained {
 			f.Observer.ReadRecovered(f.Partition, after)
 		}
-		wait.For(ctx, f.Pause)
+		rest(ctx, f.Pause)
 	}
 }
 
@@ -290,3 +290,9 @@
 	}
 	return f.Log.ReadKeyed(ctx, f.Partition, next, pollWait)
 }
+
+func rest(ctx context.Context, pause func() time.Duration) {
+	if pause != nil {
+		wait.For(ctx, pause())
+	}
+}
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -135,7 +135,7 @@
 		observer := &silentObserver{}
 		var got [][]byte
 		follower := &Follower{
-			Log: log, Observer: observer, Pause: time.Millisecond,
+			Log: log, Observer: observer, Pause: shortPause,
 			Apply: func(offset uint64, records [][]byte) {
 				require.Equal(t, uint64(len(got)), offset)
 				got = append(got, records...)
@@ -188,7 +188,7 @@
 				got = append(got, one.Value[0])
 			}
 		}
-		follower := &KeyedFollower{Log: log, Observer: &silentObserver{}, Reset: take, Apply: take, Pause: time.Millisecond}
+		follower := &KeyedFollower{Log: log, Observer: &silentObserver{}, Reset: take, Apply: take, Pause: shortPause}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -245,3 +245,5 @@
 		require.Equal(t, 3, count)
 	})
 }
+
+func shortPause() time.Duration { return time.Millisecond }
