Let stand-ins that do not execute leave again

Eight small nodes had joined and held one partition each, so the large node that came back was dealt none, and nobody saw it. Change: a small node that sees another execute leaves; the one that is left holds all partitions, the returning node is dealt its part, and the last one leaves too. The test fails before.

--- a/internal/election/standing.go
+++ b/internal/election/standing.go
@@ -54,15 +54,17 @@
 // Look takes in a look at the owners by a node that is not regular. A failed
 // look must not be handed in: it changes nothing.
 func (s *Standing) Look(view View) {
-	executed := false
+	executes := false
 	for _, owner := range view.Owners {
-		if !owner.Self && view.Regular(owner.Millicores) {
+		// One stand-in is enough. More would hold all partitions, and the group
+		// would have none for a large node that comes back.
+		if !owner.Self && (owner.Jobs || view.Regular(owner.Millicores)) {
 			s.joined, s.vacant = false, 0
 			return
 		}
-		executed = executed || owner.Jobs
+		executes = executes || owner.Jobs
 	}
-	if executed {
+	if executes {
 		s.vacant = 0
 		return
 	}
--- a/internal/election/standing_test.go
+++ b/internal/election/standing_test.go
@@ -52,6 +52,17 @@
 	require.False(t, s.Joined())
 }
 
+// Eight small nodes stood in and held one partition each, so the large node that
+// came back got none, and they never left.
+func TestStandInsThatDoNotExecuteLeaveAgain(t *testing.T) {
+	var s Standing
+	s.Look(viewOf())
+	s.Look(viewOf())
+	require.True(t, s.Joined())
+	s.Look(viewOf(Owner{Millicores: small, Self: true}, Owner{Millicores: small, Jobs: true}))
+	require.False(t, s.Joined())
+}
+
 func TestPartitionsNobodyExecutesDoNotCount(t *testing.T) {
 	var s Standing
 	s.Look(viewOf(Owner{Millicores: small}))
