--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -203,10 +203,10 @@
 		return outcome
 	}
 	// A streamed answer occupies the back end until its body is closed.
-	outcome.answer.Body = &trackedBody{ReadCloser: outcome.answer.Body, done: func() {
+	outcome.answer.Body = OnClose(outcome.answer.Body, func() {
 		cancel()
 		d.balancer.Report(endpoint, report)
-	}}
+	})
 	return outcome
 }
 
@@ -247,7 +247,11 @@
 	}
 }
 
-// trackedBody runs done once when the body is closed.
+// OnClose returns a body that runs done once, after it was closed.
+func OnClose(body io.ReadCloser, done func()) io.ReadCloser {
+	return &trackedBody{ReadCloser: body, done: done}
+}
+
 type trackedBody struct {
 	io.ReadCloser
 	once sync.Once
--- a/internal/hosted/forward.go
+++ b/internal/hosted/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -50,7 +49,7 @@
 	if answer == nil || answer.Buffered != nil {
 		cancel()
 	} else {
-		answer.Body = &closingBody{ReadCloser: answer.Body, done: cancel}
+		answer.Body = dispatch.OnClose(answer.Body, cancel)
 	}
 	n.metrics.request(route.Name, answer, err, time.Since(began))
 	return answer, spread(err)
@@ -112,15 +111,3 @@
 	}
 	return hex.EncodeToString(raw[:])
 }
-
-// closingBody runs done when the body is closed.
-type closingBody struct {
-	io.ReadCloser
-	done func()
-}
-
-// Close implements io.Closer.
-func (b *closingBody) Close() error {
-	defer b.done()
-	return b.ReadCloser.Close()
-}
