--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -189,7 +189,7 @@
 	trouble := fmt.Sprintf("%d run(s); %s", runs, jobTrouble(story, all))
 	if dead, ok := final(story.Lines, event.ItemDead); ok {
 		reason := firstOf(dead.Fields.Text("detail"), "its runs failed")
-		return fmt.Sprintf("given up on %s after %d failure(s)", dead.Node, dead.Fields.Count("failures")), reason + "; " + trouble
+		return fmt.Sprintf("given up on %s, %d of its runs failed", dead.Node, dead.Fields.Count("failures")), reason + "; " + trouble
 	}
 	if listed, ok := final(story.Lines, event.ItemListed); ok {
 		return "listed, read by " + listed.Node, trouble
--- a/internal/platformsim/mutation_test.go
+++ b/internal/platformsim/mutation_test.go
@@ -8,43 +8,6 @@
 	"github.com/pathbend/pathbend/internal/mutation"
 )
 
-var mutants = []mutation.Mutant{
-	{Promise: "VERSION: no text of old weights", Edits: []mutation.Edit{
-		mutation.Replace("internal/schedule/scheduler.go", "if event.Version < entry.job.spec.MinVersion {", "if false {"),
-		mutation.Replace("internal/schedule/scheduler.go", "if !known || version < entry.job.spec.MinVersion ||", "if !known ||"),
-		mutation.Replace("internal/schedule/item.go", "return versions[0] >= j.spec.MinVersion", "return true"),
-	}},
-	{Promise: "ORDER: parts of two runs are not joined", Test: "TestPartsOfTwoRunsAreNeverJoined", Package: "./internal/ledger", Edits: []mutation.Edit{
-		mutation.Replace("internal/ledger/ledger.go", "if item.Previous != 0 && item.Previous != kept.ID {", "if false {"),
-	}},
-	{Promise: "TWICE: the first result counts", Edits: []mutation.Edit{
-		mutation.Replace("internal/ledger/ledger.go", "if !job.Has(listed.ItemId) || job.Listed(listed.ItemId) {\n\t\treturn\n\t}\n\tadded", "if !job.Has(listed.ItemId) {\n\t\treturn\n\t}\n\tadded"),
-	}},
-	{Promise: "UNASKED: an ended job stops", Edits: []mutation.Edit{
-		mutation.Replace("internal/hosted/executor.go", "stopped := e.scheduler.DropJob(change.Job.ID)", "var stopped []schedule.Key"),
-	}},
-	{Promise: "ONE: orders of two nodes lie apart", Edits: []mutation.Edit{
-		mutation.Replace("internal/hosted/weights.go", "waits = ok && last.Holder", "waits = false && ok && last.Holder"),
-	}},
-	{Promise: "LOST: a 404 needs a look at the log", Edits: []mutation.Edit{
-		mutation.Replace("internal/hosted/jobs.go", "if err := b.follower.CatchUp(ctx); err != nil {", "if err := ctx.Err(); err != nil {"),
-	}},
-	{Promise: "MIXED: an answer belongs to its request", Edits: []mutation.Edit{
-		mutation.Replace("platform/protocol.go", "echoed != \"\" && echoed != requestID {", "false && echoed != requestID {"),
-	}},
-	{Promise: "REFUSED: a lost append is not called not done", Test: "TestOnlyARefusedAppendIsCalledNotDone", Package: "./platform", Edits: []mutation.Edit{
-		mutation.Replace("platform/store.go", "return result.Wrap(result.LogUnknown, err, \"await the log's answer\")", "return result.Wrap(result.LogUnavailable, err, \"await the log's answer\")"),
-	}},
-	{Promise: "DRAIN: leaving samplers get nothing new", Edits: []mutation.Edit{
-		mutation.Replace("internal/routing/not_leaving.go", "return !endpoint.Leaving", "return true"),
-		mutation.Replace("internal/schedule/sampler.go", "return !s.Leaving && s.running", "return s.running"),
-	}},
-	{Promise: "MIXED: a cut event is no event", Edits: []mutation.Edit{
-		mutation.Replace("platform/events.go", "return 0, nil, io.ErrUnexpectedEOF", "return len(data), data, nil"),
-		mutation.Replace("platform/events.go", "	if err := r.scanner.Err(); err != nil {\n\t\treturn made, err\n\t}\n\tif begun {\n\t\treturn made, io.ErrUnexpectedEOF\n\t}\n", "	if begun {\n\t\treturn r.finish(made, hasData)\n\t}\n"),
-	}},
-}
-
 // TestEachMechanismIsNeeded expects the simulation to fail with one mechanism
 // switched off at a time.
 func TestEachMechanismIsNeeded(t *testing.T) {
