--- /dev/null
+++ b/internal/hosted/executor_test.go
@@ -0,0 +1,59 @@
+package hosted
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/schedule"
+)
+
+// executorWith returns an executor that has taken in one job of two items.
+func executorWith(t *testing.T) (*executor, *ledger.Job) {
+	t.Helper()
+	e := newTestNode().executor
+	e.scheduler = schedule.New(func() uint64 { return 1 })
+	items := []*pathbendv1.BatchItem{{Id: "a"}, {Id: "b"}}
+	spec := &pathbendv1.BatchJob{Model: "m", ItemIds: itemIDs(items)}
+	entry := &pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
+	const large = 1 << 10
+	records, err := ledger.Encode(entry, 1, large)
+	require.NoError(t, err)
+	var job *ledger.Job
+	e.node.jobs.withLedger(func(known *ledger.Ledger) {
+		_, err = known.Apply(records[0], time.Now())
+		job = known.Job("j")
+	})
+	require.NoError(t, err)
+	e.add(e.scheduler, job, adopted{items: items})
+	require.True(t, e.scheduler.HasJob("j"))
+	return e, job
+}
+
+// The simulation did not notice an executor that went on with an ended job: all
+// its items had begun within the time that may pass after an end.
+func TestEndedJobIsNotGoneOnWith(t *testing.T) {
+	e, job := executorWith(t)
+	e.applyChange(ledger.Change{Kind: ledger.Ended, Job: job})
+	require.False(t, e.scheduler.HasJob("j"))
+}
+
+func TestCompleteJobIsForgotten(t *testing.T) {
+	e, job := executorWith(t)
+	e.applyChange(ledger.Change{Kind: ledger.Listed, Job: job, Listed: []ledger.Result{{ItemID: "a"}}})
+	require.True(t, e.scheduler.HasJob("j"))
+	e.applyChange(ledger.Change{Kind: ledger.Listed, Job: job, Listed: []ledger.Result{{ItemID: "b"}}, Complete: true})
+	require.False(t, e.scheduler.HasJob("j"))
+}
+
+// A job of another executor's time must not reach the one of now.
+func TestJobThatWasReadForAFormerSessionIsDropped(t *testing.T) {
+	e, job := executorWith(t)
+	former := e.scheduler
+	e.scheduler = schedule.New(func() uint64 { return 1 })
+	e.add(former, job, adopted{})
+	require.False(t, e.scheduler.HasJob("j"))
+}
