--- a/internal/election/standing.go
+++ b/internal/election/standing.go
@@ -12,8 +12,7 @@
 // View is what a node knows at the time of a decision. Capacities are in
 // thousandths of a core, 0 if unknown.
 type View struct {
-	// Own is the capacity of this node, Largest that of the largest node known.
-	Own     uint64
+	// Largest is the capacity of the largest node known.
 	Largest uint64
 	// Owners are the members that hold partitions.
 	Owners []Owner
--- a/internal/election/standing_test.go
+++ b/internal/election/standing_test.go
@@ -11,7 +11,7 @@
 	large = 800
 )
 
-func viewOf(owners ...Owner) View { return View{Own: small, Largest: large, Owners: owners} }
+func viewOf(owners ...Owner) View { return View{Largest: large, Owners: owners} }
 
 func TestNodesAboutAsLargeAsTheLargestAreRegular(t *testing.T) {
 	view := View{Largest: large}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -155,7 +156,7 @@
 func jobTrouble(story Story, all []Line) string {
 	var told []string
 	if refused, ok := final(story.Lines, event.BatchRefused); ok {
-		told = append(told, "a submission was refused: "+firstOf(outOfLog(refused, all), refused.Fields.Text("detail")))
+		told = append(told, "a submission was refused: "+cmp.Or(outOfLog(refused, all), refused.Fields.Text("detail")))
 	}
 	executors := 0
 	for _, line := range story.Around {
@@ -188,7 +189,7 @@
 	runs := count(story.Lines, event.ItemStarted)
 	trouble := fmt.Sprintf("%d run(s); %s", runs, jobTrouble(story, all))
 	if dead, ok := final(story.Lines, event.ItemDead); ok {
-		reason := firstOf(dead.Fields.Text("detail"), "its runs failed")
+		reason := cmp.Or(dead.Fields.Text("detail"), "its runs failed")
 		return fmt.Sprintf("given up on %s, %d of its runs failed", dead.Node, dead.Fields.Count("failures")), reason + "; " + trouble
 	}
 	if listed, ok := final(story.Lines, event.ItemListed); ok {
@@ -265,10 +266,3 @@
 	slices.Sort(nodes)
 	return slices.Compact(nodes)
 }
-
-func firstOf(first, second string) string {
-	if first != "" {
-		return first
-	}
-	return second
-}
--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -106,7 +106,7 @@
 		}
 	})
 	for _, whole := range finished {
-		e.finish(job.Spec, whole)
+		e.finish(whole)
 	}
 	e.wake()
 }
--- a/internal/hosted/blobs.go
+++ b/internal/hosted/blobs.go
@@ -49,8 +49,9 @@
 }
 
 // put keeps contents, each as one blob, and returns the names of those that were
-// kept, the first ones. A content must fit one append. After a failure it goes on in another partition: parts of the
-// log may be down. A content that was appended twice does no harm.
+// kept, the first ones. A content must fit one append. After a failure it goes on
+// in another partition: parts of the log may be down. A content that was appended
+// twice does no harm.
 func (b *blobs) put(ctx context.Context, kind blobKind, patience time.Duration, contents [][]byte) ([]*pathbendv1.Blob, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -299,7 +299,7 @@
 			"sampler", start.Sampler.ID, "ending", end.Ending.String(), "detail", end.Detail, "failures", verdict.Failures)
 	}
 	if verdict.Finished != nil {
-		e.finish(start.Job, *verdict.Finished)
+		e.finish(*verdict.Finished)
 	}
 	if verdict.Dead {
 		e.dead(start.Key, verdict.Failures, end.Detail)
@@ -313,7 +313,7 @@
 }
 
 // finish scores a whole text and lists it.
-func (e *executor) finish(spec *pathbendv1.BatchJob, whole schedule.Finished) {
+func (e *executor) finish(whole schedule.Finished) {
 	session, scheduler := e.session, e.scheduler
 	e.work.Go(func() {
 		stamp, alive := whole.Score, true
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -255,7 +256,7 @@
 				unknown = err
 			}
 			if failed++; failed == sent {
-				return firstOf(unknown, err)
+				return cmp.Or(unknown, err)
 			}
 		case <-hedge.C:
 			go send()
@@ -265,14 +266,6 @@
 	}
 }
 
-// firstOf returns the first error unless it is nil.
-func firstOf(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
-}
-
 func (b *jobBook) seen(kept func() bool) (<-chan struct{}, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -135,11 +135,7 @@
 			}
 		}
 	}
-	named, err := l.node.jobs.blobs.put(ctx, textBlobs, listPatience, texts)
-	for i, blob := range named {
-		unnamed[i].Text = blob
-	}
-	return err
+	return l.keep(ctx, textBlobs, texts, func(i int, blob *pathbendv1.Blob) { unnamed[i].Text = blob })
 }
 
 func (l *lister) keepParts(ctx context.Context, progress partsByJob) error {
@@ -150,9 +146,15 @@
 			unnamed, texts = append(unnamed, part.Progress), append(texts, part.Text)
 		}
 	}
-	named, err := l.node.jobs.blobs.put(ctx, progressBlobs, listPatience, texts)
+	return l.keep(ctx, progressBlobs, texts, func(i int, blob *pathbendv1.Blob) { unnamed[i].Text = blob })
+}
+
+// keep keeps texts as blobs and hands over the name of each that was kept, also
+// if not all were.
+func (l *lister) keep(ctx context.Context, kind blobKind, texts [][]byte, name func(i int, blob *pathbendv1.Blob)) error {
+	named, err := l.node.jobs.blobs.put(ctx, kind, listPatience, texts)
 	for i, blob := range named {
-		unnamed[i].Text = blob
+		name(i, blob)
 	}
 	return err
 }
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -96,8 +96,8 @@
 	if !ok {
 		return false
 	}
-	view := election.View{Own: o.settings.Millicores, Largest: announced.largest}
-	if view.Regular(view.Own) {
+	view := election.View{Largest: announced.largest}
+	if view.Regular(o.settings.Millicores) {
 		o.standing.Regular()
 		return true
 	}
@@ -115,7 +115,7 @@
 	view.Owners = o.describe(owners, announced)
 	o.standing.Look(view)
 	if joined := o.standing.Joined(); joined != before {
-		o.logger.Log(event.StandingChanged, "joins", joined, "millicores", view.Own, "largest", view.Largest,
+		o.logger.Log(event.StandingChanged, "joins", joined, "millicores", o.settings.Millicores, "largest", view.Largest,
 			"owners", len(owners))
 		if !joined {
 			o.withdraw(ctx)
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -58,9 +58,7 @@
 func (s *Scheduler) fastestPace() time.Duration {
 	fastest := s.fleetPace
 	for _, state := range s.ordered {
-		if state.observed {
-			fastest = min(fastest, state.pace)
-		}
+		fastest = min(fastest, state.expectedPace(s.fleetPace))
 	}
 	return fastest
 }
@@ -85,10 +83,7 @@
 	if best == nil || best == entry.sampler || best.slow(s.fleetPace) {
 		return false
 	}
-	there := best.pace
-	if !best.observed {
-		there = s.fleetPace
-	}
+	there := best.expectedPace(s.fleetPace)
 	gain := float64(entry.sampler.pace) - float64(there)
 	saved := time.Duration(gain * entry.remaining(assumedTokensPerEvent))
 	return float64(entry.sampler.pace) > moveRatio*float64(there) && saved > moveWorth
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -86,11 +86,7 @@
 
 // cost estimates the relative time that a new item would take.
 func (s *samplerState) cost(group string, fleet time.Duration, now time.Time) float64 {
-	pace := fleet
-	if s.observed {
-		pace = s.pace
-	}
-	estimated := float64(pace) * (1 + loadSlowdown*float64(s.running))
+	estimated := float64(s.expectedPace(fleet)) * (1 + loadSlowdown*float64(s.running))
 	if readAt, read := s.groups[group]; read && group != "" && now.Sub(readAt) < groupMemory {
 		estimated *= affinityGain
 	}
@@ -107,13 +103,19 @@
 
 // observe takes in the time to one event.
 func (s *samplerState) observe(gap, fleet time.Duration) {
-	if !s.observed {
-		s.pace, s.observed = fleet, true
-	}
+	s.pace, s.observed = s.expectedPace(fleet), true
 	s.pace += time.Duration(paceWeight * float64(gap-s.pace))
 	s.failures = 0
 }
 
+// expectedPace is the sampler's pace, that of the fleet while it made no event.
+func (s *samplerState) expectedPace(fleet time.Duration) time.Duration {
+	if s.observed {
+		return s.pace
+	}
+	return fleet
+}
+
 // slow reports whether the sampler is much slower than the fleet.
 func (s *samplerState) slow(fleet time.Duration) bool {
 	return s.observed && float64(s.pace) > slowRatio*float64(fleet)
