--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -146,7 +146,7 @@
 	{ItemStarted, "item_started", slog.LevelInfo, "An item was sent to a sampler; the line tells the candidates, their load and the event it goes on from.", "None."},
 	{ItemRunEnded, "item_run_ended", slog.LevelInfo, "A run of an item ended other than whole.", "None unless frequent for one sampler."},
 	{ItemMoved, "item_moved", slog.LevelInfo, "A run was stopped to go on at another sampler; the line tells why.", "None."},
-	{ItemListed, "item_listed", slog.LevelDebug, "A result of an item has its place in the log.", "None."},
+	{ItemListed, "item_listed", slog.LevelInfo, "A result of an item has its place in the log; the executor's line tells how long ago the item was begun, whole and scored, and -1 for what it did not see.", "None."},
 	{ItemDead, "item_dead", slog.LevelWarn, "An item was given up; the line tells after how many failures.", "Look at the runs of the item."},
 	{RewardFailed, "reward_failed", slog.LevelInfo, "A reward call failed and is repeated.", "None unless frequent."},
 	{ExecutorStarted, "executor_started", slog.LevelInfo, "This node runs the batch jobs; the line tells the generation and what it took over.", "None."},
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -195,7 +195,7 @@
 	if listed, ok := final(story.Lines, event.ItemListed); ok {
 		return "listed, read by " + listed.Node, trouble
 	}
-	return "not given up, and not known to be listed (item_listed is a DEBUG line)", trouble + "; " + unfinished(story, all)
+	return "not given up, and not known to be listed (no item_listed line in these logs)", trouble + "; " + unfinished(story, all)
 }
 
 // unfinished says what became of the node that had a request or item last.
--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -62,21 +62,13 @@
 // read reads a job's items and the texts of those that were begun. Text that
 // cannot be read is made again.
 func (e *executor) read(ctx context.Context, job *ledger.Job) (adopted, error) {
-	found := adopted{begun: make(map[string]schedule.Begun), finished: make(map[string]ledger.Result)}
+	found := adopted{begun: make(map[string]schedule.Begun)}
 	var err error
 	if found.items, err = e.node.jobs.blobs.getItems(ctx, job.Spec); err != nil {
 		return found, err
 	}
-	begun := make(map[string]ledger.Progress)
-	e.node.jobs.withLedger(func(known *ledger.Ledger) {
-		for _, item := range found.items {
-			if listed, ok := known.Finished(item.Id); ok {
-				found.finished[item.Id] = listed
-			} else if progress, ok := known.Progress(item.Id); ok {
-				begun[item.Id] = progress
-			}
-		}
-	})
+	var begun map[string]ledger.Progress
+	e.node.jobs.withLedger(func(known *ledger.Ledger) { found.finished, begun = textsOf(known, found.items) })
 	for itemID, progress := range begun {
 		parts, err := e.node.jobs.blobs.get(ctx, progress.Parts)
 		if err != nil {
@@ -90,6 +82,22 @@
 	return found, nil
 }
 
+// textsOf finds what the log holds of items: texts that an earlier job listed, and
+// texts that were begun. An item may have both, if its listed text was too old for
+// a later job that began it anew.
+func textsOf(known *ledger.Ledger, items []*pathbendv1.BatchItem) (finished map[string]ledger.Result, begun map[string]ledger.Progress) {
+	finished, begun = make(map[string]ledger.Result), make(map[string]ledger.Progress)
+	for _, item := range items {
+		if listed, ok := known.Finished(item.Id); ok {
+			finished[item.Id] = listed
+		}
+		if progress, ok := known.Progress(item.Id); ok {
+			begun[item.Id] = progress
+		}
+	}
+	return finished, begun
+}
+
 // add hands a job to the scheduler. Without a route it waits for one.
 func (e *executor) add(scheduler *schedule.Scheduler, job *ledger.Job, found adopted) {
 	e.mutex.Lock()
@@ -97,14 +105,19 @@
 	if e.scheduler != scheduler {
 		return
 	}
+	e.takeVersions()
 	e.roll.Allow(job.Spec.Model, e.slackOf(job.Spec))
 	policy := e.policyOf(job)
 	var finished []schedule.Finished
+	var stopped []schedule.Key
 	e.node.jobs.withLedger(func(*ledger.Ledger) {
 		if job.Open() {
-			finished = scheduler.AddJob(job, found.items, policy, found)
+			finished, stopped = scheduler.AddJob(job, found.items, policy, found)
 		}
 	})
+	for _, run := range stopped {
+		e.cancel(run)
+	}
 	for _, whole := range finished {
 		e.finish(whole)
 	}
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -130,6 +130,7 @@
 	review := now.Sub(e.reviewedAt) >= executorTick
 	if review {
 		e.reviewedAt = now
+		e.takeVersions()
 		e.takeSamplers()
 		e.stopMoved(now)
 	}
@@ -167,6 +168,7 @@
 	e.scheduler = schedule.New(rand.Uint64)
 	e.session, e.endSession = context.WithCancel(ctx)
 	e.roll.Forget()
+	e.takeVersions()
 	e.takeSamplers()
 	open := 0
 	for _, job := range e.node.jobs.open() {
@@ -215,6 +217,12 @@
 	e.node.metrics.executing.Set(0)
 }
 
+func (e *executor) takeVersions() {
+	for model, version := range e.node.targets() {
+		e.scheduler.Named(model, version)
+	}
+}
+
 func (e *executor) takeSamplers() {
 	if listed := e.node.samplers.Load(); listed != nil {
 		e.scheduler.Samplers(*listed)
@@ -226,7 +234,7 @@
 	case ledger.Submitted:
 		e.adopt(change.Job)
 	case ledger.Ended:
-		stopped := e.scheduler.DropJob(change.Job.ID)
+		stopped := e.scheduler.DropJob(change.Job.ID, time.Now())
 		for _, key := range stopped {
 			e.cancel(key)
 		}
@@ -235,17 +243,36 @@
 	case ledger.Listed:
 		for _, listed := range change.Listed {
 			key := schedule.Key{Job: change.Job.ID, Item: listed.ItemID}
-			if e.scheduler.Settled(key) {
-				e.cancel(key)
+			passed, stopped := e.scheduler.Settled(key)
+			for _, run := range stopped {
+				e.cancel(run)
 			}
-			e.node.logger.Log(event.ItemListed, "job_id", key.Job, "item_id", key.Item, "dead", listed.Dead)
+			e.logListed(key, listed.Dead, passed)
 		}
 		if change.Complete {
-			e.scheduler.DropJob(change.Job.ID)
+			e.scheduler.DropJob(change.Job.ID, time.Now())
 		}
 	}
 }
 
+// logListed tells how long ago the item passed each milestone on its way to the
+// result that was just read back from the log.
+func (e *executor) logListed(key schedule.Key, dead bool, passed schedule.Milestones) {
+	now := time.Now()
+	e.node.logger.Log(event.ItemListed, "job_id", key.Job, "item_id", key.Item, "dead", dead,
+		"sampler", passed.Sampler, "events", passed.Events, "runs", passed.Runs,
+		"begun_ms_ago", millisecondsSince(passed.Begun, now), "whole_ms_ago", millisecondsSince(passed.Whole, now),
+		"scored_ms_ago", millisecondsSince(passed.Scored, now))
+}
+
+// millisecondsSince returns how long ago a moment was, -1 if it is not known.
+func millisecondsSince(moment, now time.Time) int64 {
+	if moment.IsZero() {
+		return -1
+	}
+	return now.Sub(moment).Milliseconds()
+}
+
 func (e *executor) cancel(key schedule.Key) {
 	if stop, ok := e.runs[key]; ok {
 		stop()
@@ -270,7 +297,7 @@
 	e.node.metrics.started.Inc()
 	e.node.logger.Log(event.ItemStarted, "job_id", start.Key.Job, "item_id", start.Key.Item,
 		"sampler", start.Sampler.ID, "running", start.Running, "candidates", start.Candidates,
-		"pace_ms", start.Pace.Milliseconds(), "after_event", start.AfterEvent)
+		"pace_ms", start.Pace.Milliseconds(), "after_event", start.AfterEvent, "ahead", start.Key.Ahead)
 	e.work.Go(func() {
 		defer cancel()
 		run := Run{Sampler: start.Sampler, Host: start.Job.Host, Item: start.Item, AfterEvent: start.AfterEvent}
@@ -324,7 +351,7 @@
 			return
 		}
 		e.mutex.Lock()
-		wanted := e.scheduler == scheduler && scheduler.Scored(whole.Key)
+		wanted := e.scheduler == scheduler && scheduler.Scored(whole.Key, time.Now())
 		e.mutex.Unlock()
 		if !wanted {
 			return
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -25,7 +25,7 @@
 		mutation.Replace("internal/ledger/ledger.go", "if !job.Has(listed.ItemId) || job.Listed(listed.ItemId) {\n\t\treturn\n\t}\n\tadded", "if !job.Has(listed.ItemId) {\n\t\treturn\n\t}\n\tadded"),
 	}},
 	{Promise: "UNASKED: an ended job stops", Test: "TestEndedJobIsNotGoneOnWith", Package: "./internal/hosted", Edits: []mutation.Edit{
-		mutation.Replace("internal/hosted/executor.go", "stopped := e.scheduler.DropJob(change.Job.ID)", "var stopped []schedule.Key"),
+		mutation.Replace("internal/hosted/executor.go", "stopped := e.scheduler.DropJob(change.Job.ID, time.Now())", "var stopped []schedule.Key"),
 	}},
 	{Promise: "ONE: orders of two nodes lie apart", Edits: []mutation.Edit{
 		mutation.Replace("internal/hosted/weights.go", "waits = ok && last.Holder", "waits = false && ok && last.Holder"),
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -11,6 +11,8 @@
 type Key struct {
 	Job  string
 	Item string
+	// Ahead is set for a second run of the item, for a later job.
+	Ahead bool
 }
 
 // Policy is how the items of a job are run.
@@ -67,10 +69,15 @@
 	// saved is the part of the text that was sent to the log.
 	saved savedText
 
-	sampler   *samplerState
-	run       uint64
-	startedAt time.Time
-	lastEvent time.Time
+	sampler    *samplerState
+	run        uint64
+	startedAt  time.Time
+	lastEvent  time.Time
+	milestones Milestones
+	// aheadWhole is set if the text was made whole ahead of the job.
+	aheadWhole bool
+	// leftAt is when the job of a run ahead was over.
+	leftAt    time.Time
 	notBefore time.Time
 	// avoid is the sampler that failed the item last.
 	avoid    string
@@ -78,6 +85,29 @@
 	refusals int
 }
 
+// Milestones are the moments of an item's way to its result, as far as this
+// executor saw them; a moment that it did not see is zero.
+type Milestones struct {
+	// Begun is when the item was first sent to a sampler.
+	Begun time.Time
+	// Whole is when its text was whole, Scored when its reward call had answered.
+	Whole  time.Time
+	Scored time.Time
+	// Sampler made the end of the text, which has Events events.
+	Sampler string
+	Events  uint64
+	// Runs counts the times that it was sent to a sampler.
+	Runs int
+}
+
+func (m *Milestones) sent(samplerID string, now time.Time) {
+	if m.Begun.IsZero() {
+		m.Begun = now
+	}
+	m.Sampler = samplerID
+	m.Runs++
+}
+
 // savedText tells how much of an item's text was sent to the log.
 type savedText struct {
 	// id names the last part sent, 0 if there is none.
@@ -94,6 +124,8 @@
 	spec   *pathbendv1.BatchJob
 	policy Policy
 	items  []*item
+	// newest is the newest version of the model when the job was taken in.
+	newest uint64
 }
 
 // restart drops the text, so that the item begins anew.
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -51,7 +51,7 @@
 		entry.phase = pending
 		moves = append(moves, move)
 	}
-	return moves
+	return append(moves, s.staleAhead(now)...)
 }
 
 // fastestPace is a pace that no sampler betters.
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -30,10 +30,11 @@
 	if free == 0 {
 		return nil
 	}
-	var starts []Start
+	starts := s.startsAhead(now)
+	free -= len(starts)
 	full := make(map[*job]bool)
 	for _, entry := range s.waiting(now) {
-		if free == 0 {
+		if free <= 0 {
 			break
 		}
 		if full[entry.job] {
@@ -144,6 +145,7 @@
 	s.runs++
 	entry.phase, entry.sampler, entry.run = running, chosen, s.runs
 	entry.startedAt, entry.lastEvent = now, now
+	entry.milestones.sent(chosen.ID, now)
 	started := Start{
 		Key: entry.key, Run: s.runs, Sampler: chosen.Sampler, Job: entry.job.spec, Item: entry.spec,
 		AfterEvent: entry.events, Candidates: candidates, Running: chosen.running, Pace: chosen.pace,
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -126,6 +126,10 @@
 	if entry == nil {
 		return Verdict{}
 	}
+	if key.Ahead {
+		s.endAhead(entry, ending)
+		return Verdict{}
+	}
 	sampler := entry.sampler
 	s.free(entry)
 	entry.phase = pending
@@ -137,6 +141,8 @@
 			return Verdict{}
 		}
 		entry.phase = scoring
+		entry.milestones.Whole, entry.milestones.Events = now, entry.events
+		s.noteLength(entry.events)
 		whole := entry.finished()
 		return Verdict{Finished: &whole}
 	case Impossible:
@@ -169,11 +175,12 @@
 }
 
 // Scored records that an item's result waits for its place in the log.
-func (s *Scheduler) Scored(key Key) bool {
+func (s *Scheduler) Scored(key Key, now time.Time) bool {
 	entry, ok := s.items[key]
 	if !ok {
 		return false
 	}
 	entry.phase = settled
+	entry.milestones.Scored = now
 	return true
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -24,6 +24,16 @@
 	fleetPace time.Duration
 	runs      uint64
 	newID     func() uint64
+
+	// named is the newest version of each model, slack what its latest job allows.
+	named map[string]uint64
+	slack map[string]jobSlack
+	// carries tells of which models jobs bring groups of earlier jobs again.
+	carries map[string]bool
+	// ahead holds text of unfinished items for later jobs, by item id.
+	ahead map[string]*item
+	// usualEvents is a moving average of the length of whole texts.
+	usualEvents float64
 }
 
 // New returns an empty scheduler. newID draws ids that no other executor draws.
@@ -35,6 +45,10 @@
 		items:      make(map[Key]*item),
 		samplers:   make(map[string]*samplerState),
 		seenGroups: make(map[string]time.Time),
+		named:      make(map[string]uint64),
+		slack:      make(map[string]jobSlack),
+		carries:    make(map[string]bool),
+		ahead:      make(map[string]*item),
 	}
 }
 
@@ -55,14 +69,14 @@
 }
 
 // AddJob takes in an open job with its items. It returns the items whose text is
-// whole already, which need only their score.
-func (s *Scheduler) AddJob(open *ledger.Job, items []*pathbendv1.BatchItem, policy Policy, kept Kept) []Finished {
+// whole already, which need only their score, and the runs to stop.
+func (s *Scheduler) AddJob(open *ledger.Job, items []*pathbendv1.BatchItem, policy Policy, kept Kept) (finished []Finished, stopped []Key) {
 	if _, known := s.jobs[open.ID]; known {
-		return nil
+		return nil, nil
 	}
 	added := &job{id: open.ID, spec: open.Spec, policy: policy}
 	s.jobs[open.ID] = added
-	var finished []Finished
+	s.noteSlack(added)
 	for _, spec := range items {
 		key := Key{Job: open.ID, Item: spec.Id}
 		if open.Listed(spec.Id) || s.items[key] != nil {
@@ -71,13 +85,19 @@
 		entry := &item{key: key, spec: spec, job: added}
 		s.items[key] = entry
 		added.items = append(added.items, entry)
-		if whole, ok := entry.reuse(kept); ok {
+		whole, reused := entry.reuse(kept)
+		if reused {
 			finished = append(finished, whole)
 		}
+		stopped = append(stopped, s.takeAhead(entry)...)
+		if !reused && entry.aheadWhole {
+			entry.phase = scoring
+			finished = append(finished, entry.finished())
+		}
 	}
 	s.rank(added)
 	s.noteGroups(items, open.ReceivedAt)
-	return finished
+	return finished, stopped
 }
 
 // carryTime is how long a group may take to come again in a later job.
@@ -134,12 +154,15 @@
 	for rank, entry := range ordered {
 		entry.rank = rank
 		entry.carried = carried(entry) == 0
+		if entry.carried {
+			s.carries[added.spec.Model] = true
+		}
 	}
 	added.items = ordered
 }
 
 // DropJob forgets a job and returns the runs to stop.
-func (s *Scheduler) DropJob(id string) []Key {
+func (s *Scheduler) DropJob(id string, now time.Time) []Key {
 	dropped, ok := s.jobs[id]
 	if !ok {
 		return nil
@@ -149,6 +172,7 @@
 		if entry.phase == running {
 			stopped = append(stopped, entry.key)
 		}
+		s.leave(entry, now)
 		s.free(entry)
 		delete(s.items, entry.key)
 	}
@@ -156,18 +180,23 @@
 	return stopped
 }
 
-// Settled forgets an item whose result is listed. It reports whether a run of
-// it must be stopped.
-func (s *Scheduler) Settled(key Key) bool {
+// Settled forgets an item whose result is listed. It returns what is known of
+// the item's way and the runs of it to stop.
+func (s *Scheduler) Settled(key Key) (passed Milestones, stopped []Key) {
 	entry, ok := s.items[key]
 	if !ok {
-		return false
+		return Milestones{}, nil
+	}
+	if entry.phase == running {
+		stopped = append(stopped, key)
+	}
+	if ahead, wasRunning := s.dropAhead(key.Item); wasRunning {
+		stopped = append(stopped, ahead)
 	}
-	wasRunning := entry.phase == running
 	s.free(entry)
 	delete(s.items, key)
 	entry.job.items = slices.DeleteFunc(entry.job.items, func(other *item) bool { return other == entry })
-	return wasRunning
+	return entry.milestones, stopped
 }
 
 // HasJob reports whether a job is known.
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -79,7 +79,8 @@
 }
 
 func (b *bench) addJob(job testJob, policy Policy, kept Kept) []Finished {
-	return b.s.AddJob(job.open, job.items, policy, kept)
+	finished, _ := b.s.AddJob(job.open, job.items, policy, kept)
+	return finished
 }
 
 func policy(due time.Duration) Policy {
@@ -121,7 +122,7 @@
 	b := newBench(t, sampler("s", 0, 1))
 	b.s.Samplers([]Sampler{sampler("s", 10, 1)})
 	b.addJob(b.jobOf("a", 1, "old:5"), policy(time.Second), kept{})
-	b.s.DropJob("a")
+	b.s.DropJob("a", b.now)
 	b.addJob(b.jobOf("b", 1, "new:500", "old:5"), policy(time.Second), kept{})
 	require.Equal(t, []string{"b-1", "b-0"}, itemsOf(b.starts()))
 }
@@ -290,11 +291,15 @@
 	b := newBench(t, sampler("s", 2, 1))
 	b.addJob(b.jobOf("j", 1, "g:1", "g:1"), policy(time.Second), kept{})
 	require.Len(t, b.starts(), 2)
-	require.Len(t, b.s.DropJob("j"), 2)
+	require.Len(t, b.s.DropJob("j", b.now), 2)
 	b.addJob(b.jobOf("k", 1, "g:1", "g:1"), policy(time.Second), kept{})
 	require.Len(t, b.starts(), 2)
-	require.True(t, b.s.Settled(Key{Job: "k", Item: "k-0"}))
-	require.False(t, b.s.Settled(Key{Job: "k", Item: "k-0"}))
+	passed, stopped := b.s.Settled(Key{Job: "k", Item: "k-0"})
+	require.Len(t, stopped, 1)
+	require.Equal(t, 1, passed.Runs)
+	require.NotZero(t, passed.Begun)
+	_, stopped = b.s.Settled(Key{Job: "k", Item: "k-0"})
+	require.Empty(t, stopped)
 	require.Equal(t, 1, b.s.Loads()[0].Running)
 }
 
@@ -315,7 +320,7 @@
 	for number := range 100 {
 		id := fmt.Sprint("j", number)
 		b.addJob(b.jobOf(id, 1, fmt.Sprintf("g%d:1", number)), policy(time.Second), kept{})
-		b.s.DropJob(id)
+		b.s.DropJob(id, b.now)
 		b.now = b.now.Add(4 * time.Second)
 	}
 	require.LessOrEqual(t, len(b.s.seenGroups), int(carryTime/(4*time.Second))+1)
@@ -366,7 +371,7 @@
 func TestItemsOfACarriedGroupLeadThoseAsLong(t *testing.T) {
 	b := newBench(t, sampler("s", 10, 1))
 	b.addJob(b.jobOf("a", 1, "old:450"), policy(time.Second), kept{})
-	b.s.DropJob("a")
+	b.s.DropJob("a", b.now)
 	b.addJob(b.jobOf("b", 1, "new:450", "new:9000", "old:450"), policy(9*time.Second), kept{})
 	require.Equal(t, []string{"b-1", "b-2", "b-0"}, itemsOf(b.starts()))
 }
