--- a/internal/election/standing.go
+++ b/internal/election/standing.go
@@ -1,10 +1,13 @@
 // Package election decides which nodes stand for the partitions of batch jobs.
 //
 // The log service deals partitions out evenly among the members of a group and
-// knows nothing of the members' machines. The executor of all jobs needs several
-// times the processor time of any other node, so only nodes whose machine is
-// about as large as the largest enter the group. A smaller node watches, and
-// stands in while no larger one holds a partition.
+// knows nothing of the members' machines. Every node that enters or leaves makes
+// it deal anew, and the jobs may pass to another node each time, which stops their
+// runs and the orders to samplers. So one node is in the group at a time, the
+// executor, and all others watch who holds what. The executor needs several times
+// the processor time of any other node: a node whose machine is about as large as
+// the largest enters as soon as nobody executes, a smaller one only if no larger
+// one does so by its second look.
 //
 // The package is pure: callers bring what was read of the log and the group.
 package election
@@ -34,8 +37,8 @@
 	return millicores == 0 || 2*millicores > v.Largest
 }
 
-// vacantLooks is how many looks in a row must find no executor before a node
-// stands in: one may fall into a handover.
+// vacantLooks is how many looks in a row must find no executor before a small node
+// stands in: one may fall into a handover to a larger one.
 const vacantLooks = 2
 
 // Standing is the state of one node's candidacy. The zero value stands out.
@@ -47,27 +50,38 @@
 // Joined reports whether the node is to be a member of the group.
 func (s *Standing) Joined() bool { return s.joined }
 
-// Regular takes in that the node enters the group whoever else is in it.
-func (s *Standing) Regular() { s.joined, s.vacant = true, 0 }
-
-// Look takes in a look at the owners by a node that is not regular. A failed
-// look must not be handed in: it changes nothing.
-func (s *Standing) Look(view View) {
+// Look takes in a look at the owners by a node of this capacity. A failed look
+// must not be handed in: it changes nothing.
+func (s *Standing) Look(view View, millicores uint64) {
+	regular := view.Regular(millicores)
 	executes := false
 	for _, owner := range view.Owners {
-		// One stand-in is enough. More would hold all partitions, and the group
-		// would have none for a large node that comes back.
-		if !owner.Self && (owner.Jobs || view.Regular(owner.Millicores)) {
+		if owner.Self {
+			executes = executes || owner.Jobs
+			continue
+		}
+		if view.yields(regular, owner) {
 			s.joined, s.vacant = false, 0
 			return
 		}
-		executes = executes || owner.Jobs
 	}
 	if executes {
-		s.vacant = 0
+		// The share of a process that was here before is this node's still.
+		s.joined, s.vacant = true, 0
 		return
 	}
-	if s.vacant++; s.vacant >= vacantLooks {
+	s.vacant++
+	if regular || s.vacant >= vacantLooks {
 		s.joined = true
 	}
 }
+
+// yields reports whether a node leaves the jobs to another owner. A node with a
+// large machine does not leave them to a small one; a small one leaves them to
+// whoever executes, and to any large owner.
+func (v View) yields(regular bool, owner Owner) bool {
+	if regular {
+		return owner.Jobs && v.Regular(owner.Millicores)
+	}
+	return owner.Jobs || v.Regular(owner.Millicores)
+}
--- a/internal/election/standing_test.go
+++ b/internal/election/standing_test.go
@@ -25,29 +25,29 @@
 
 func TestSmallNodeStandsInOnlyAfterTwoLooksWithoutAnExecutor(t *testing.T) {
 	var s Standing
-	s.Look(viewOf())
+	s.Look(viewOf(), small)
 	require.False(t, s.Joined(), "one look may fall into a handover")
-	s.Look(viewOf(Owner{Millicores: large, Jobs: true}))
-	s.Look(viewOf())
+	s.Look(viewOf(Owner{Millicores: large, Jobs: true}), small)
+	s.Look(viewOf(), small)
 	require.False(t, s.Joined())
-	s.Look(viewOf())
+	s.Look(viewOf(), small)
 	require.True(t, s.Joined())
 }
 
 func TestStandInGoesOnceALargeNodeHoldsAnyPartition(t *testing.T) {
 	var s Standing
-	s.Look(viewOf())
-	s.Look(viewOf())
-	s.Look(viewOf(Owner{Millicores: small, Self: true, Jobs: true}))
+	s.Look(viewOf(), small)
+	s.Look(viewOf(), small)
+	s.Look(viewOf(Owner{Millicores: small, Self: true, Jobs: true}), small)
 	require.True(t, s.Joined())
-	s.Look(viewOf(Owner{Millicores: small, Self: true, Jobs: true}, Owner{Millicores: large}))
+	s.Look(viewOf(Owner{Millicores: small, Self: true, Jobs: true}, Owner{Millicores: large}), small)
 	require.False(t, s.Joined())
 }
 
 func TestOneStandInIsEnough(t *testing.T) {
 	var s Standing
 	for range 5 {
-		s.Look(viewOf(Owner{Millicores: small, Jobs: true}))
+		s.Look(viewOf(Owner{Millicores: small, Jobs: true}), small)
 	}
 	require.False(t, s.Joined())
 }
@@ -56,22 +56,51 @@
 // came back got none, and they never left.
 func TestStandInsThatDoNotExecuteLeaveAgain(t *testing.T) {
 	var s Standing
-	s.Look(viewOf())
-	s.Look(viewOf())
+	s.Look(viewOf(), small)
+	s.Look(viewOf(), small)
 	require.True(t, s.Joined())
-	s.Look(viewOf(Owner{Millicores: small, Self: true}, Owner{Millicores: small, Jobs: true}))
+	s.Look(viewOf(Owner{Millicores: small, Self: true}, Owner{Millicores: small, Jobs: true}), small)
 	require.False(t, s.Joined())
 }
 
 func TestPartitionsNobodyExecutesDoNotCount(t *testing.T) {
 	var s Standing
-	s.Look(viewOf(Owner{Millicores: small}))
-	s.Look(viewOf(Owner{Millicores: small}))
+	s.Look(viewOf(Owner{Millicores: small}), small)
+	s.Look(viewOf(Owner{Millicores: small}), small)
 	require.True(t, s.Joined(), "the partition of the jobs has no owner")
 }
 
-func TestRegularNodeJoinsAtOnce(t *testing.T) {
+func TestLargeNodeJoinsAtItsFirstVacantLook(t *testing.T) {
 	var s Standing
-	s.Regular()
+	s.Look(viewOf(), large)
 	require.True(t, s.Joined())
 }
+
+// Thirteen nodes in the group: each that was restarted made the service deal anew,
+// and the jobs passed from hand to hand nine times in 20 s.
+func TestLargeNodeLeavesTheJobsToTheOneThatHasThem(t *testing.T) {
+	var s Standing
+	executor := Owner{Millicores: large, Jobs: true}
+	s.Look(viewOf(executor), large)
+	require.False(t, s.Joined())
+	s.Look(viewOf(), large)
+	s.Look(viewOf(Owner{Millicores: large, Self: true}, executor), large)
+	require.False(t, s.Joined(), "both entered at once, and the other got the jobs")
+	s.Look(viewOf(), large)
+	s.Look(viewOf(Owner{Millicores: large, Self: true, Jobs: true}, Owner{Millicores: large}), large)
+	require.True(t, s.Joined(), "both entered at once, and this one got the jobs")
+}
+
+func TestLargeNodeTakesTheJobsFromASmallOne(t *testing.T) {
+	var s Standing
+	s.Look(viewOf(Owner{Millicores: small, Jobs: true}), large)
+	require.True(t, s.Joined())
+}
+
+func TestRestartedProcessTakesItsShareUpAgain(t *testing.T) {
+	for _, millicores := range []uint64{small, large} {
+		var s Standing
+		s.Look(viewOf(Owner{Millicores: millicores, Self: true, Jobs: true}), millicores)
+		require.True(t, s.Joined())
+	}
+}
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -54,7 +55,8 @@
 	logger   *event.Logger
 
 	standing election.Standing
-	lookedAt time.Time
+	// lookAt is when to look at the owners next.
+	lookAt time.Time
 
 	mutex      sync.Mutex
 	generation uint64
@@ -72,14 +74,13 @@
 }
 
 func (o *ownership) run(ctx context.Context) {
-	interval := o.settings.shareTTL() / renewalsPerTTL
 	for ctx.Err() == nil && !o.hasLeft() {
 		began := time.Now()
-		next := began.Add(interval)
 		if !o.stands(ctx, began) {
-			wait.Until(ctx, next)
+			wait.Until(ctx, o.lookAt)
 			continue
 		}
+		next := began.Add(o.settings.shareTTL() / renewalsPerTTL)
 		if o.renew(ctx, began) {
 			// A partition that is to move passes on only once its holder has
 			// answered with the new generation.
@@ -94,26 +95,24 @@
 func (o *ownership) stands(ctx context.Context, now time.Time) bool {
 	announced, ok := o.capacities.Announced()
 	if !ok {
+		o.lookAt = now.Add(unreadPause)
 		return false
 	}
 	view := election.View{Largest: announced.largest}
-	if view.Regular(o.settings.Millicores) {
-		o.standing.Regular()
-		return true
-	}
-	if now.Sub(o.lookedAt) < lookEvery(announced.nodes) {
+	regular := view.Regular(o.settings.Millicores)
+	if now.Before(o.lookAt) || regular && o.holds(jobPartition) {
 		return o.standing.Joined()
 	}
-	o.lookedAt = now
-	before := o.standing.Joined()
+	o.lookAt = now.Add(spreadLook(lookEvery(announced.nodes, regular)))
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	owners, err := o.group.Owners(callCtx, jobGroup)
 	if err != nil {
-		return before
+		return o.standing.Joined()
 	}
+	before := o.standing.Joined()
 	view.Owners = o.describe(owners, announced)
-	o.standing.Look(view)
+	o.standing.Look(view, o.settings.Millicores)
 	if joined := o.standing.Joined(); joined != before {
 		o.logger.Log(event.StandingChanged, "joins", joined, "millicores", o.settings.Millicores, "largest", view.Largest,
 			"owners", len(owners))
@@ -124,16 +123,38 @@
 	return o.standing.Joined()
 }
 
+func (o *ownership) holds(partition int) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	_, held := o.held[partition]
+	return held
+}
+
 const (
-	// shortestLook is the shortest pause between looks at the owners by a node
-	// that is too small to be in the group; lookPerNode lengthens it so that all
-	// nodes together ask no more than a hundred times a second.
-	shortestLook = time.Second
-	lookPerNode  = 10 * time.Millisecond
+	// unreadPause is the pause of a node that has not read the log yet.
+	unreadPause = 20 * time.Millisecond
+	// shortestLook is the shortest pause between looks at the owners by a node with
+	// a large machine, shortestSmallLook that by a node with a small one.
+	shortestLook      = 300 * time.Millisecond
+	shortestSmallLook = time.Second
+	// lookPerNode and smallLookPerNode lengthen these so that all nodes together
+	// ask no more than some hundred times a second.
+	lookPerNode      = 5 * time.Millisecond
+	smallLookPerNode = 10 * time.Millisecond
 )
 
-func lookEvery(nodes int) time.Duration {
-	return max(shortestLook, time.Duration(nodes)*lookPerNode)
+func lookEvery(nodes int, regular bool) time.Duration {
+	if regular {
+		return max(shortestLook, time.Duration(nodes)*lookPerNode)
+	}
+	return max(shortestSmallLook, time.Duration(nodes)*smallLookPerNode)
+}
+
+// spreadLook draws a pause around a length, so that nodes that started together do
+// not enter the group together.
+func spreadLook(length time.Duration) time.Duration {
+	const least, width = 0.7, 0.6
+	return time.Duration(float64(length) * (least + width*rand.Float64()))
 }
 
 func (o *ownership) describe(owners []sharedlog.Owner, announced announcements) []election.Owner {
@@ -195,9 +216,10 @@
 }
 
 // take puts an answer in force. A partition that was held without a gap keeps
-// the time from which it is held.
+// the time from which it is held. While the log service was away nobody else can
+// have held it if the generation is the same: it rises with every change.
 func (o *ownership) take(share sharedlog.Share, began time.Time) {
-	gap := began.Sub(o.renewedAt) > o.settings.shareTTL()
+	gap := began.Sub(o.renewedAt) > o.settings.shareTTL() && share.Generation != o.generation
 	held := make(map[int]time.Time, len(share.Partitions))
 	for _, partition := range share.Partitions {
 		since, known := o.held[partition.Number]
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -245,3 +245,39 @@
 func jobs(number int) sharedlog.Partition {
 	return sharedlog.Partition{Topic: jobTopic, Number: number}
 }
+
+// After a store outage of three seconds the holder, whom nobody could have followed,
+// gave no order for another 1.7 s.
+func TestShareThatNobodyTookMeanwhileIsHeldWithoutAGap(t *testing.T) {
+	for _, test := range []struct {
+		generation uint64
+		orders     bool
+	}{{generation: 4, orders: true}, {generation: 6, orders: false}} {
+		own(t, func(o *ownership, group *scriptedGroup) {
+			time.Sleep(4 * time.Second)
+			group.set(func() { group.down = true })
+			time.Sleep(4 * time.Second)
+			group.set(func() { group.down, group.share = false, holding(test.generation, 0) })
+			time.Sleep(time.Second)
+			_, ok := o.mayOrder(0, time.Now())
+			require.Equal(t, test.orders, ok)
+		})
+	}
+}
+
+// Every node of the fleet was in the group, and each restart made the service deal
+// the jobs anew.
+func TestNodesStandOutWhileAnotherExecutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := Settings{Name: "b", Millicores: 800, ShortestTTL: time.Second, OrderGrace: time.Second}
+		ownWith(t, settings, announced{"a": 800, "b": 800}, func(o *ownership, group *scriptedGroup) {
+			group.set(func() { group.owners = []sharedlog.Owner{{Partition: jobs(0), Member: "a"}} })
+			time.Sleep(10 * time.Second)
+			require.Zero(t, group.joins())
+			group.set(func() { group.owners = nil })
+			time.Sleep(time.Second)
+			require.Positive(t, group.joins())
+			require.True(t, o.executes(0, time.Now()))
+		})
+	})
+}
