--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -191,6 +191,27 @@
 	}
 }
 
+// awaitReadBack reads the log until kept reports, under the ledger's lock, that an
+// entry was read back, or patience is over.
+func (b *jobBook) awaitReadBack(ctx context.Context, patience time.Duration, kept func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if _, seen := b.seen(kept); seen {
+		return true
+	}
+	for ctx.Err() == nil {
+		err := b.refresh(ctx)
+		if _, seen := b.seen(kept); err == nil && seen {
+			return true
+		}
+		wait.For(ctx, readBackPause)
+	}
+	return false
+}
+
+// readBackPause is the pause after a read that failed or did not show the entry.
+const readBackPause = 30 * time.Millisecond
+
 // encode cuts entries into the records of one or more appends.
 func (b *jobBook) encode(entries []*pathbendv1.LedgerEntry) ([][][]byte, error) {
 	var records [][]byte
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -60,7 +60,7 @@
 
 	mutex      sync.Mutex
 	generation uint64
-	held       map[int]time.Time
+	held       map[int]struct{}
 	renewedAt  time.Time
 	lost       bool
 	left       bool
@@ -69,7 +69,7 @@
 func newOwnership(settings Settings, group sharedlog.Group, known capacities, handOver func(context.Context), logger *event.Logger) *ownership {
 	return &ownership{
 		settings: settings, group: group, capacities: known, handOver: handOver, logger: logger,
-		held: make(map[int]time.Time),
+		held: make(map[int]struct{}),
 	}
 }
 
@@ -174,7 +174,7 @@
 // withdraw leaves the group until the node stands again.
 func (o *ownership) withdraw(ctx context.Context) {
 	o.mutex.Lock()
-	o.held = make(map[int]time.Time)
+	o.held = make(map[int]struct{})
 	o.generation = 0
 	o.mutex.Unlock()
 	o.giveBack(ctx)
@@ -215,18 +215,11 @@
 	return share.Generation != generation
 }
 
-// take puts an answer in force. A partition that was held without a gap keeps
-// the time from which it is held. While the log service was away nobody else can
-// have held it if the generation is the same: it rises with every change.
+// take puts an answer in force.
 func (o *ownership) take(share sharedlog.Share, began time.Time) {
-	gap := began.Sub(o.renewedAt) > o.settings.shareTTL() && share.Generation != o.generation
-	held := make(map[int]time.Time, len(share.Partitions))
+	held := make(map[int]struct{}, len(share.Partitions))
 	for _, partition := range share.Partitions {
-		since, known := o.held[partition.Number]
-		if !known || gap {
-			since = time.Now()
-		}
-		held[partition.Number] = since
+		held[partition.Number] = struct{}{}
 	}
 	if share.Generation != o.generation {
 		o.logger.Log(event.GroupShareChanged, "generation", share.Generation, "from", o.generation, "partitions", len(held))
@@ -242,19 +235,14 @@
 	return held && !o.left && now.Sub(o.renewedAt) < isolatedLimit
 }
 
-// mayOrder returns the fence for orders if this node may give them now. When all
-// partitions are dealt anew, the former holder may not have heard of it for as
-// long as its own share lasts, so a new holder waits that long; what the former
-// one ordered until then it has announced in the log, which the ledger heeds
-// sampler by sampler.
+// mayOrder returns the fence for orders if this node may give them now, as far as
+// its share tells. A holder that has not heard yet that its partition passed on
+// finds out when it announces an order in the log.
 func (o *ownership) mayOrder(partition int, now time.Time) (fence uint64, ok bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	since, held := o.held[partition]
-	if !held || o.left || now.Sub(since) < o.settings.shareTTL()+orderMargin {
-		return 0, false
-	}
-	if now.Sub(o.renewedAt) > o.settings.shareTTL()-orderMargin {
+	_, held := o.held[partition]
+	if !held || o.left || now.Sub(o.renewedAt) > o.settings.shareTTL()-orderMargin {
 		return 0, false
 	}
 	return o.generation, true
@@ -264,7 +252,7 @@
 func (o *ownership) leave(ctx context.Context) {
 	o.mutex.Lock()
 	o.left = true
-	o.held = make(map[int]time.Time)
+	o.held = make(map[int]struct{})
 	o.mutex.Unlock()
 	o.giveBack(ctx)
 }
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
@@ -24,6 +25,8 @@
 	loadPatience = 4 * time.Second
 	// announcePatience bounds how long an order waits for the log.
 	announcePatience = 700 * time.Millisecond
+	// announceLimit is how old an announcement may be when its order is sent.
+	announceLimit = time.Second
 )
 
 // orderWeights begins the orders that are due. It is called under the lock.
@@ -70,30 +73,55 @@
 func (e *executor) orderedByAnother(samplerID string, now time.Time) bool {
 	waits := false
 	e.node.jobs.withLedger(func(known *ledger.Ledger) {
-		last, ok := known.LastOrder(samplerID)
-		waits = ok && last.Holder != e.node.settings.Name && now.Sub(last.ReadAt) < e.node.settings.OrderGrace+orderMargin
+		last := known.LastOrderByOthers(samplerID, e.node.settings.Name)
+		waits = !last.IsZero() && now.Sub(last) < e.node.settings.OrderGrace+orderMargin
 	})
 	return waits
 }
 
-// announceOrder writes down that an order is about to be sent, so that the next
-// holder knows which samplers to leave alone for a while. It returns the fence,
-// and false if this node may not order after all.
+// announceOrder writes down that an order is about to be sent and reads the log up
+// to that entry. The log puts the announcements of two nodes that both take
+// themselves for the holder in one order: the one with the lower fence that comes
+// second finds the other's and gives its order up, and the one with the higher
+// fence leaves the samplers alone for a while that the other announced before. It
+// returns the fence, and false if this node may not order after all.
 func (e *executor) announceOrder(ctx context.Context, sampler schedule.Sampler) (fence uint64, ok bool) {
 	fence, ok = e.node.ownership.mayOrder(jobPartition, time.Now())
 	if !ok {
 		return 0, false
 	}
+	began := time.Now()
+	serial := rand.Uint64()
 	entry := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Ordered{Ordered: &pathbendv1.WeightOrder{
-		SamplerId: sampler.ID, Holder: e.node.settings.Name, Fence: fence,
+		SamplerId: sampler.ID, Holder: e.node.settings.Name, Fence: fence, Serial: serial,
 	}}}
-	if err := e.node.jobs.record(ctx, announcePatience, nil, entry); err != nil {
+	readBack := func() bool {
+		last, known := e.node.jobs.ledger.LastOrder(sampler.ID, e.node.settings.Name)
+		return known && last.Serial == serial
+	}
+	if err := e.node.jobs.record(ctx, announcePatience, readBack, entry); err != nil {
+		return 0, false
+	}
+	if !e.node.jobs.awaitReadBack(ctx, announcePatience, readBack) || time.Since(began) > announceLimit {
+		return 0, false
+	}
+	if e.superseded(fence) || e.orderedByAnother(sampler.ID, time.Now()) {
 		return 0, false
 	}
 	// The share may have ended while the log was slow.
 	return e.node.ownership.mayOrder(jobPartition, time.Now())
 }
 
+// superseded reports whether another node announced an order under a higher fence.
+func (e *executor) superseded(fence uint64) bool {
+	superseded := false
+	e.node.jobs.withLedger(func(known *ledger.Ledger) {
+		newest := known.NewestOrder()
+		superseded = newest.Fence > fence && newest.Holder != e.node.settings.Name
+	})
+	return superseded
+}
+
 // move brings one sampler to a version. It reports whether the sampler was seen
 // to serve it.
 func (e *executor) move(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
--- /dev/null
+++ b/internal/hosted/weights_test.go
@@ -0,0 +1,107 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// jobsLog keeps the records of one partition.
+type jobsLog struct {
+	sharedlog.Log
+
+	mutex   sync.Mutex
+	records [][]byte
+	// hidden hides so many of the newest records from reads.
+	hidden int
+}
+
+func (l *jobsLog) Append(_ context.Context, _ sharedlog.Partition, records [][]byte) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.records = append(l.records, records...)
+	return uint64(len(l.records) - len(records)), nil
+}
+
+func (l *jobsLog) Read(ctx context.Context, _ sharedlog.Partition, from uint64, _ time.Duration) (sharedlog.Batch, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if ctx.Err() != nil {
+		return sharedlog.Batch{}, result.New(result.LogUnavailable, "too late")
+	}
+	end := len(l.records) - l.hidden
+	return sharedlog.Batch{Records: l.records[min(int(from), end):end], End: uint64(end)}, nil
+}
+
+// holder returns a node that takes itself for the holder of the jobs under a
+// generation.
+func holder(name string, generation uint64, log sharedlog.Log) *executor {
+	settings := Settings{
+		Name: name, Zone: "a", ShortestTTL: time.Second, OrderGrace: 3 * time.Second, MaxRecordBytes: 1 << 10, MaxCallBytes: 1 << 12,
+	}
+	node := New(settings, Ports{Network: network.TCP{}, Log: log}, event.Discard())
+	node.ownership.take(holding(generation, jobPartition), time.Now())
+	return node.executor
+}
+
+func announces(t *testing.T, e *executor, samplerID string) bool {
+	t.Helper()
+	fence, ok := e.announceOrder(t.Context(), schedule.Sampler{ID: samplerID})
+	if ok {
+		require.Equal(t, e.node.ownership.current(), fence)
+	}
+	return ok
+}
+
+func TestNewHolderOrdersAtOnceWhereNobodyElseDid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &jobsLog{}
+		require.True(t, announces(t, holder("a", 4, log), "s"))
+		require.True(t, announces(t, holder("a", 5, log), "s"), "the same machine after a restart")
+	})
+}
+
+// All partitions were dealt anew at once, and the former holder ordered until its
+// next renewal (tpl-dakar mix --seed 522902039884). A new holder waited 1.7 s for
+// that; now the log tells the former one.
+func TestFormerHolderFindsTheNewOneInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &jobsLog{}
+		former, next := holder("former", 4, log), holder("next", 5, log)
+		require.True(t, announces(t, former, "s1"))
+		require.True(t, announces(t, next, "s2"))
+		require.False(t, announces(t, former, "s3"), "to whichever sampler")
+		require.True(t, announces(t, next, "s4"))
+	})
+}
+
+func TestNewHolderLeavesASamplerAloneThatAnotherOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &jobsLog{}
+		former, next := holder("former", 4, log), holder("next", 5, log)
+		require.True(t, announces(t, former, "s1"))
+		require.False(t, announces(t, next, "s1"))
+		require.True(t, announces(t, next, "s2"))
+		time.Sleep(3*time.Second + 2*orderMargin)
+		next.node.ownership.take(holding(5, jobPartition), time.Now())
+		require.True(t, announces(t, next, "s1"))
+	})
+}
+
+// The log may answer reads from a state of seconds ago.
+func TestOrderWaitsUntilItsAnnouncementIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &jobsLog{hidden: 1}
+		require.False(t, announces(t, holder("a", 4, log), "s"))
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -81,8 +81,10 @@
 	// ended holds ends that came before their job, which a reader that begins
 	// in the middle of the log may see.
 	ended map[string]bool
-	// ordered holds the last order of each sampler.
-	ordered map[string]Ordered
+	// ordered holds the last order of each holder to each sampler.
+	ordered map[orderKey]Ordered
+	// newestOrder is the order with the highest fence.
+	newestOrder Ordered
 	// capacities holds what each node announced last.
 	capacities map[string]Capacity
 }
@@ -90,10 +92,16 @@
 // Ordered is an order to a sampler that was about to be sent.
 type Ordered struct {
 	Holder string
+	// Fence is the right under which it was given; a later holder's is higher.
+	Fence uint64
+	// Serial was drawn for this order.
+	Serial uint64
 	// ReadAt is when this process read of it, not before it was written.
 	ReadAt time.Time
 }
 
+type orderKey struct{ sampler, holder string }
+
 // Capacity is what a node announced of its machine.
 type Capacity struct {
 	// Millicores is the processor time a second that the node may use.
@@ -110,7 +118,7 @@
 		progress:  make(map[string]Progress),
 		finished:  make(map[string]Result),
 		ended:     make(map[string]bool),
-		ordered:   make(map[string]Ordered),
+		ordered:   make(map[orderKey]Ordered),
 
 		capacities: make(map[string]Capacity),
 	}
@@ -158,13 +166,21 @@
 	case *pathbendv1.LedgerEntry_Progress:
 		return l.advance(entry.JobId, fact.Progress.Items), nil
 	case *pathbendv1.LedgerEntry_Ordered:
-		l.ordered[fact.Ordered.SamplerId] = Ordered{Holder: fact.Ordered.Holder, ReadAt: now}
+		l.noteOrder(fact.Ordered, now)
 	case *pathbendv1.LedgerEntry_Announced:
 		l.capacities[fact.Announced.Node] = Capacity{Millicores: fact.Announced.Millicores, ReadAt: now}
 	}
 	return Change{}, nil
 }
 
+func (l *Ledger) noteOrder(order *pathbendv1.WeightOrder, now time.Time) {
+	noted := Ordered{Holder: order.Holder, Fence: order.Fence, Serial: order.Serial, ReadAt: now}
+	l.ordered[orderKey{sampler: order.SamplerId, holder: order.Holder}] = noted
+	if noted.Fence >= l.newestOrder.Fence {
+		l.newestOrder = noted
+	}
+}
+
 func (l *Ledger) submit(id string, spec *pathbendv1.BatchJob, now time.Time) Change {
 	if _, known := l.jobs[id]; known {
 		return Change{}
@@ -283,12 +299,28 @@
 	return listed, ok
 }
 
-// LastOrder returns the last order of a sampler, false if none is known.
-func (l *Ledger) LastOrder(samplerID string) (Ordered, bool) {
-	last, ok := l.ordered[samplerID]
+// LastOrder returns the last order of a holder to a sampler, false if none is
+// known.
+func (l *Ledger) LastOrder(samplerID, holder string) (Ordered, bool) {
+	last, ok := l.ordered[orderKey{sampler: samplerID, holder: holder}]
 	return last, ok
 }
 
+// LastOrderByOthers returns when this process read of the last order to a sampler
+// by any other holder, the zero time if none is known.
+func (l *Ledger) LastOrderByOthers(samplerID, holder string) time.Time {
+	var last time.Time
+	for key, order := range l.ordered {
+		if key.sampler == samplerID && key.holder != holder && order.ReadAt.After(last) {
+			last = order.ReadAt
+		}
+	}
+	return last
+}
+
+// NewestOrder returns the order with the highest fence, to any sampler.
+func (l *Ledger) NewestOrder() Ordered { return l.newestOrder }
+
 // Millicores returns the capacity that a node announced, 0 if none is known.
 func (l *Ledger) Millicores(node string) uint64 { return l.capacities[node].Millicores }
 
@@ -316,6 +348,6 @@
 		}
 	}
 	l.order = slices.Clone(l.order[kept:])
-	maps.DeleteFunc(l.ordered, func(_ string, last Ordered) bool { return last.ReadAt.Before(before) })
+	maps.DeleteFunc(l.ordered, func(_ orderKey, last Ordered) bool { return last.ReadAt.Before(before) })
 	maps.DeleteFunc(l.capacities, func(_ string, last Capacity) bool { return last.ReadAt.Before(before) })
 }
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -194,6 +194,7 @@
 	wanted := share
 	if r.slack[model] > 0 {
 		wanted = min(turns*share, len(hosts))
+		share = max((wanted+turns-1)/turns, min(leastHomes, wanted))
 	}
 	r.share[model] = share
 	r.addHomes(model, hosts, able, target, wanted)
