--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -36,15 +36,29 @@
 // job never run.
 func (b *jobBook) submit(ctx context.Context, id string, spec *pathbendv1.BatchJob, items []*pathbendv1.BatchItem, known func() bool) error {
 	began := time.Now()
-	named, err := b.blobs.putItems(ctx, submitPatience, items)
+	patience := b.submitPatience()
+	named, err := b.blobs.putItems(ctx, patience, items)
 	if err != nil {
 		return notTaken(err)
 	}
 	spec.ItemIds, spec.Items = itemIDs(items), named
 	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
-	return b.record(ctx, submitPatience-time.Since(began), known, entry)
+	return b.record(ctx, patience-time.Since(began), known, entry)
 }
 
+// submitPatience is how long a submission is tried before it is refused. A node
+// that has been without the log for a while refuses soon: the caller finds one
+// that has it, or comes back.
+func (b *jobBook) submitPatience() time.Duration {
+	if time.Since(b.follower.Health.CurrentAt()) > contactLimit {
+		return isolatedPatience
+	}
+	return submitPatience
+}
+
+// isolatedPatience is that of a node that is not ready for want of the log.
+const isolatedPatience = 400 * time.Millisecond
+
 func itemIDs(items []*pathbendv1.BatchItem) []string {
 	ids := make([]string, 0, len(items))
 	for _, item := range items {
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -19,7 +19,7 @@
 	// firstLook is when a sampler is first asked whether it took its order;
 	// lookInterval is the pause between looks.
 	firstLook    = 900 * time.Millisecond
-	lookInterval = 150 * time.Millisecond
+	lookInterval = 60 * time.Millisecond
 	// loadPatience is how long an order may take before the sampler is judged
 	// anew.
 	loadPatience = 4 * time.Second
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -19,6 +19,11 @@
 	bulkTimeout = 2 * time.Second
 	// retryPause is the pause after a failed read.
 	retryPause = 100 * time.Millisecond
+	// probeTimeout bounds a read after a failed one: the service may come back at
+	// any moment, and a read that was sent before is never answered. Every
+	// probesPerRead-th has the time of a usual read, in case the service is slow.
+	probeTimeout  = 400 * time.Millisecond
+	probesPerRead = 4
 )
 
 // Health tells how a follower fares. It is safe for concurrent use.
@@ -26,6 +31,8 @@
 	mutex     sync.Mutex
 	currentAt time.Time
 	lost      bool
+	// failures counts the failed reads in a row.
+	failures int
 }
 
 // CurrentAt is the time as of which the follower has every record: the start
@@ -49,7 +56,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	regained, after = h.lost, began.Sub(h.currentAt)
-	h.lost = false
+	h.lost, h.failures = false, 0
 	if began.After(h.currentAt) {
 		h.currentAt = began
 	}
@@ -62,9 +69,18 @@
 	defer h.mutex.Unlock()
 	first := !h.lost
 	h.lost = true
+	h.failures++
 	return first
 }
 
+// probes reports whether the next read is a probe, which is to be answered at once
+// and soon.
+func (h *Health) probes() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.failures%probesPerRead != 0
+}
+
 // Observer is told of a follower's lost and regained contact.
 type Observer interface {
 	ReadFailed(partition Partition, err error)
@@ -173,7 +189,11 @@
 	from := f.next
 	f.reading.Unlock()
 	began := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, poll+f.readTime(poll))
+	timeout := poll + f.readTime(poll)
+	if poll > 0 && f.Health.probes() {
+		poll, timeout = 0, probeTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	batch, err := f.Log.Read(callCtx, f.Partition, from, poll)
 	if result.Is(err, result.LogTruncated) {
@@ -283,12 +303,16 @@
 }
 
 func (f *KeyedFollower) read(ctx context.Context, known bool, next uint64) (KeyedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
+	poll, timeout := pollWait, pollWait+readTimeout
+	if known && f.Health.probes() {
+		poll, timeout = 0, probeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !known {
 		return f.Log.Newest(ctx, f.Partition)
 	}
-	return f.Log.ReadKeyed(ctx, f.Partition, next, pollWait)
+	return f.Log.ReadKeyed(ctx, f.Partition, next, poll)
 }
 
 func rest(ctx context.Context, pause func() time.Duration) {
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -32,8 +32,8 @@
 // model has homes, and only they follow its versions; the other samplers keep
 // what they have. Of the homes an equal share of the fleet takes each version.
 // Where jobs allow the version before the newest, a model has twice as many homes
-// and they take turns: half of them serve the newest version, half the one before,
-// for the same number of loads. A Roll is pure and not safe for concurrent use.
+// if there are so many, and they take turns: half of them serve the newest
+// version, half the one before. A Roll is pure and not safe for concurrent use.
 type Roll struct {
 	// Least is the number of changes that may be under way in the smallest fleet.
 	Least int
@@ -109,7 +109,7 @@
 	fresh := r.fresh(members, targets)
 	var steps []Step
 	for room := r.together(members) - len(r.moving); room > 0; room-- {
-		step, ok := r.neediest(behind, fresh)
+		step, ok := r.neediest(behind, fresh, lag)
 		if !ok {
 			break
 		}
@@ -121,12 +121,14 @@
 }
 
 // neediest returns the first step of the model that the fewest samplers serve in
-// its newest version, among those that want more.
-func (r *Roll) neediest(behind []Step, fresh map[string]int) (Step, bool) {
+// its newest version, among those that want more. A sampler that is too old for
+// the jobs to come is brought up whoever has the newest version already: after an
+// outage more than one turn may be.
+func (r *Roll) neediest(behind []Step, fresh map[string]int, lag func(Step) uint64) (Step, bool) {
 	best, found := Step{}, false
 	for _, step := range behind {
 		_, moving := r.moving[step.SamplerID]
-		if moving || fresh[step.Model] >= r.share[step.Model] {
+		if moving || fresh[step.Model] >= r.share[step.Model] && !r.tooOld(step, lag(step)) {
 			continue
 		}
 		if !found || fresh[step.Model] < fresh[best.Model] {
@@ -136,6 +138,10 @@
 	return best, found
 }
 
+// tooOld reports whether a sampler that is so many versions behind serves no job
+// that is asked from now on.
+func (r *Roll) tooOld(step Step, lag uint64) bool { return lag > r.slack[step.Model] }
+
 // fresh counts the homes of each model that serve its newest version or are on
 // their way to it.
 func (r *Roll) fresh(members []Member, targets map[string]uint64) map[string]int {
