--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,7 @@
 	RewardFailed         Number = 716
 	ExecutorStarted      Number = 717
 	ExecutorStopped      Number = 718
+	ExecutorYielded      Number = 720
 	JobUnread            Number = 719
 	GroupShareChanged    Number = 801
 	GroupContactLost     Number = 802
@@ -152,6 +153,7 @@
 	{ExecutorStarted, "executor_started", slog.LevelInfo, "This node runs the batch jobs; the line tells the generation and what it took over.", "None."},
 	{ExecutorStopped, "executor_stopped", slog.LevelInfo, "This node no longer runs the batch jobs.", "None."},
 	{JobUnread, "job_unread", slog.LevelWarn, "The items of a job, or the text that was made of one, could not be read from the log; the items are read again, the text is made again.", "Check the log service."},
+	{ExecutorYielded, "executor_yielded", slog.LevelInfo, "This node ran the batch jobs without its share, and samplers have work of another node, so it gives them up.", "Check the node's way to the log service."},
 	{GroupShareChanged, "group_share_changed", slog.LevelInfo, "The log service dealt partitions anew; the line tells the generation and this node's part.", "None."},
 	{GroupContactLost, "group_contact_lost", slog.LevelWarn, "This node cannot renew its share; it gives no orders until it can.", "Check the log service."},
 	{GroupContactRegained, "group_contact_regained", slog.LevelInfo, "This node renews its share again.", "None."},
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -51,6 +51,7 @@
 	progressedAt time.Time
 	reviewedAt   time.Time
 	rewards      rewardSlots
+	witness      witness
 	work         conc.WaitGroup
 }
 
@@ -149,6 +150,7 @@
 		e.saveProgress(progressEvents, now)
 	}
 	e.orderWeights(now)
+	e.askWitness(now)
 }
 
 func (e *executor) executing() bool {
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -20,6 +20,8 @@
 	renewalsPerTTL = 3
 	// confirmPause is the pause before a new generation is confirmed.
 	confirmPause = 20 * time.Millisecond
+	// awaitPause is the pause between renewals of a member that waits for its share.
+	awaitPause = 100 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = 600 * time.Millisecond
 	// orderMargin is kept between the last order and the end of the share.
@@ -85,6 +87,8 @@
 			// A partition that is to move passes on only once its holder has
 			// answered with the new generation.
 			next = began.Add(confirmPause)
+		} else if !o.holds(jobPartition, began) {
+			next = began.Add(awaitPause)
 		}
 		wait.Until(ctx, next)
 	}
@@ -100,7 +104,7 @@
 	}
 	view := election.View{Largest: announced.largest}
 	regular := view.Regular(o.settings.Millicores)
-	if now.Before(o.lookAt) || regular && o.holds(jobPartition) {
+	if now.Before(o.lookAt) || regular && o.holds(jobPartition, now) {
 		return o.standing.Joined()
 	}
 	o.lookAt = now.Add(spreadLook(lookEvery(announced.nodes, regular)))
@@ -123,11 +127,14 @@
 	return o.standing.Joined()
 }
 
-func (o *ownership) holds(partition int) bool {
+// holds reports whether this node's share surely lasts. A node that was out of touch
+// for longer looks who holds it now before it enters the group again: its entry
+// alone would make the service deal anew.
+func (o *ownership) holds(partition int, now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[partition]
-	return held
+	return held && now.Sub(o.renewedAt) < o.settings.shareTTL()
 }
 
 const (
@@ -235,6 +242,23 @@
 	return held && !o.left && now.Sub(o.renewedAt) < isolatedLimit
 }
 
+// outOfTouch reports whether this node executes although another may hold its share
+// by now.
+func (o *ownership) outOfTouch(now time.Time) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	_, held := o.held[jobPartition]
+	return held && now.Sub(o.renewedAt) > o.settings.shareTTL()+orderMargin
+}
+
+// yield gives up what this node holds, when it found out otherwise that another
+// executes.
+func (o *ownership) yield() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.held = make(map[int]struct{})
+}
+
 // mayOrder returns the fence for orders if this node may give them now, as far as
 // its share tells. A holder that has not heard yet that its partition passed on
 // finds out when it announces an order in the log.
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -236,6 +236,10 @@
 	})
 }
 
+func ownerOf(member string, number int) sharedlog.Owner {
+	return sharedlog.Owner{Partition: jobs(number), Member: member}
+}
+
 func jobs(number int) sharedlog.Partition {
 	return sharedlog.Partition{Topic: jobTopic, Number: number}
 }
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -38,7 +38,9 @@
 	// Orders counts the orders that it took.
 	Orders uint64
 	// Busy is set while an order is under way.
-	Busy     bool
+	Busy bool
+	// Work counts the runs that it has and those that wait there, of all nodes.
+	Work     int
 	Versions map[string]uint64
 }
 
--- /dev/null
+++ b/internal/hosted/witness_test.go
@@ -0,0 +1,77 @@
+package hosted
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/schedule"
+)
+
+// The store turned the executor away for seven seconds and served the others. Both
+// executors filled the same samplers until the first one's eight seconds were over,
+// and two steps came five seconds late (tipline-dub trouble-1).
+func TestWorkOfOthersAtSamplersShowsAnotherExecutor(t *testing.T) {
+	var w witness
+	require.False(t, w.heard(12, 2))
+	require.False(t, w.heard(12, 2))
+	require.True(t, w.heard(12, 2))
+}
+
+func TestFewForeignRunsProveNothing(t *testing.T) {
+	var w witness
+	for range 10 {
+		require.False(t, w.heard(12, 2))
+		require.False(t, w.heard(12, 2))
+		require.False(t, w.heard(5, 2), "reports are late")
+	}
+}
+
+func TestOnlyAHolderOutOfTouchAsks(t *testing.T) {
+	var w witness
+	now := time.Now()
+	require.False(t, w.due(false, now))
+	require.True(t, w.due(true, now))
+	require.False(t, w.due(true, now.Add(witnessInterval/2)))
+	require.True(t, w.due(true, now.Add(witnessInterval)))
+	w.heard(12, 0)
+	w.heard(12, 0)
+	w.due(false, now)
+	require.False(t, w.heard(12, 0), "what was seen before it was in touch again is over")
+}
+
+func TestWitnessesAreModelSamplersInTurn(t *testing.T) {
+	versions := map[string]uint64{"m": 1}
+	loads := []schedule.Load{{ID: "a", Versions: versions}, {ID: "application"}, {ID: "leaving", Leaving: true, Versions: versions}, {ID: "b", Versions: versions}}
+	var w witness
+	var asked []string
+	for range 4 {
+		load, ok := w.choose(loads)
+		require.True(t, ok)
+		asked = append(asked, load.ID)
+	}
+	require.Equal(t, []string{"b", "a", "b", "a"}, asked)
+	_, ok := w.choose(nil)
+	require.False(t, ok)
+}
+
+// A holder that was cut off came back and entered the group before it looked: the
+// service dealt anew, and the node that executed by then stopped all its runs.
+func TestHolderThatWasOutOfTouchLooksBeforeItEnters(t *testing.T) {
+	own(t, func(o *ownership, group *scriptedGroup) {
+		time.Sleep(4 * time.Second)
+		group.set(func() { group.down = true })
+		time.Sleep(4 * time.Second)
+		require.True(t, o.outOfTouch(time.Now()))
+		before := 0
+		group.set(func() {
+			group.down = false
+			before = group.joined
+			group.owners = append(group.owners, ownerOf("other", jobPartition))
+		})
+		time.Sleep(time.Second)
+		require.Equal(t, before, group.joins())
+		require.False(t, o.executes(0, time.Now()))
+	})
+}
