--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -29,16 +29,9 @@
 			return nil
 		},
 		RunE: func(command *cobra.Command, arguments []string) error {
-			var lines []explain.Line
-			for _, path := range arguments[1:] {
-				read, err := readLog(path, command.InOrStdin())
-				if err != nil {
-					return err
-				}
-				lines = append(lines, read...)
-			}
-			if len(lines) == 0 {
-				return usageError{errors.New("explain: the files hold no log lines of a node; give files that pathbend wrote")}
+			lines, err := readLogs(arguments[1:], command.InOrStdin())
+			if err != nil {
+				return errors.Wrap(err, "explain")
 			}
 			writeStory(command.OutOrStdout(), explain.Tell(arguments[0], lines))
 			return nil
@@ -46,11 +39,27 @@
 	}
 }
 
+// readLogs reads the lines of all files.
+func readLogs(paths []string, input io.Reader) ([]explain.Line, error) {
+	var lines []explain.Line
+	for _, path := range paths {
+		read, err := readLog(path, input)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	if len(lines) == 0 {
+		return nil, usageError{errors.New("the files hold no log lines of a node; give files that pathbend wrote")}
+	}
+	return lines, nil
+}
+
 func readLog(path string, input io.Reader) ([]explain.Line, error) {
 	if path != "-" {
 		file, err := os.Open(path)
 		if err != nil {
-			return nil, usageError{errors.Wrap(err, "explain")}
+			return nil, usageError{err}
 		}
 		defer file.Close()
 		input = file
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -88,7 +88,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newServe(), newConfig(), newStatus(), newDrain(), newExplain(), newVersion())
+	root.AddCommand(newServe(), newConfig(), newStatus(), newDrain(), newExplain(), newSteps(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/internal/command/steps.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/pathbend/pathbend/internal/explain"
+)
+
+func newSteps() *cobra.Command {
+	return &cobra.Command{
+		Use:   "steps FILE...",
+		Short: "Tell from log files what each batch job waited for",
+		Long: "steps reads the log files of several nodes and prints a line for each batch job: when it\n" +
+			"was submitted, and how many seconds later its first and last items began, the item that\n" +
+			"was listed last was whole, scored and listed, and the trainer ended the job; then that\n" +
+			"item, its events and its sampler. A moment that no line shows is a dash.\n" +
+			"A file named - is standard input.",
+		Example: "  pathbend steps node-a.log node-b.log",
+		Args: func(_ *cobra.Command, arguments []string) error {
+			if len(arguments) < 1 {
+				return usageError{errors.New("steps: name at least one log file, or - for standard input")}
+			}
+			return nil
+		},
+		RunE: func(command *cobra.Command, arguments []string) error {
+			lines, err := readLogs(arguments, command.InOrStdin())
+			if err != nil {
+				return errors.Wrap(err, "steps")
+			}
+			return writeSteps(command.OutOrStdout(), explain.Steps(lines))
+		},
+	}
+}
+
+func writeSteps(output io.Writer, steps []explain.Step) error {
+	const padding = 2
+	table := tabwriter.NewWriter(output, 0, 0, padding, ' ', 0)
+	fmt.Fprintln(table, "model\tstep\tasked\tfirst start\tlast start\tlast whole\tscored\tlisted\tended\tstarts\tlisted of\tlast item\tevents\tsampler")
+	for i := range steps {
+		step := &steps[i]
+		fmt.Fprintf(table, "%s\t%d\t%s", step.Model, step.Number, step.Asked.Format("15:04:05.000"))
+		for _, moment := range []time.Time{
+			step.FirstStart, step.LastStart, step.LastWhole, step.LastScored, step.LastListed, step.Ended,
+		} {
+			fmt.Fprintf(table, "\t%s", secondsAfter(step.After(moment)))
+		}
+		fmt.Fprintf(table, "\t%d\t%d/%d\t%s\t%d\t%s\n", step.Starts, step.Listed, step.Items, step.Last, step.Events, step.Sampler)
+	}
+	return errors.Wrap(table.Flush(), "write")
+}
+
+func secondsAfter(passed time.Duration) string {
+	if passed < 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", passed.Seconds())
+}
--- /dev/null
+++ b/internal/explain/steps.go
@@ -0,0 +1,116 @@
+package explain
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/event"
+)
+
+// Step is the way of one batch job from its submission to its end, as the lines of
+// all nodes show it. A moment that no line shows is the zero time.
+type Step struct {
+	JobID  string
+	Model  string
+	Number int
+	Items  int
+	// Asked is when the job was kept, FirstStart and LastStart when items were sent
+	// to samplers.
+	Asked      time.Time
+	FirstStart time.Time
+	LastStart  time.Time
+	// LastWhole, LastScored and LastListed are those of the item that was listed
+	// last before the end.
+	LastWhole  time.Time
+	LastScored time.Time
+	LastListed time.Time
+	// Ended is when the trainer ended the job.
+	Ended time.Time
+	// Starts counts runs, Listed results.
+	Starts int
+	Listed int
+	// Last is the item that was listed last, Events its length and Sampler where its
+	// text ended.
+	Last    string
+	Events  int
+	Sampler string
+}
+
+// Steps returns the batch jobs that lines tell of, by model and submission.
+func Steps(lines []Line) []Step {
+	byJob := make(map[string]*Step)
+	for _, line := range lines {
+		id := line.Fields.Text("job_id")
+		if id == "" {
+			continue
+		}
+		step := byJob[id]
+		if step == nil {
+			step = &Step{JobID: id}
+			byJob[id] = step
+		}
+		step.take(line)
+	}
+	var steps []Step
+	for _, step := range byJob {
+		if !step.Asked.IsZero() {
+			steps = append(steps, *step)
+		}
+	}
+	slices.SortFunc(steps, func(a, b Step) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), a.Asked.Compare(b.Asked), cmp.Compare(a.JobID, b.JobID))
+	})
+	return steps
+}
+
+// take takes in one line about the job.
+func (s *Step) take(line Line) {
+	switch line.Number {
+	case event.BatchSubmitted:
+		if s.Asked.IsZero() {
+			s.Asked = line.Time
+		}
+		s.Model, s.Number, s.Items = line.Fields.Text("model"), line.Fields.Count("step"), line.Fields.Count("items")
+	case event.ItemStarted:
+		if s.FirstStart.IsZero() {
+			s.FirstStart = line.Time
+		}
+		s.LastStart = line.Time
+		s.Starts++
+	case event.ItemListed:
+		if s.Ended.IsZero() {
+			s.listed(line)
+		}
+	case event.BatchEnded:
+		if s.Ended.IsZero() {
+			s.Ended = line.Time
+		}
+	}
+}
+
+func (s *Step) listed(line Line) {
+	s.Listed++
+	s.LastListed = line.Time
+	s.LastWhole = ago(line, "whole_ms_ago")
+	s.LastScored = ago(line, "scored_ms_ago")
+	s.Last, s.Events, s.Sampler = line.Fields.Text("item_id"), line.Fields.Count("events"), line.Fields.Text("sampler")
+}
+
+// ago returns the moment that a line tells as milliseconds before it, the zero time
+// if it does not know.
+func ago(line Line, field string) time.Time {
+	passed := line.Fields.Count(field)
+	if passed < 0 {
+		return time.Time{}
+	}
+	return line.Time.Add(-time.Duration(passed) * time.Millisecond)
+}
+
+// After returns how long after the submission a moment was, -1 if it is not known.
+func (s *Step) After(moment time.Time) time.Duration {
+	if moment.IsZero() {
+		return -1
+	}
+	return moment.Sub(s.Asked)
+}
--- /dev/null
+++ b/internal/explain/steps_test.go
@@ -0,0 +1,36 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/event"
+)
+
+func TestStepIsToldFromItsLines(t *testing.T) {
+	var l log
+	l.add(100, "a", event.BatchSubmitted, `"job_id":"j","model":"m","step":3,"items":2`)
+	l.add(150, "b", event.ItemStarted, `"job_id":"j","item_id":"x"`)
+	l.add(350, "b", event.ItemStarted, `"job_id":"j","item_id":"y"`)
+	l.add(900, "b", event.ItemListed, `"job_id":"j","item_id":"x","events":4,"sampler":"s","whole_ms_ago":60,"scored_ms_ago":30`)
+	l.add(2000, "b", event.ItemListed, `"job_id":"j","item_id":"y","events":9,"sampler":"t","whole_ms_ago":90,"scored_ms_ago":-1`)
+	l.add(2300, "b", event.BatchEnded, `"job_id":"j"`)
+	l.add(2400, "c", event.ItemListed, `"job_id":"j","item_id":"late"`)
+	l.add(50, "a", event.ItemStarted, `"job_id":"unknown","item_id":"x"`)
+	lines, _, err := Read(strings.NewReader(l.text.String()))
+	require.NoError(t, err)
+	steps := Steps(lines)
+	require.Len(t, steps, 1, "a job whose submission no line shows is left out")
+	step := steps[0]
+	require.Equal(t, 3, step.Number)
+	require.Equal(t, 50*time.Millisecond, step.After(step.FirstStart))
+	require.Equal(t, 250*time.Millisecond, step.After(step.LastStart))
+	require.Equal(t, 1810*time.Millisecond, step.After(step.LastWhole))
+	require.Negative(t, step.After(step.LastScored))
+	require.Equal(t, 1900*time.Millisecond, step.After(step.LastListed))
+	require.Equal(t, 2200*time.Millisecond, step.After(step.Ended))
+	require.Equal(t, []any{2, 2, "y", 9, "t"}, []any{step.Starts, step.Listed, step.Last, step.Events, step.Sampler})
+}
