--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -106,7 +106,7 @@
 		return
 	}
 	e.takeVersions()
-	e.roll.Allow(job.Spec.Model, e.slackOf(job.Spec))
+	e.roll.Allow(job.Spec.Model, job.Spec.Step, e.slackOf(job.Spec))
 	policy := e.policyOf(job)
 	var finished []schedule.Finished
 	var stopped []schedule.Key
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -210,13 +210,18 @@
 		return
 	}
 	e.endSession()
+	e.stopRuns()
+	e.scheduler = nil
+	e.node.logger.Log(event.ExecutorStopped, "generation", e.node.ownership.current())
+	e.node.metrics.executing.Set(0)
+}
+
+// stopRuns stops all runs. It is called under the lock.
+func (e *executor) stopRuns() {
 	for key, cancel := range e.runs {
 		cancel()
 		delete(e.runs, key)
 	}
-	e.scheduler = nil
-	e.node.logger.Log(event.ExecutorStopped, "generation", e.node.ownership.current())
-	e.node.metrics.executing.Set(0)
 }
 
 func (e *executor) takeVersions() {
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -104,7 +104,8 @@
 	}
 	view := election.View{Largest: announced.largest}
 	regular := view.Regular(o.settings.Millicores)
-	if now.Before(o.lookAt) || regular && o.holds(jobPartition, now) {
+	stale := o.standing.Joined() && !o.renewedWithin(o.settings.shareTTL(), now)
+	if !stale && (now.Before(o.lookAt) || regular && o.holds(jobPartition, now)) {
 		return o.standing.Joined()
 	}
 	o.lookAt = now.Add(spreadLook(lookEvery(announced.nodes, regular)))
@@ -112,7 +113,7 @@
 	defer cancel()
 	owners, err := o.group.Owners(callCtx, jobGroup)
 	if err != nil {
-		return o.standing.Joined()
+		return o.standing.Joined() && !stale
 	}
 	before := o.standing.Joined()
 	view.Owners = o.describe(owners, announced)
@@ -127,9 +128,16 @@
 	return o.standing.Joined()
 }
 
-// holds reports whether this node's share surely lasts. A node that was out of touch
-// for longer looks who holds it now before it enters the group again: its entry
-// alone would make the service deal anew.
+// renewedWithin reports whether the share was renewed of late. A node that was out of
+// touch for longer than the share lasts looks who holds it now before it enters the
+// group again: its entry alone would make the service deal anew.
+func (o *ownership) renewedWithin(limit time.Duration, now time.Time) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return now.Sub(o.renewedAt) < limit
+}
+
+// holds reports whether this node's share surely lasts.
 func (o *ownership) holds(partition int, now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/internal/hosted/witness.go
+++ b/internal/hosted/witness.go
@@ -11,7 +11,7 @@
 const (
 	// witnessInterval is how often a node that executes without its share asks
 	// samplers for their work.
-	witnessInterval = 300 * time.Millisecond
+	witnessInterval = 150 * time.Millisecond
 	// foreignRuns is how many runs of others a sampler must have to count as a
 	// witness of another executor: its report is some 100 ms old, and runs come and
 	// go meanwhile.
@@ -93,5 +93,7 @@
 	}
 	e.node.logger.Log(event.ExecutorYielded, "sampler", sampler.ID, "work", report.Work, "own", own)
 	e.node.ownership.yield()
+	// Their slots are wanted before the log can be told how far they came.
+	e.stopRuns()
 	e.wake()
 }
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -42,7 +42,9 @@
 	// share is the number of homes of a model that take each version.
 	share map[string]int
 	// slack is how many versions behind the newest the jobs of a model allow.
-	slack     map[string]uint64
+	slack map[string]uint64
+	// latest is the latest step of a model that was taken in.
+	latest    map[string]uint64
 	moving    map[string]Step
 	notBefore map[string]time.Time
 	failures  map[string]int
@@ -157,9 +159,15 @@
 	return fresh
 }
 
-// Allow takes in how many versions behind the newest the latest job of a model
-// allows.
-func (r *Roll) Allow(model string, slack uint64) { r.slack[model] = slack }
+// Allow takes in how many versions behind the newest a job of a model allows. The
+// latest step counts: jobs that were taken over may come in any order, and an older
+// one allows more by now.
+func (r *Roll) Allow(model string, step, slack uint64) {
+	if step < r.latest[model] {
+		return
+	}
+	r.latest[model], r.slack[model] = step, slack
+}
 
 // fit reports whether a sampler can follow models.
 func (r *Roll) fit(now time.Time, member Member) bool {
@@ -300,6 +308,7 @@
 	r.homes = make(map[string]map[string]struct{})
 	r.share = make(map[string]int)
 	r.slack = make(map[string]uint64)
+	r.latest = make(map[string]uint64)
 	r.moving = make(map[string]Step)
 	r.notBefore = make(map[string]time.Time)
 	r.failures = make(map[string]int)
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -148,7 +148,7 @@
 	members := membersOf(9, map[string]uint64{"a": 1, "b": 1, "c": 1})
 	for version := uint64(2); version < 12; version++ {
 		for _, model := range []string{"a", "b", "c"} {
-			roll.Allow(model, 1)
+			roll.Allow(model, version, 1)
 		}
 		targets := map[string]uint64{"a": version, "b": version, "c": version}
 		require.Equal(t, 9, play(roll, now, members, targets), "three loads a version of each model")
@@ -173,7 +173,7 @@
 func TestSamplersOfOneModelTakeTurnsToo(t *testing.T) {
 	now := time.Unix(100, 0)
 	roll := NewRoll(2)
-	roll.Allow("a", 1)
+	roll.Allow("a", 1, 1)
 	members := membersOf(8, map[string]uint64{"a": 1})
 	for version := uint64(2); version < 6; version++ {
 		require.Equal(t, 4, play(roll, now, members, map[string]uint64{"a": version}))
@@ -183,10 +183,19 @@
 	}
 }
 
+// An executor took two jobs over, the later one first, and went by the slack of the
+// older one, which allowed a version more by then.
+func TestLatestStepTellsWhatJobsAllow(t *testing.T) {
+	roll := NewRoll(2)
+	roll.Allow("a", 4, 1)
+	roll.Allow("a", 3, 2)
+	require.EqualValues(t, 1, roll.slack["a"])
+}
+
 func TestSamplersTooOldForTheJobsToComeAreAllBroughtUp(t *testing.T) {
 	now := time.Unix(100, 0)
 	roll := NewRoll(2)
-	roll.Allow("a", 1)
+	roll.Allow("a", 1, 1)
 	members := membersOf(8, map[string]uint64{"a": 1})
 	require.Equal(t, 8, play(roll, now, members, map[string]uint64{"a": 3}))
 }
