--- a/internal/lab/loopback.go
+++ b/internal/lab/loopback.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"sync"
 
 	"github.com/pathbend/pathbend/internal/network"
@@ -10,17 +9,21 @@
 
 // Loopback places every host on free ports of the loopback interface.
 type Loopback struct {
+	network *network.Reserved
+
 	mutex    sync.Mutex
 	reserved map[string]string
 }
 
 // NewLoopback returns a loopback network.
-func NewLoopback() *Loopback { return &Loopback{reserved: make(map[string]string)} }
+func NewLoopback() *Loopback {
+	return &Loopback{network: network.NewReserved(), reserved: make(map[string]string)}
+}
 
 // For implements Networks.
-func (*Loopback) For(string, string) network.Network { return network.TCP{} }
+func (l *Loopback) For(string, string) network.Network { return l.network }
 
-// Address implements Networks. The port is free at the time of the call; the
+// Address implements Networks. The port is kept free for its first listener; the
 // same host and port get the same address again, as after a restart.
 func (l *Loopback) Address(host string, port int) string {
 	l.mutex.Lock()
@@ -29,12 +32,10 @@
 	if address, ok := l.reserved[key]; ok {
 		return address
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := l.network.Reserve()
 	if err != nil {
 		return "127.0.0.1:0" // the caller's own Listen reports the cause
 	}
-	address := listener.Addr().String()
-	listener.Close()
 	l.reserved[key] = address
 	return address
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -36,12 +35,11 @@
         - {name: look, pool: b, deadline: 2s, priority: normal, max_attempts: 2, max_body_bytes: 1000}
 `
 
-func freeAddress(t *testing.T) string {
+func reserve(t *testing.T, reserved *network.Reserved) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := reserved.Reserve()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // startNode runs one node against a platform with one back end.
@@ -59,9 +57,10 @@
 	require.NoError(t, err)
 	settings := DefaultSettings()
 	settings.Name, settings.Zone = "n", "z"
-	settings.HTTPAddress, settings.PeerAddress, settings.AdminAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+	reserved := network.NewReserved()
+	settings.HTTPAddress, settings.PeerAddress, settings.AdminAddress = reserve(t, reserved), reserve(t, reserved), reserve(t, reserved)
 	settings.LogAddress, settings.MachinesAddress = address, address
-	started, err := New(settings, network.TCP{}, event.Discard())
+	started, err := New(settings, reserved, event.Discard())
 	require.NoError(t, err)
 	require.NoError(t, started.Start())
 	t.Cleanup(func() {
