--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/event"
@@ -62,24 +65,42 @@
 // read reads a job's items and the texts of those that were begun. Text that
 // cannot be read is made again.
 func (e *executor) read(ctx context.Context, job *ledger.Job) (adopted, error) {
-	found := adopted{begun: make(map[string]schedule.Begun)}
+	var found adopted
 	var err error
 	if found.items, err = e.node.jobs.blobs.getItems(ctx, job.Spec); err != nil {
 		return found, err
 	}
 	var begun map[string]ledger.Progress
 	e.node.jobs.withLedger(func(known *ledger.Ledger) { found.finished, begun = textsOf(known, found.items) })
+	found.begun = e.readBegun(ctx, job, begun)
+	return found, nil
+}
+
+// readsTogether is how many texts are read at once: a step's long items wait for
+// all of them.
+const readsTogether = 8
+
+// readBegun reads texts that were begun. Text that cannot be read is made again.
+func (e *executor) readBegun(ctx context.Context, job *ledger.Job, begun map[string]ledger.Progress) map[string]schedule.Begun {
+	var mutex sync.Mutex
+	texts := make(map[string]schedule.Begun, len(begun))
+	readers := pool.New().WithMaxGoroutines(readsTogether)
 	for itemID, progress := range begun {
-		parts, err := e.node.jobs.blobs.get(ctx, progress.Parts)
-		if err != nil {
-			e.node.logger.Log(event.JobUnread, "job_id", job.ID, "item_id", itemID, "detail", err.Error())
-			continue
-		}
-		found.begun[itemID] = schedule.Begun{
-			ID: progress.ID, Events: progress.Events, Versions: progress.Versions, Text: bytes.Join(parts, []byte{'\n'}),
-		}
+		readers.Go(func() {
+			parts, err := e.node.jobs.blobs.get(ctx, progress.Parts)
+			if err != nil {
+				e.node.logger.Log(event.JobUnread, "job_id", job.ID, "item_id", itemID, "detail", err.Error())
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			texts[itemID] = schedule.Begun{
+				ID: progress.ID, Events: progress.Events, Versions: progress.Versions, Text: bytes.Join(parts, []byte{'\n'}),
+			}
+		})
 	}
-	return found, nil
+	readers.Wait()
+	return texts
 }
 
 // textsOf finds what the log holds of items: texts that an earlier job listed, and
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -22,7 +22,7 @@
 	// executorRest lets events of a moment be looked at together.
 	executorRest = 4 * time.Millisecond
 	// progressInterval is how often the text of running items is saved.
-	progressInterval = 500 * time.Millisecond
+	progressInterval = 300 * time.Millisecond
 	// progressEvents is how many new events are worth saving: a shorter text is
 	// made again sooner than it is kept by every node.
 	progressEvents = 24
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -15,7 +15,7 @@
 
 const (
 	// listLinger is how long a result waits for others to share an append.
-	listLinger = 50 * time.Millisecond
+	listLinger = 20 * time.Millisecond
 	// listPatience bounds one round of appends; what is left is tried again.
 	listPatience = 5 * time.Second
 )
--- a/internal/hosted/pace.go
+++ b/internal/hosted/pace.go
@@ -4,7 +4,7 @@
 
 const (
 	// leastJobsPause lets several records of the jobs join one read.
-	leastJobsPause = 100 * time.Millisecond
+	leastJobsPause = 40 * time.Millisecond
 	// leastSamplersPause lets several entries of samplers join one read: there is
 	// one a heartbeat and sampler.
 	leastSamplersPause = 300 * time.Millisecond
--- a/internal/schedule/saved.go
+++ b/internal/schedule/saved.go
@@ -33,7 +33,7 @@
 	unsaved := make(map[string][]Part)
 	for _, key := range s.runningKeys() {
 		entry := s.items[key]
-		if !entry.saved.settle(log, key.Item, now) || entry.events < entry.saved.events+minEvents {
+		if !entry.saved.settle(log, key.Item, now) || entry.events < entry.saved.events+entry.worthSaving(minEvents) {
 			continue
 		}
 		unsaved[key.Job] = append(unsaved[key.Job], entry.save(s.newID(), now))
@@ -41,6 +41,18 @@
 	return unsaved
 }
 
+// furtherPart is the part of minEvents that is worth saving of an item that was
+// saved before: it is a long one, and its step waits for what has to be made again.
+const furtherPart = 3
+
+// worthSaving returns how many new events of the item are worth saving.
+func (i *item) worthSaving(minEvents uint64) uint64 {
+	if i.saved.events > 0 {
+		return max(minEvents/furtherPart, 1)
+	}
+	return minEvents
+}
+
 // settle reports whether a further part may be sent.
 func (t *savedText) settle(log Saved, itemID string, now time.Time) bool {
 	if t.id == 0 {
