--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -126,7 +126,7 @@
 	spec := &pathbendv1.BatchJob{
 		Host: i.job.spec.Host, Path: i.job.spec.Path, Step: i.job.spec.Step, Model: i.job.spec.Model, MinVersion: version,
 	}
-	later := &job{id: i.job.id, spec: spec, policy: i.job.policy}
+	later := &job{id: i.job.id, spec: spec, policy: i.job.policy, newest: i.job.newest}
 	key := i.key
 	key.Ahead = true
 	return &item{key: key, spec: i.spec, job: later}
@@ -186,9 +186,9 @@
 		return
 	}
 	if entry.events > 0 && entry.phase != settled {
+		// The job itself is not kept: it holds the texts of all its items.
 		s.ahead[entry.key.Item] = &item{
-			key: entry.key, spec: entry.spec, job: entry.job, leftAt: now,
-			text: entry.text, events: entry.events, versions: entry.versions,
+			key: entry.key, leftAt: now, text: entry.text, events: entry.events, versions: entry.versions,
 		}
 	}
 }
