--- a/internal/hosted/blobs_test.go
+++ b/internal/hosted/blobs_test.go
@@ -182,3 +182,17 @@
 	}
 	require.True(t, result.Is(notTaken(result.New(result.BodyTooLarge, "x")), result.BodyTooLarge))
 }
+
+// Two nodes without the log held a step for 2.5 s each before they refused it, and
+// its trainer came 5 s late to a node that had it.
+func TestNodeWithoutTheLogRefusesAJobSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := newTestNode()
+		require.Equal(t, isolatedPatience, node.jobs.submitPatience(), "nothing was read yet")
+		node.jobs.follower.Log = emptyLog{}
+		require.NoError(t, node.jobs.follower.CatchUp(t.Context()))
+		require.Equal(t, submitPatience, node.jobs.submitPatience())
+		time.Sleep(contactLimit + time.Millisecond)
+		require.Equal(t, isolatedPatience, node.jobs.submitPatience())
+	})
+}
