--- /dev/null
+++ b/internal/hosted/append_test.go
@@ -0,0 +1,78 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// awayLog never answers what it gets before it is back. What it gets later is
+// answered after some time.
+type awayLog struct {
+	sharedlog.Log
+
+	backAt time.Time
+	takes  time.Duration
+
+	mutex   sync.Mutex
+	appends int
+}
+
+func (l *awayLog) answer(ctx context.Context) error {
+	if time.Now().Before(l.backAt) {
+		<-ctx.Done()
+		return result.New(result.LogUnknown, "silent")
+	}
+	time.Sleep(l.takes)
+	return nil
+}
+
+func (l *awayLog) Append(ctx context.Context, _ sharedlog.Partition, _ [][]byte) (uint64, error) {
+	l.mutex.Lock()
+	l.appends++
+	l.mutex.Unlock()
+	return 0, l.answer(ctx)
+}
+
+func (l *awayLog) Read(ctx context.Context, _ sharedlog.Partition, _ uint64, _ time.Duration) (sharedlog.Batch, error) {
+	return sharedlog.Batch{}, l.answer(ctx)
+}
+
+// Results of an outage were listed 0.8 s after the store was back: the appends that
+// hung were waited for, and meanwhile another executor made the texts again.
+func TestAppendIsKeptSoonAfterASilentLogIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &awayLog{backAt: time.Now().Add(5200 * time.Millisecond)}
+		node := New(Settings{Name: "n"}, Ports{Network: network.TCP{}, Log: log}, event.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		followed := make(chan struct{})
+		go func() { defer close(followed); node.jobs.follower.Run(ctx) }()
+		for node.jobs.appendOne(ctx, nil, nil) != nil {
+			time.Sleep(appendPause)
+		}
+		require.Less(t, time.Since(log.backAt), appendHedge+appendPause)
+		cancel()
+		<-followed
+	})
+}
+
+func TestSlowLogGetsNoMoreThanTwoAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &awayLog{takes: time.Second}
+		node := New(Settings{Name: "n"}, Ports{Network: network.TCP{}, Log: log}, event.Discard())
+		require.NoError(t, node.jobs.appendOne(t.Context(), nil, nil))
+		require.Equal(t, 2, log.appends)
+		synctest.Wait()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -22,9 +22,12 @@
 	// submitPatience is how long a submission is tried before it is refused.
 	submitPatience = 2500 * time.Millisecond
 	// appendTimeout bounds one append; appendHedge is when a second one of the
-	// same records is sent beside it: repetitions are harmless.
+	// same records is sent beside it: repetitions are harmless. While the log is
+	// lost, which never answers what was sent before it is back, a further one is
+	// sent each time, up to mostAppends; a log that is merely slow would get slower.
 	appendTimeout = 1500 * time.Millisecond
 	appendHedge   = 250 * time.Millisecond
+	mostAppends   = 6
 	// appendPause is the pause between appends that failed.
 	appendPause = 100 * time.Millisecond
 	// submitHint is when to come back after a refused submission.
@@ -246,12 +249,11 @@
 }
 
 // appendOne appends records. A second append goes out if the first has no
-// answer in time.
+// answer in time, further ones only to a log that is lost.
 func (b *jobBook) appendOne(ctx context.Context, records [][]byte, kept func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	const both = 2
-	answers := make(chan error, both)
+	answers := make(chan error, mostAppends)
 	send := func() {
 		began := time.Now()
 		_, err := b.node.ports.Log.Append(ctx, b.follower.Partition, records)
@@ -280,8 +282,13 @@
 				return cmp.Or(unknown, err)
 			}
 		case <-hedge.C:
-			go send()
-			sent++
+			if sent == 1 || b.follower.Health.Lost() {
+				go send()
+				sent++
+			}
+			if sent < mostAppends {
+				hedge.Reset(appendHedge)
+			}
 		case <-changed:
 		}
 	}
