--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -89,7 +89,14 @@
 // ownWith is own with settings and announcements of its own, within a bubble.
 func ownWith(t *testing.T, settings Settings, known announced, test func(o *ownership, group *scriptedGroup)) {
 	t.Helper()
-	group := &scriptedGroup{share: holding(4, 0)}
+	ownAmong(t, settings, known, nil, test)
+}
+
+// ownAmong is ownWith beside owners that are there from the start: the first look may
+// come before the first step of the test.
+func ownAmong(t *testing.T, settings Settings, known announced, owners []sharedlog.Owner, test func(o *ownership, group *scriptedGroup)) {
+	t.Helper()
+	group := &scriptedGroup{share: holding(4, 0), owners: owners}
 	o := newOwnership(settings, group, known, func(context.Context) {}, event.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -249,8 +256,8 @@
 func TestNodesStandOutWhileAnotherExecutes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		settings := Settings{Name: "b", Millicores: 800, ShortestTTL: time.Second, OrderGrace: time.Second}
-		ownWith(t, settings, announced{"a": 800, "b": 800}, func(o *ownership, group *scriptedGroup) {
-			group.set(func() { group.owners = []sharedlog.Owner{{Partition: jobs(0), Member: "a"}} })
+		among := []sharedlog.Owner{ownerOf("a", jobPartition)}
+		ownAmong(t, settings, announced{"a": 800, "b": 800}, among, func(o *ownership, group *scriptedGroup) {
 			time.Sleep(10 * time.Second)
 			require.Zero(t, group.joins())
 			group.set(func() { group.owners = nil })
