--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,8 +82,8 @@
 	RewardFailed         Number = 716
 	ExecutorStarted      Number = 717
 	ExecutorStopped      Number = 718
-	ExecutorYielded      Number = 720
 	JobUnread            Number = 719
+	ExecutorYielded      Number = 720
 	GroupShareChanged    Number = 801
 	GroupContactLost     Number = 802
 	GroupContactRegained Number = 803
--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -50,10 +50,10 @@
 // that has been without the log for a while refuses soon: the caller finds one
 // that has it, or comes back.
 func (b *jobBook) submitPatience() time.Duration {
-	if time.Since(b.follower.Health.CurrentAt()) > contactLimit {
-		return isolatedPatience
+	if b.inTouch() {
+		return submitPatience
 	}
-	return submitPatience
+	return isolatedPatience
 }
 
 // isolatedPatience is that of a node that is not ready for want of the log.
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -156,6 +156,11 @@
 	return nil
 }
 
+// inTouch reports whether the log was read of late.
+func (b *jobBook) inTouch() bool {
+	return time.Since(b.follower.Health.CurrentAt()) < contactLimit
+}
+
 // refresh reads the records that the log holds now.
 func (b *jobBook) refresh(ctx context.Context) error {
 	if err := b.follower.CatchUp(ctx); err != nil {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -120,7 +120,7 @@
 	if n.draining.Load() || n.catalog.Load() == nil || n.samplers.Load() == nil {
 		return false
 	}
-	return time.Since(n.jobs.follower.Health.CurrentAt()) < contactLimit
+	return n.jobs.inTouch()
 }
 
 // contactLimit is how long a node may be without the log and call itself ready.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -81,8 +81,8 @@
 	// ended holds ends that came before their job, which a reader that begins
 	// in the middle of the log may see.
 	ended map[string]bool
-	// ordered holds the last order of each holder to each sampler.
-	ordered map[orderKey]Ordered
+	// ordered holds, by sampler, the last order of each holder.
+	ordered map[string]map[string]Ordered
 	// newestOrder is the order with the highest fence.
 	newestOrder Ordered
 	// capacities holds what each node announced last.
@@ -100,8 +100,6 @@
 	ReadAt time.Time
 }
 
-type orderKey struct{ sampler, holder string }
-
 // Capacity is what a node announced of its machine.
 type Capacity struct {
 	// Millicores is the processor time a second that the node may use.
@@ -118,7 +116,7 @@
 		progress:  make(map[string]Progress),
 		finished:  make(map[string]Result),
 		ended:     make(map[string]bool),
-		ordered:   make(map[orderKey]Ordered),
+		ordered:   make(map[string]map[string]Ordered),
 
 		capacities: make(map[string]Capacity),
 	}
@@ -175,7 +173,10 @@
 
 func (l *Ledger) noteOrder(order *pathbendv1.WeightOrder, now time.Time) {
 	noted := Ordered{Holder: order.Holder, Fence: order.Fence, Serial: order.Serial, ReadAt: now}
-	l.ordered[orderKey{sampler: order.SamplerId, holder: order.Holder}] = noted
+	if l.ordered[order.SamplerId] == nil {
+		l.ordered[order.SamplerId] = make(map[string]Ordered)
+	}
+	l.ordered[order.SamplerId][order.Holder] = noted
 	if noted.Fence >= l.newestOrder.Fence {
 		l.newestOrder = noted
 	}
@@ -302,7 +303,7 @@
 // LastOrder returns the last order of a holder to a sampler, false if none is
 // known.
 func (l *Ledger) LastOrder(samplerID, holder string) (Ordered, bool) {
-	last, ok := l.ordered[orderKey{sampler: samplerID, holder: holder}]
+	last, ok := l.ordered[samplerID][holder]
 	return last, ok
 }
 
@@ -310,8 +311,8 @@
 // by any other holder, the zero time if none is known.
 func (l *Ledger) LastOrderByOthers(samplerID, holder string) time.Time {
 	var last time.Time
-	for key, order := range l.ordered {
-		if key.sampler == samplerID && key.holder != holder && order.ReadAt.After(last) {
+	for other, order := range l.ordered[samplerID] {
+		if other != holder && order.ReadAt.After(last) {
 			last = order.ReadAt
 		}
 	}
@@ -348,6 +349,9 @@
 		}
 	}
 	l.order = slices.Clone(l.order[kept:])
-	maps.DeleteFunc(l.ordered, func(_ orderKey, last Ordered) bool { return last.ReadAt.Before(before) })
+	maps.DeleteFunc(l.ordered, func(_ string, holders map[string]Ordered) bool {
+		maps.DeleteFunc(holders, func(_ string, last Ordered) bool { return last.ReadAt.Before(before) })
+		return len(holders) == 0
+	})
 	maps.DeleteFunc(l.capacities, func(_ string, last Capacity) bool { return last.ReadAt.Before(before) })
 }
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -126,7 +126,7 @@
 	spec := &pathbendv1.BatchJob{
 		Host: i.job.spec.Host, Path: i.job.spec.Path, Step: i.job.spec.Step, Model: i.job.spec.Model, MinVersion: version,
 	}
-	later := &job{id: i.job.id, spec: spec, policy: i.job.policy, newest: i.job.newest}
+	later := &job{id: i.job.id, spec: spec, policy: i.job.policy}
 	key := i.key
 	key.Ahead = true
 	return &item{key: key, spec: i.spec, job: later}
