Let a node send its requests to few back ends, on connections that it has

Cause: a back end without load reports counted every request ever sent to it as load, so each node went round all back ends, and random ties added to it.

Change: work sent before any report is no load; a node looks at endpoints in an order of its own (rendezvous hash, its zone first), and at more the more requests it has in progress. The affinity ring is built only where it is used. A list of many new endpoints is one line of the log, and a new version is logged by the executor only: 480,000 lines of 300 nodes before 3,000 back ends.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	RequestGivenUp       Number = 507
 	RequestRefused       Number = 508
 	RequestServed        Number = 509
+	EndpointsAdded       Number = 510
 	LeaseTaken           Number = 601
 	LeaseLost            Number = 602
 	WeightsOrdered       Number = 603
@@ -127,6 +128,7 @@
 	{RequestGivenUp, "request_given_up", slog.LevelWarn, "A request got its final refusal or failure; the line tells the attempts and the result code.", "Look at the attempts with the same request id."},
 	{RequestRefused, "request_refused", slog.LevelWarn, "A request was refused before any attempt; the line tells why and when to come back.", "See the result code."},
 	{RequestServed, "request_served", slog.LevelInfo, "A request got a back end's answer; the line tells which, after how many attempts and how long.", "None."},
+	{EndpointsAdded, "endpoints_added", slog.LevelInfo, "Many engines or back ends appeared in the list at once, as after a start; the line tells how many.", "None."},
 	{LeaseTaken, "lease_taken", slog.LevelInfo, "This node holds a lease.", "None."},
 	{LeaseLost, "lease_lost", slog.LevelInfo, "Another node's claim replaced this node's lease.", "None."},
 	{WeightsOrdered, "weights_ordered", slog.LevelInfo, "An engine was ordered to load or switch to a weight version.", "None."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,11 +45,11 @@
 	}
 }
 
-// NewHosted returns an empty fleet for a node whose endpoints send no load
-// reports.
-func NewHosted(random *rand.Rand, logger *event.Logger) *Fleet {
+// NewHosted returns an empty fleet for a node, by its name, whose endpoints send no
+// load reports.
+func NewHosted(random *rand.Rand, node string, logger *event.Logger) *Fleet {
 	hosted := New(random, logger)
-	hosted.application = routing.NewHostedProfile(random)
+	hosted.application = routing.NewHostedProfile(random, node)
 	return hosted
 }
 
@@ -67,9 +67,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	changes := f.table.Update(listed)
-	for _, endpoint := range changes.Added {
-		f.logger.Log(event.EndpointAdded, "endpoint", endpoint.ID, "pool", endpoint.Pool, "zone", endpoint.Zone)
-	}
+	f.logAdded(changes.Added)
 	for _, endpoint := range changes.Leaving {
 		f.logger.Log(event.EndpointLeaving, "endpoint", endpoint.ID, "source", "list")
 	}
@@ -79,6 +77,20 @@
 	}
 }
 
+// eachLogged is how many endpoints that appear together get a line each: a few are
+// news of a back end, many are the list that a node has just read (chosen).
+const eachLogged = 4
+
+func (f *Fleet) logAdded(added []*routing.Endpoint) {
+	if len(added) > eachLogged {
+		f.logger.Log(event.EndpointsAdded, "count", len(added), "pools", len(f.table.Pools()))
+		return
+	}
+	for _, endpoint := range added {
+		f.logger.Log(event.EndpointAdded, "endpoint", endpoint.ID, "pool", endpoint.Pool, "zone", endpoint.Zone)
+	}
+}
+
 // Pick implements dispatch.Balancer for back ends. The attempt counts as
 // started.
 func (f *Fleet) Pick(request *routing.Request) *routing.Endpoint {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -63,7 +63,7 @@
 func New(settings Settings, ports Ports, logger *event.Logger) *Node {
 	n := &Node{
 		settings: settings, ports: ports, logger: logger,
-		fleet:     fleet.NewHosted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), logger),
+		fleet:     fleet.NewHosted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), settings.Name, logger),
 		exchanger: dispatch.NewExchanger(ports.Network),
 		versions:  make(map[string]uint64),
 		informed:  make(chan struct{}),
@@ -168,7 +168,8 @@
 	n.logger.Log(event.RecordSkipped, "sampler", id, "detail", err.Error())
 }
 
-// TakeVersion takes in a weight version that a trainer named.
+// TakeVersion takes in a weight version that a trainer named. Every node learns of
+// it; the executor logs it.
 func (n *Node) TakeVersion(model string, version uint64) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -176,7 +177,6 @@
 		return
 	}
 	n.versions[model] = version
-	n.logger.Log(event.VersionAnnounced, "model", model, "version", version)
 	n.executor.wake()
 }
 
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -59,8 +59,12 @@
 )
 
 // Load is the estimated work at the endpoint: the lagging report corrected by
-// what this node sent since, and never below what it has in flight.
+// what this node sent since, and never below what it has in flight. Without a
+// report, what was sent long ago says nothing of the work that is there now.
 func (e *Endpoint) Load() int {
+	if e.ReportedAt.IsZero() {
+		return e.InFlight
+	}
 	return max(e.InFlight, e.Report.Running+e.Report.Waiting+e.SentSinceReport)
 }
 
--- /dev/null
+++ b/internal/routing/preferred_subset_test.go
@@ -0,0 +1,107 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// zonedTable holds endpoints in zones a, b and c by turns, of six slots each.
+func zonedTable(size int) *Table {
+	var machines []Machine
+	for i := range size {
+		machines = append(machines, Machine{
+			ID: fmt.Sprintf("app-%03d", i), Pool: "app", Zone: string(rune('a' + i%3)), Capacity: 6,
+		})
+	}
+	table := NewTable()
+	table.Update(machines)
+	return table
+}
+
+// On a fleet of 295 nodes before 12 endpoints each node used all of them in turn,
+// since work sent long ago counted as load for ever: 3,540 pairs, and connections
+// that the endpoint closed before they were used again.
+func TestNodeWithLittleToSendKeepsToOneEndpoint(t *testing.T) {
+	table := zonedTable(12)
+	profile := NewHostedProfile(newRandom(), "node-1")
+	used := make(map[string]int)
+	for range 100 {
+		picked := profile.Pick(table, &Request{Pool: "app", Zone: "b", Now: now})
+		require.Equal(t, "b", picked.Zone)
+		picked.Started()
+		picked.Succeeded(time.Millisecond)
+		used[picked.ID]++
+	}
+	require.Len(t, used, 1)
+}
+
+func TestNodesTogetherSpreadOverTheirZone(t *testing.T) {
+	table := zonedTable(12)
+	used := make(map[string]int)
+	const nodes = 200
+	for i := range nodes {
+		profile := NewHostedProfile(newRandom(), fmt.Sprintf("node-%d", i))
+		// Every node has an order of its own; the table caches that of one node.
+		table.rebuild()
+		used[profile.Pick(table, &Request{Pool: "app", Zone: "b", Now: now}).ID]++
+	}
+	require.Len(t, used, 4, "the endpoints of the zone")
+	for endpoint, count := range used {
+		require.Less(t, count, nodes/4*3/2, "%s gets less than one and a half shares", endpoint)
+	}
+}
+
+func TestSubsetGrowsWithTheWorkInProgress(t *testing.T) {
+	table := zonedTable(12)
+	profile := NewHostedProfile(newRandom(), "node-1")
+	inFlight := make(map[string]int)
+	for range 36 {
+		picked := profile.Pick(table, &Request{Pool: "app", Now: now})
+		picked.Started()
+		inFlight[picked.ID]++
+	}
+	require.Len(t, inFlight, 12)
+	for endpoint, count := range inFlight {
+		require.Equal(t, 3, count, endpoint)
+	}
+}
+
+func TestLossOfThePreferredEndpointsCostsNoRequest(t *testing.T) {
+	table := zonedTable(12)
+	profile := NewHostedProfile(newRandom(), "node-1")
+	request := &Request{Pool: "app", Zone: "b", Now: now}
+	first := profile.Pick(table, request)
+	table.MarkLeaving(first.ID)
+	second := profile.Pick(table, request)
+	require.NotEqual(t, first.ID, second.ID)
+	require.Equal(t, "b", second.Zone)
+	for range failuresToEject {
+		second.Started()
+		second.Failed(now)
+	}
+	third := profile.Pick(table, request)
+	require.NotContains(t, []string{first.ID, second.ID}, third.ID)
+	request.Excluded = []string{third.ID}
+	require.NotContains(t, []string{first.ID, second.ID, third.ID}, profile.Pick(table, request).ID)
+	for _, endpoint := range table.Pool("app")[:11] {
+		request.Excluded = append(request.Excluded, endpoint.ID)
+	}
+	table.Get("app-011").Leaving = false
+	require.NotNil(t, profile.Pick(table, request), "all are looked at if the subset holds none")
+}
+
+func TestWorkSentBeforeAnyReportIsNoLoad(t *testing.T) {
+	endpoint := &Endpoint{}
+	for range 5 {
+		endpoint.Started()
+		endpoint.Succeeded(time.Millisecond)
+	}
+	require.Zero(t, endpoint.Load())
+	endpoint.Reported(LoadReport{Running: 2}, now)
+	endpoint.Started()
+	endpoint.Succeeded(time.Millisecond)
+	require.Equal(t, 3, endpoint.Load(), "the report does not know of it")
+}
--- a/internal/routing/profile.go
+++ b/internal/routing/profile.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -50,15 +49,16 @@
 	Weight float64
 }
 
-const (
-	// subsetSize bounds the random endpoints that one decision looks at.
-	subsetSize = 8
-	// affinitySize bounds the endpoints that prefix affinity adds.
-	affinitySize = 2
-)
+// Subset chooses the endpoints of a pool that one decision looks at, so that its
+// cost stays flat as the fleet grows.
+type Subset interface {
+	// Choose appends endpoints, those that prefix affinity prefers first.
+	Choose(into []*Endpoint, random *rand.Rand, found *pool, request *Request) []*Endpoint
+}
 
 // Profile is a pipeline of plugins. It is not safe for concurrent use.
 type Profile struct {
+	subsets Subset
 	filters []Filter
 	scorers []WeightedScorer
 	picker  Picker
@@ -69,9 +69,9 @@
 }
 
 // NewProfile composes a pipeline.
-func NewProfile(random *rand.Rand, filters []Filter, scorers []WeightedScorer, picker Picker) *Profile {
+func NewProfile(random *rand.Rand, subsets Subset, filters []Filter, scorers []WeightedScorer, picker Picker) *Profile {
 	return &Profile{
-		filters: filters, scorers: scorers, picker: picker, random: random,
+		subsets: subsets, filters: filters, scorers: scorers, picker: picker, random: random,
 		subset:     make([]*Endpoint, 0, subsetSize+affinitySize),
 		candidates: make([]Candidate, 0, subsetSize+affinitySize),
 	}
@@ -79,7 +79,7 @@
 
 // NewApplicationProfile returns the pipeline for application requests.
 func NewApplicationProfile(random *rand.Rand) *Profile {
-	return NewProfile(random,
+	return NewProfile(random, RandomSubset{},
 		[]Filter{NotLeaving{}, NotExcluded{}, NotEjected{}},
 		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, 1}},
 		TwoChoices{})
@@ -91,10 +91,11 @@
 const hostedZoneWeight = 0.4
 
 // NewHostedProfile returns the pipeline for nodes without load reports: the
-// endpoint with the least work of this node, in the own zone among equals, which
-// keeps bytes in their zone and the number of connections small.
-func NewHostedProfile(random *rand.Rand) *Profile {
-	return NewProfile(random,
+// endpoint with the least work of this node, in the own zone among equals, and
+// among those the one that the node prefers. That keeps bytes in their zone and
+// the number of connections small.
+func NewHostedProfile(random *rand.Rand, node string) *Profile {
+	return NewProfile(random, PreferredSubset{Node: node},
 		[]Filter{NotLeaving{}, NotExcluded{}, NotEjected{}},
 		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, hostedZoneWeight}},
 		BestScore{})
@@ -102,7 +103,7 @@
 
 // NewGenerationProfile returns the pipeline for engines.
 func NewGenerationProfile(random *rand.Rand) *Profile {
-	return NewProfile(random,
+	return NewProfile(random, RandomSubset{},
 		[]Filter{NotLeaving{}, NotExcluded{}, ServesVersion{}, NotEjected{}},
 		[]WeightedScorer{{LeastLoad{}, 3}, {PrefixAffinity{}, 2}},
 		TwoChoices{})
@@ -116,7 +117,7 @@
 	if !ok {
 		return nil
 	}
-	p.chooseSubset(found, request)
+	p.subset = p.subsets.Choose(p.subset[:0], p.random, found, request)
 	p.filter(request, false)
 	if len(p.candidates) == 0 {
 		// The subset may have missed the few that serve; look at all.
@@ -135,29 +136,6 @@
 	return p.picker.Pick(p.random, p.candidates)
 }
 
-func (p *Profile) chooseSubset(found *pool, request *Request) {
-	p.subset = p.subset[:0]
-	if request.PrefixHash != 0 {
-		p.subset = found.preferred(p.subset, request.PrefixHash, affinitySize)
-	}
-	size := len(found.endpoints)
-	if size <= subsetSize {
-		for _, endpoint := range found.endpoints {
-			p.addToSubset(endpoint)
-		}
-		return
-	}
-	for range subsetSize {
-		p.addToSubset(found.endpoints[p.random.IntN(size)])
-	}
-}
-
-func (p *Profile) addToSubset(endpoint *Endpoint) {
-	if !slices.Contains(p.subset, endpoint) {
-		p.subset = append(p.subset, endpoint)
-	}
-}
-
 func (p *Profile) filter(request *Request, allowEjected bool) {
 	p.candidates = p.candidates[:0]
 	for i, endpoint := range p.subset {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -148,7 +148,7 @@
 	table.Update([]Machine{
 		{ID: "near", Pool: "p", Zone: "a", Capacity: 6}, {ID: "far", Pool: "p", Zone: "b", Capacity: 6},
 	})
-	profile := NewHostedProfile(rand.New(rand.NewPCG(1, 2)))
+	profile := NewHostedProfile(newRandom(), "node-1")
 	request := &Request{Pool: "p", Zone: "a"}
 	for range 20 {
 		require.Equal(t, "near", profile.Pick(table, request).ID)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -30,8 +30,10 @@
 
 type pool struct {
 	endpoints []*Endpoint
-	// ring places every endpoint for affinity.
+	// ring places every endpoint for affinity. It is made at the first use.
 	ring []ringPoint
+	// orders holds the order that this node prefers, by zone of the request.
+	orders map[string][]*Endpoint
 }
 
 type ringPoint struct {
@@ -134,13 +136,19 @@
 			t.pools[endpoint.Pool] = found
 		}
 		found.endpoints = append(found.endpoints, endpoint)
+	}
+}
+
+// buildRing places the endpoints. Nodes without prefix affinity never need it, and
+// it costs more than all else at a change of a large pool.
+func (p *pool) buildRing() {
+	p.ring = make([]ringPoint, 0, len(p.endpoints)*pointsPerEndpoint)
+	for _, endpoint := range p.endpoints {
 		for point := range pointsPerEndpoint {
-			found.ring = append(found.ring, ringPoint{hash: pointHash(id, point), endpoint: endpoint})
+			p.ring = append(p.ring, ringPoint{hash: pointHash(endpoint.ID, point), endpoint: endpoint})
 		}
 	}
-	for _, found := range t.pools {
-		slices.SortFunc(found.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
-	}
+	slices.SortFunc(p.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
 }
 
 func pointHash(id string, point int) uint64 {
@@ -152,6 +160,9 @@
 
 // preferred appends up to count distinct endpoints after a hash on the ring.
 func (p *pool) preferred(into []*Endpoint, hash uint64, count int) []*Endpoint {
+	if p.ring == nil {
+		p.buildRing()
+	}
 	start, _ := slices.BinarySearchFunc(p.ring, hash, func(point ringPoint, hash uint64) int {
 		return cmp.Compare(point.hash, hash)
 	})
