Bound what an executor does for each sampler of a large fleet

Cause, from logs of a site of our own with 300 nodes and 3,001 back ends: of 728 runs that were started in the first two seconds 450 were moved as "slow". The pace a run was compared with was the lowest estimate of any sampler; of 2,400 estimates one is always far too low, the more so as a late executor reads several events at once. Each move ended a connection, read a prompt anew, and looked at all 2,400 samplers, which made the executor later still.

Fleets of the earlier sites have too few samplers for the bounds to bind; the pace compared with changes there from the lowest to the lower quartile.

--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -19,6 +19,9 @@
 const (
 	// executorTick is how often the executor looks at what no event announces.
 	executorTick = 50 * time.Millisecond
+	// relistInterval is how often an unchanged list of samplers is taken in again, so
+	// that those whose last run has ended since they left it are forgotten.
+	relistInterval = time.Second
 	// executorRest lets events of a moment be looked at together.
 	executorRest = 4 * time.Millisecond
 	// progressInterval is how often the text of running items is saved.
@@ -50,9 +53,12 @@
 	endSession   context.CancelFunc
 	progressedAt time.Time
 	reviewedAt   time.Time
-	rewards      rewardSlots
-	witness      witness
-	work         conc.WaitGroup
+	// listed is the list of samplers that the scheduler took in last, at listedAt.
+	listed   *[]schedule.Sampler
+	listedAt time.Time
+	rewards  rewardSlots
+	witness  witness
+	work     conc.WaitGroup
 }
 
 func newExecutor(n *Node) *executor {
@@ -132,7 +138,7 @@
 	if review {
 		e.reviewedAt = now
 		e.takeVersions()
-		e.takeSamplers()
+		e.takeSamplers(now)
 		e.stopMoved(now)
 	}
 	for _, start := range e.scheduler.Starts(now) {
@@ -171,7 +177,8 @@
 	e.session, e.endSession = context.WithCancel(ctx)
 	e.roll.Forget()
 	e.takeVersions()
-	e.takeSamplers()
+	e.listed = nil
+	e.takeSamplers(time.Now())
 	open := 0
 	for _, job := range e.node.jobs.open() {
 		e.adopt(job)
@@ -226,14 +233,19 @@
 
 func (e *executor) takeVersions() {
 	for model, version := range e.node.targets() {
-		e.scheduler.Named(model, version)
+		if e.scheduler.Named(model, version) {
+			e.node.logger.Log(event.VersionAnnounced, "model", model, "version", version)
+		}
 	}
 }
 
-func (e *executor) takeSamplers() {
-	if listed := e.node.samplers.Load(); listed != nil {
-		e.scheduler.Samplers(*listed)
+func (e *executor) takeSamplers(now time.Time) {
+	listed := e.node.samplers.Load()
+	if listed == nil || listed == e.listed && now.Sub(e.listedAt) < relistInterval {
+		return
 	}
+	e.listed, e.listedAt = listed, now
+	e.scheduler.Samplers(*listed)
 }
 
 func (e *executor) applyChange(change ledger.Change) {
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -41,10 +41,11 @@
 	var members []weights.Member
 	for _, load := range e.scheduler.Loads() {
 		members = append(members, weights.Member{
-			ID: load.ID, Versions: load.Versions, Running: load.Running, Leaving: load.Leaving,
+			ID: load.ID, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
 			Wait: e.orderedByAnother(load.ID, now),
 		})
 	}
+	e.roll.Want(e.scheduler.Demand(now))
 	for _, step := range e.roll.Next(now, members, targets) {
 		sampler, ok := e.scheduler.Sampler(step.SamplerID)
 		if !ok {
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -27,9 +27,14 @@
 	usualWeight = 0.02
 )
 
-// Named takes in the newest version of a model that trainers named.
-func (s *Scheduler) Named(model string, version uint64) {
-	s.named[model] = max(s.named[model], version)
+// Named takes in the newest version of a model that trainers named. It reports
+// whether that is newer than what was known.
+func (s *Scheduler) Named(model string, version uint64) (newer bool) {
+	if s.named[model] >= version {
+		return false
+	}
+	s.named[model] = version
+	return true
 }
 
 // noteSlack remembers how many versions behind the newest the latest job of a
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 )
 
@@ -32,7 +33,8 @@
 // much faster sampler, those on slow ones. Their items are pending again.
 func (s *Scheduler) Moves(now time.Time) []Move {
 	var moves []Move
-	fastest := s.fastestPace()
+	brisk := s.briskPace()
+	noRoom := make(map[*job]bool)
 	for _, key := range s.runningKeys() {
 		entry := s.items[key]
 		silent := now.Sub(entry.lastEvent)
@@ -41,7 +43,12 @@
 		case silent > silenceLimit && !entry.sampler.isLoading(entry.job.spec.Model):
 			move.Reason = "silent"
 			entry.sampler.pause(now)
-		case float64(entry.sampler.pace) > moveRatio*float64(fastest) && s.fasterElsewhere(entry, now):
+		case float64(entry.sampler.pace) > moveRatio*float64(brisk) && !noRoom[entry.job]:
+			best, _ := s.choose(entry, now)
+			noRoom[entry.job] = best == nil
+			if !s.worthMove(entry, best, brisk, now) {
+				continue
+			}
 			move.Reason = "slow"
 		default:
 			continue
@@ -54,13 +61,22 @@
 	return append(moves, s.staleAhead(now)...)
 }
 
-// fastestPace is a pace that no sampler betters.
-func (s *Scheduler) fastestPace() time.Duration {
-	fastest := s.fleetPace
+// briskPart is the part of the samplers that may be faster than the pace with which
+// a slow one is compared. The very fastest of a large fleet is mostly one whose pace
+// was estimated too low, and few are in a fleet of two or three.
+const briskPart = 4
+
+// briskPace is a pace that a quarter of the samplers may better.
+func (s *Scheduler) briskPace() time.Duration {
+	if len(s.ordered) == 0 {
+		return s.fleetPace
+	}
+	paces := make([]time.Duration, 0, len(s.ordered))
 	for _, state := range s.ordered {
-		fastest = min(fastest, state.expectedPace(s.fleetPace))
+		paces = append(paces, state.expectedPace(s.fleetPace))
 	}
-	return fastest
+	slices.Sort(paces)
+	return min(paces[(len(paces)-1)/briskPart], s.fleetPace)
 }
 
 func (s *Scheduler) runningKeys() []Key {
@@ -75,15 +91,12 @@
 	return keys
 }
 
-func (s *Scheduler) fasterElsewhere(entry *item, now time.Time) bool {
-	if now.Sub(entry.startedAt) < moveAfter {
-		return false
-	}
-	best, _ := s.choose(entry, now)
-	if best == nil || best == entry.sampler || best.slow(s.fleetPace) {
+// worthMove reports whether an item on a slow sampler gains by another one.
+func (s *Scheduler) worthMove(entry *item, best *samplerState, brisk time.Duration, now time.Time) bool {
+	if best == nil || best == entry.sampler || best.slow(s.fleetPace) || now.Sub(entry.startedAt) < moveAfter {
 		return false
 	}
-	there := best.expectedPace(s.fleetPace)
+	there := max(best.expectedPace(s.fleetPace), brisk)
 	gain := float64(entry.sampler.pace) - float64(there)
 	saved := time.Duration(gain * entry.remaining(assumedTokensPerEvent))
 	return float64(entry.sampler.pace) > moveRatio*float64(there) && saved > moveWorth
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -105,16 +105,21 @@
 	return ordered
 }
 
-// choose returns the sampler that is expected to finish the item first, nil if
-// none may run it now, and the number of samplers that might.
+// mostCandidates bounds the samplers that one choice compares: the cost of a choice
+// stays flat as the fleet grows, and the best of so many is hardly worse than the
+// best of all. Fleets of up to so many samplers are looked at whole.
+const mostCandidates = 128
+
+// choose returns the sampler that is expected to finish the item first among those
+// it looked at, nil if none of all may run it now, and the number that might.
 func (s *Scheduler) choose(entry *item, now time.Time) (*samplerState, int) {
 	var best *samplerState
 	bestCost, candidates := 0.0, 0
-	for _, state := range s.ordered {
+	for i := range s.ordered {
+		state := s.ordered[(s.lookFrom+i)%len(s.ordered)]
 		if state.room(s.fleetPace, now) == 0 || !s.serves(state, entry) {
 			continue
 		}
-		candidates++
 		cost := state.cost(entry.spec.Group, s.fleetPace, now)
 		if state.ID == entry.avoid {
 			cost *= 2
@@ -122,6 +127,10 @@
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 		}
+		if candidates++; candidates == mostCandidates {
+			s.lookFrom = (s.lookFrom + i + 1) % len(s.ordered)
+			break
+		}
 	}
 	return best, candidates
 }
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -31,6 +31,7 @@
 	}
 	s.ordered = slices.Collect(maps.Values(s.samplers))
 	slices.SortFunc(s.ordered, func(a, b *samplerState) int { return cmp.Compare(a.ID, b.ID) })
+	s.lookFrom = 0
 }
 
 func newest(known, listed map[string]uint64) map[string]uint64 {
@@ -76,9 +77,12 @@
 type Load struct {
 	ID      string
 	Running int
+	// Slots is the number of items that it generates at once.
+	Slots   int
 	Pace    time.Duration
 	Leaving bool
-	// Versions maps a model to the version that it serves.
+	// Versions maps a model to the version that it serves. It is the scheduler's own
+	// and changes with it.
 	Versions map[string]uint64
 }
 
@@ -87,8 +91,8 @@
 	loads := make([]Load, 0, len(s.samplers))
 	for _, state := range s.ordered {
 		loads = append(loads, Load{
-			ID: state.ID, Running: state.running, Pace: state.pace, Leaving: state.Leaving,
-			Versions: maps.Clone(state.Versions),
+			ID: state.ID, Running: state.running, Slots: state.slots(), Pace: state.pace, Leaving: state.Leaving,
+			Versions: state.Versions,
 		})
 	}
 	return loads
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -16,8 +16,10 @@
 	jobs     map[string]*job
 	items    map[Key]*item
 	samplers map[string]*samplerState
-	// ordered lists the samplers by id.
-	ordered []*samplerState
+	// ordered lists the samplers by id. The next choice among more than it compares
+	// begins at lookFrom.
+	ordered  []*samplerState
+	lookFrom int
 	// seenGroups tells when a job last brought a group.
 	seenGroups map[string]time.Time
 	// fleetPace is a moving average of the time to one event at any sampler.
@@ -31,7 +33,8 @@
 	// carries tells of which models jobs bring groups of earlier jobs again.
 	carries map[string]bool
 	// ahead holds text of unfinished items for later jobs, by item id.
-	ahead map[string]*item
+	ahead  map[string]*item
+	demand demand
 	// usualEvents is a moving average of the length of whole texts.
 	usualEvents float64
 }
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -386,3 +386,69 @@
 	b.addJob(b.jobOf("b-first", 1, "g:450"), policy(5*time.Second), kept{})
 	require.Equal(t, []string{"b-first-0", "a-second-0"}, itemsOf(b.starts()))
 }
+
+// Among 2,400 samplers some pace was always estimated far too low, so nearly every
+// run counted as slow beside it and was moved, again and again.
+func TestOneLowEstimateMakesNoOtherSamplerSlow(t *testing.T) {
+	const pace = 20 * time.Millisecond
+	var samplers []Sampler
+	for i := range 40 {
+		samplers = append(samplers, sampler(fmt.Sprintf("s%02d", i), 2, 1))
+	}
+	b := newBench(t, samplers...)
+	var words []string
+	for i := range 40 {
+		words = append(words, fmt.Sprintf("g%d:9000", i))
+	}
+	b.addJob(b.jobOf("j", 1, words...), policy(time.Second), kept{})
+	b.starts()
+	for i, state := range b.s.ordered {
+		state.pace, state.observed = pace, true
+		if i < 3 {
+			state.pace = pace / 3
+		}
+	}
+	b.s.fleetPace = pace
+	b.now = b.now.Add(time.Second)
+	require.Empty(t, b.s.Moves(b.now))
+	b.s.ordered[20].pace = 3 * pace
+	moves := b.s.Moves(b.now)
+	require.NotEmpty(t, moves, "one is slow indeed")
+	for _, move := range moves {
+		require.Equal(t, b.s.ordered[20].ID, move.From)
+	}
+}
+
+func TestChoiceLooksAtABoundedNumberOfSamplers(t *testing.T) {
+	var samplers []Sampler
+	for i := range 10 * mostCandidates {
+		samplers = append(samplers, sampler(fmt.Sprintf("s%04d", i), 2, 1))
+	}
+	b := newBench(t, samplers...)
+	var words []string
+	for i := range 200 {
+		words = append(words, fmt.Sprintf("g%d:9000", i))
+	}
+	b.addJob(b.jobOf("j", 1, words...), policy(time.Second), kept{})
+	starts := b.starts()
+	require.Len(t, starts, 200)
+	used := make(map[string]int)
+	for _, start := range starts {
+		require.LessOrEqual(t, start.Candidates, mostCandidates)
+		used[start.Sampler.ID]++
+	}
+	require.Len(t, used, 200, "each finds an idle sampler")
+}
+
+func TestChoiceFindsTheOnlySamplerThatFits(t *testing.T) {
+	var samplers []Sampler
+	for i := range 10 * mostCandidates {
+		samplers = append(samplers, sampler(fmt.Sprintf("s%04d", i), 2, 1))
+	}
+	samplers[700].Versions["m"] = 2
+	b := newBench(t, samplers...)
+	b.addJob(b.jobOf("j", 2, "g:9000", "g:9000", "g:9000"), policy(time.Second), kept{})
+	starts := b.starts()
+	require.Len(t, starts, 2)
+	require.Equal(t, "s0700", starts[0].Sampler.ID)
+}
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -12,8 +12,10 @@
 	ID string
 	// Versions maps a model to the version served, as far as is known.
 	Versions map[string]uint64
-	// Running is the work that it has.
+	// Running is the work that it has, Slots how much it does at once; 0 if that is
+	// not known.
 	Running int
+	Slots   int
 	Leaving bool
 	// Wait is set while an order of another holder may still be in force.
 	Wait bool
@@ -33,7 +35,8 @@
 // what they have. Of the homes an equal share of the fleet takes each version.
 // Where jobs allow the version before the newest, a model has twice as many homes
 // if there are so many, and they take turns: half of them serve the newest
-// version, half the one before. A Roll is pure and not safe for concurrent use.
+// version, half the one before. No model has many more homes than its work needs:
+// an order to a sampler that then has nothing to do is of no use. A Roll is pure and not safe for concurrent use.
 type Roll struct {
 	// Least is the number of changes that may be under way in the smallest fleet.
 	Least int
@@ -43,6 +46,8 @@
 	share map[string]int
 	// slack is how many versions behind the newest the jobs of a model allow.
 	slack map[string]uint64
+	// demand is the most work of a model that was wanted at once of late.
+	demand map[string]int
 	// latest is the latest step of a model that was taken in.
 	latest    map[string]uint64
 	moving    map[string]Step
@@ -61,6 +66,10 @@
 	// leastHomes is how many samplers follow a model at least, so that the loss
 	// of one does not stop it.
 	leastHomes = 2
+	// homeRoom is how many times the work that is wanted at once the homes of a
+	// version have slots for: few runs beside each other go faster, samplers fail,
+	// and a part of them is loading (chosen; binds only where samplers are plenty).
+	homeRoom = 3
 	// turns is the number of parts of a model's homes that take versions in turn.
 	turns = 2
 )
@@ -169,6 +178,10 @@
 	r.latest[model], r.slack[model] = step, slack
 }
 
+// Want takes in the most work of each model that was wanted at once of late. A model
+// that is missing takes its even share of the fleet.
+func (r *Roll) Want(demand map[string]int) { r.demand = demand }
+
 // fit reports whether a sampler can follow models.
 func (r *Roll) fit(now time.Time, member Member) bool {
 	return !member.Leaving && (r.failures[member.ID] < failuresToLeave || !now.Before(r.notBefore[member.ID]))
@@ -205,6 +218,9 @@
 		}
 	}
 	share := min(max((len(hosts)+models-1)/models, leastHomes), len(hosts))
+	if wanted, known := r.demand[model]; known {
+		share = min(share, max(homesFor(wanted, hosts, able), leastHomes))
+	}
 	wanted := share
 	if r.slack[model] > 0 {
 		wanted = min(turns*share, len(hosts))
@@ -215,10 +231,22 @@
 	r.dropHomes(model, hosts, able, wanted)
 }
 
+// homesFor returns how many samplers have room for an amount of work.
+func homesFor(wanted int, hosts []string, able map[string]Member) int {
+	slots := 0
+	for _, id := range hosts {
+		slots += able[id].Slots
+	}
+	if slots == 0 {
+		return len(hosts)
+	}
+	return (wanted*homeRoom*len(hosts) + slots - 1) / slots
+}
+
 // addHomes gives a model more homes: samplers with the fewest models, then
 // those with the newest version.
 func (r *Roll) addHomes(model string, hosts []string, able map[string]Member, target uint64, wanted int) {
-	for r.count(model, hosts) < wanted {
+	for count := r.count(model, hosts); count < wanted; count++ {
 		best := ""
 		for _, id := range hosts {
 			if r.isHome(id, model) {
@@ -241,7 +269,7 @@
 // dropHomes takes homes away from a model that has too many: samplers with the
 // most models, then those with the oldest version.
 func (r *Roll) dropHomes(model string, hosts []string, able map[string]Member, wanted int) {
-	for r.count(model, hosts) > wanted {
+	for count := r.count(model, hosts); count > wanted; count-- {
 		worst := ""
 		for _, id := range hosts {
 			if !r.isHome(id, model) {
@@ -309,6 +337,7 @@
 	r.share = make(map[string]int)
 	r.slack = make(map[string]uint64)
 	r.latest = make(map[string]uint64)
+	r.demand = nil
 	r.moving = make(map[string]Step)
 	r.notBefore = make(map[string]time.Time)
 	r.failures = make(map[string]int)
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -224,3 +224,23 @@
 		require.ElementsMatch(t, []string{"a", "b", "z"}, order[3*round:3*round+3])
 	}
 }
+
+// 1,000 samplers followed two models of which 40 and 67 items were wanted at once:
+// 3,094 orders a day, a sixth of the day's worth, to samplers that had no work.
+func TestModelHasNoMoreHomesThanItsWorkNeeds(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(2)
+	members := membersOf(300, map[string]uint64{"a": 1, "b": 1})
+	for i := range members {
+		members[i].Slots = 6
+	}
+	targets := map[string]uint64{"a": 2, "b": 1}
+	roll.Want(map[string]int{"a": 40})
+	require.Equal(t, 20, play(roll, now, members, targets), "120 slots for 40 items")
+	roll.Want(map[string]int{"a": 1})
+	targets["a"] = 3
+	require.Equal(t, leastHomes, play(roll, now, members, targets))
+	roll.Want(map[string]int{"a": 4000})
+	targets["a"] = 4
+	require.Equal(t, 150, play(roll, now, members, targets), "its even share, if that is less")
+}
