Share one append among callers that wait

Cause, from logs of a site of our own with 300 nodes: an executor announced 157 orders a second with one append each, while a partition takes its appends in turn, 4 ms each. Each that had no answer within 250 ms was sent again, each that had none within 700 ms was given up and begun anew: 3,154 retries, and neither results nor ends of jobs were kept for five seconds. A job could not be read at the end (LOST, on the site of our own).

Change: records of all callers go through one appender with four calls under way; what waits goes out together. A call that hangs holds its place for 250 ms only, and is cancelled once all its callers have left. What was not sent when its caller left is never sent, which keeps the promise of a refusal.

--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -44,6 +44,7 @@
 type jobBook struct {
 	node     *Node
 	follower *sharedlog.Follower
+	appender *sharedlog.Appender
 	blobs    *blobs
 
 	mutex  sync.Mutex
@@ -61,6 +62,9 @@
 		Log: n.ports.Log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
 		Observer: n, Apply: book.apply, Pause: n.jobsPause,
 	}
+	book.appender = &sharedlog.Appender{
+		Log: n.ports.Log, Partition: book.follower.Partition, MaxBytes: n.settings.MaxCallBytes, Observe: n.metrics.logAppend,
+	}
 	return book
 }
 
@@ -259,12 +263,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	answers := make(chan error, mostAppends)
-	send := func() {
-		began := time.Now()
-		_, err := b.node.ports.Log.Append(ctx, b.follower.Partition, records)
-		b.node.metrics.logAppend(err, time.Since(began))
-		answers <- err
-	}
+	send := func() { answers <- b.appender.Append(ctx, records) }
 	go send()
 	sent, failed := 1, 0
 	var unknown error
