Read routes and samplers before the ledger, and the ledger by those that may execute

Each node also appended its capacity to the ledger, 4 ms each: 1.2 s in which the ledger took nothing else.

Change: capacities stand in a keyed topic of their own, the newest of each node; a process that starts again finds its entry there and adds none. A node reads the ledger after routes and samplers: at once if its machine is about as large as the largest, else after a delay that grows with the number of nodes, or when it is first asked of a job. Until then it is ready without the ledger.

Tests: directory_test.go. TestAnnouncedCapacitiesAreKnownUntilTheyAreOld moved with what it tests, as strict.

--- /dev/null
+++ b/internal/hosted/directory.go
@@ -0,0 +1,139 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+	"github.com/pathbend/pathbend/internal/wait"
+)
+
+const (
+	// announceInterval is how often a node repeats what it says of its machine.
+	announceInterval = 45 * time.Second
+	// announceSpread is drawn on top, so that nodes do not announce together.
+	announceSpread = 10 * time.Second
+	// announcedFor is how long an entry counts: two announcements may be missed.
+	announcedFor = 3 * (announceInterval + announceSpread)
+	// announceAttempt bounds one attempt to announce, announceRetry is the pause
+	// after one that failed.
+	announceAttempt = 3 * time.Second
+	announceRetry   = time.Second
+	// directoryPause is the pause between two reads of the directory. A node that is
+	// missing for so long only counts less in shares of reads (chosen).
+	directoryPause = 5 * time.Second
+)
+
+// directory is what nodes announced of their machines: the newest entry of each, in
+// a keyed topic of its own. A node that starts reads it before the ledger, which is
+// larger, and knows from it whether the ledger is for it to read at once.
+type directory struct {
+	follower *sharedlog.KeyedFollower
+	logger   *event.Logger
+
+	mutex sync.Mutex
+	nodes map[string]announcedNode
+}
+
+// announcedNode is what a node announced last.
+type announcedNode struct {
+	// millicores is the processor time a second that it may use.
+	millicores uint64
+	// readAt is when this process read of it.
+	readAt time.Time
+}
+
+func newDirectory(log sharedlog.Log, topic string, observer sharedlog.Observer, logger *event.Logger) *directory {
+	d := &directory{logger: logger, nodes: make(map[string]announcedNode)}
+	d.follower = &sharedlog.KeyedFollower{
+		Log: log, Partition: sharedlog.Partition{Topic: topic}, Observer: observer,
+		Reset: d.apply, Apply: d.apply, Pause: func() time.Duration { return directoryPause },
+	}
+	return d
+}
+
+// apply takes in records. Entries that a Reset lacks are left to grow old.
+func (d *directory) apply(records []sharedlog.KeyedRecord) {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, record := range records {
+		var announced pathbendv1.NodeCapacity
+		if err := proto.Unmarshal(record.Value, &announced); err != nil {
+			d.logger.Log(event.RecordSkipped, "topic", d.follower.Partition.Topic, "offset", record.Offset, "detail", err.Error())
+			continue
+		}
+		d.nodes[record.Key] = announcedNode{millicores: announced.Millicores, readAt: now}
+	}
+}
+
+// Announced implements capacities.
+func (d *directory) Announced() (announcements, bool) {
+	if d.follower.Health.CurrentAt().IsZero() {
+		return announcements{}, false
+	}
+	now := time.Now()
+	announced := announcements{of: d.millicores}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for name, node := range d.nodes {
+		if now.Sub(node.readAt) > announcedFor {
+			delete(d.nodes, name)
+			continue
+		}
+		announced.nodes++
+		announced.largest = max(announced.largest, node.millicores)
+	}
+	return announced, true
+}
+
+// millicores returns what a node announced, 0 if nothing is known of it.
+func (d *directory) millicores(node string) uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.nodes[node].millicores
+}
+
+// announce tells the other nodes this node's capacity, again and again. A process
+// that starts again on its machine leaves the entry that it finds: when all start at
+// once, their entries would only be in the way of their reads.
+func (n *Node) announce(ctx context.Context) {
+	if n.settings.Millicores == 0 {
+		return
+	}
+	for !n.directoryRead() && wait.For(ctx, unreadPause) {
+	}
+	if n.directory.millicores(n.settings.Name) == n.settings.Millicores {
+		wait.For(ctx, rand.N(announceInterval))
+	}
+	for ctx.Err() == nil {
+		pause := announceInterval + rand.N(announceSpread)
+		if err := n.announceOnce(ctx); err != nil {
+			n.logger.Log(event.LogAppendRetried, "topic", n.settings.NodesTopic, "detail", err.Error())
+			pause = announceRetry + rand.N(announceRetry)
+		}
+		wait.For(ctx, pause)
+	}
+}
+
+func (n *Node) directoryRead() bool {
+	_, read := n.directory.Announced()
+	return read
+}
+
+func (n *Node) announceOnce(ctx context.Context) error {
+	value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: n.settings.Name, Millicores: n.settings.Millicores})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceAttempt)
+	defer cancel()
+	record := sharedlog.KeyedRecord{Key: n.settings.Name, Value: value}
+	return n.ports.Log.AppendKeyed(ctx, n.directory.follower.Partition, []sharedlog.KeyedRecord{record})
+}
--- /dev/null
+++ b/internal/hosted/directory_test.go
@@ -0,0 +1,162 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// readDirectory lets a directory read its topic once.
+func readDirectory(t *testing.T, d *directory) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); d.follower.Run(ctx) }()
+	for {
+		if _, ok := d.Announced(); ok {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+}
+
+func entryOf(t *testing.T, node string, millicores uint64) sharedlog.KeyedRecord {
+	t.Helper()
+	value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: node, Millicores: millicores})
+	require.NoError(t, err)
+	return sharedlog.KeyedRecord{Key: node, Value: value}
+}
+
+func announceAs(t *testing.T, d *directory, node string, millicores uint64) {
+	t.Helper()
+	d.apply([]sharedlog.KeyedRecord{entryOf(t, node, millicores)})
+}
+
+func TestAnnouncedCapacitiesAreKnownUntilTheyAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(emptyLog{}, "nodes", nil, event.Discard())
+		_, ok := d.Announced()
+		require.False(t, ok, "the topic was not read yet")
+		d.follower.Health = sharedlog.Health{}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); d.follower.Run(ctx) }()
+		synctest.Wait()
+		announceAs(t, d, "small", 192)
+		announceAs(t, d, "large", 800)
+		announceAs(t, d, "large", 700)
+		d.apply([]sharedlog.KeyedRecord{{Key: "mad", Value: []byte{0xff}}})
+		known, ok := d.Announced()
+		require.True(t, ok)
+		require.EqualValues(t, 700, known.largest)
+		require.Equal(t, 2, known.nodes)
+		require.EqualValues(t, 192, known.of("small"))
+		require.Zero(t, known.of("other"))
+		time.Sleep(announcedFor + time.Second)
+		known, _ = d.Announced()
+		require.Zero(t, known.largest)
+		require.Zero(t, known.nodes)
+		cancel()
+		<-done
+	})
+}
+
+// When 295 nodes began with the whole ledger at once, none had its configuration for
+// 1.2 s and the executor had the ledger after 3.3 s.
+func TestOnlyNodesThatMayExecuteReadTheLedgerAtOnce(t *testing.T) {
+	node := func(millicores uint64, known ...uint64) *Node {
+		made := New(Settings{Name: "n", Millicores: millicores}, Ports{Network: network.TCP{}, Log: emptyLog{}}, event.Discard())
+		readDirectory(t, made.directory)
+		for i, other := range known {
+			announceAs(t, made.directory, fmt.Sprint(i), other)
+		}
+		return made
+	}
+	require.Zero(t, node(192).ledgerDelay(), "nothing is known of others")
+	require.Zero(t, node(800, 800, 192).ledgerDelay())
+	require.Zero(t, node(0, 800, 192).ledgerDelay(), "nothing is known of its machine")
+	small := node(192, append(make([]uint64, 299), 800)...)
+	longest := time.Duration(0)
+	for range 200 {
+		delay := small.ledgerDelay()
+		require.Less(t, delay, 300*ledgerShare)
+		longest = max(longest, delay)
+	}
+	require.Greater(t, longest, 100*ledgerShare, "they are spread")
+	crowd := node(192, append(make([]uint64, 5000), 800)...)
+	require.LessOrEqual(t, crowd.ledgerDelay(), longestLedgerDelay)
+}
+
+// startLog tells in which order topics are read first.
+type startLog struct {
+	emptyLog
+	entries []sharedlog.KeyedRecord
+
+	mutex  sync.Mutex
+	reads  int
+	writes int
+}
+
+func (l *startLog) Read(ctx context.Context, partition sharedlog.Partition, from uint64, wait time.Duration) (sharedlog.Batch, error) {
+	l.mutex.Lock()
+	l.reads++
+	l.mutex.Unlock()
+	return l.emptyLog.Read(ctx, partition, from, wait)
+}
+
+func (l *startLog) Newest(context.Context, sharedlog.Partition) (sharedlog.KeyedBatch, error) {
+	return sharedlog.KeyedBatch{Records: l.entries}, nil
+}
+
+func (l *startLog) AppendKeyed(context.Context, sharedlog.Partition, []sharedlog.KeyedRecord) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.writes++
+	return nil
+}
+
+func (l *startLog) counts() (reads, writes int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.reads, l.writes
+}
+
+func TestNodeReadsRoutesAndSamplersBeforeTheLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &startLog{entries: []sharedlog.KeyedRecord{entryOf(t, "n", 800), entryOf(t, "other", 800)}}
+		settings := Settings{Name: "n", Millicores: 800, ShortestTTL: time.Second, OrderGrace: time.Second, KeepJobs: time.Minute}
+		node := New(settings, Ports{Network: network.TCP{}, Log: log, Group: &scriptedGroup{}}, event.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		node.Start(ctx)
+		time.Sleep(time.Second)
+		reads, writes := log.counts()
+		require.Zero(t, reads)
+		require.Zero(t, writes, "its entry stands there already")
+		require.False(t, node.Ready())
+		node.TakeCatalog(catalogOf(t, 1))
+		node.TakeSamplers([]schedule.Sampler{})
+		require.True(t, node.Ready(), "it needs the ledger for requests about jobs only")
+		synctest.Wait()
+		reads, _ = log.counts()
+		require.Positive(t, reads)
+		time.Sleep(announceInterval + announceSpread)
+		_, writes = log.counts()
+		require.Positive(t, writes, "entries are repeated before they are old")
+		cancel()
+		node.Stop()
+	})
+}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
@@ -46,6 +47,8 @@
 	follower *sharedlog.Follower
 	appender *sharedlog.Appender
 	blobs    *blobs
+	// followed is set once the node follows the log; before, it reads it on demand.
+	followed atomic.Bool
 
 	mutex  sync.Mutex
 	ledger *ledger.Ledger
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -11,12 +11,14 @@
 
 	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/election"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/fleet"
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Ports are the node's doors to its surroundings.
@@ -40,6 +42,7 @@
 	fleet      *fleet.Fleet
 	exchanger  *dispatch.Exchanger
 	dispatcher *dispatch.Dispatcher
+	directory  *directory
 	jobs       *jobBook
 	ownership  *ownership
 	executor   *executor
@@ -70,16 +73,18 @@
 	}
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
+	n.directory = newDirectory(ports.Log, settings.NodesTopic, n, logger)
 	n.jobs = newJobBook(n)
 	n.executor = newExecutor(n)
-	n.ownership = newOwnership(settings, ports.Group, n.jobs, n.executor.flush, logger)
+	n.ownership = newOwnership(settings, ports.Group, n.directory, n.executor.flush, logger)
 	return n
 }
 
 // Start begins to follow the log and to take part in the group.
 func (n *Node) Start(ctx context.Context) {
 	ctx, n.stop = context.WithCancel(ctx)
-	n.loops.Go(func() { n.jobs.follower.Run(ctx) })
+	n.loops.Go(func() { n.directory.follower.Run(ctx) })
+	n.loops.Go(func() { n.followJobs(ctx) })
 	n.loops.Go(func() { n.jobs.expire(ctx) })
 	n.loops.Go(func() { n.joinGroup(ctx) })
 	n.loops.Go(func() { n.announce(ctx) })
@@ -96,6 +101,42 @@
 	}
 }
 
+const (
+	// ledgerShare is how far apart nodes begin to read the ledger that need not read
+	// it at once: about as long as the store takes to hand one of them the ledger of
+	// a busy minute (some 500 KB at 80 MB a second, with as much left for others).
+	ledgerShare = 10 * time.Millisecond
+	// longestLedgerDelay bounds that however many nodes there are: a node without the
+	// ledger reads it when it is first asked of a job.
+	longestLedgerDelay = 5 * time.Second
+)
+
+// followJobs follows the ledger. A node that starts reads routes and samplers first,
+// which are small and which every request needs. Then those read the ledger that may
+// execute; the others take their time, or read it when they are asked of a job. When
+// 295 nodes began with all of it at once, none had its configuration for 1.2 s and
+// the executor had the ledger after 3.3 s.
+func (n *Node) followJobs(ctx context.Context) {
+	select {
+	case <-n.informed:
+	case <-ctx.Done():
+		return
+	}
+	wait.For(ctx, n.ledgerDelay())
+	n.jobs.followed.Store(true)
+	n.jobs.follower.Run(ctx)
+}
+
+// ledgerDelay is how long this node leaves the ledger to others.
+func (n *Node) ledgerDelay() time.Duration {
+	announced, ok := n.directory.Announced()
+	view := election.View{Largest: announced.largest}
+	if !ok || announced.nodes == 0 || view.Regular(n.settings.Millicores) {
+		return 0
+	}
+	return rand.N(min(time.Duration(announced.nodes)*ledgerShare, longestLedgerDelay))
+}
+
 // Drain makes the node unready and hands its share over. Requests go on.
 func (n *Node) Drain(ctx context.Context) {
 	if n.draining.Swap(true) {
@@ -120,7 +161,7 @@
 	if n.draining.Load() || n.catalog.Load() == nil || n.samplers.Load() == nil {
 		return false
 	}
-	return n.jobs.inTouch()
+	return !n.jobs.followed.Load() || n.jobs.inTouch()
 }
 
 // contactLimit is how long a node may be without the log and call itself ready.
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -88,6 +88,15 @@
 	return sharedlog.Batch{}, nil
 }
 
+func (emptyLog) ReadKeyed(_ context.Context, _ sharedlog.Partition, _ uint64, wait time.Duration) (sharedlog.KeyedBatch, error) {
+	time.Sleep(wait)
+	return sharedlog.KeyedBatch{}, nil
+}
+
+func (emptyLog) Newest(context.Context, sharedlog.Partition) (sharedlog.KeyedBatch, error) {
+	return sharedlog.KeyedBatch{}, nil
+}
+
 // An executor that had just restarted held the jobs for four seconds while it
 // could not read the list of samplers, which every other node knew.
 func TestNodeWithoutSamplersLeavesTheJobsToOthers(t *testing.T) {
--- a/internal/hosted/pace.go
+++ b/internal/hosted/pace.go
@@ -34,7 +34,7 @@
 
 // readPause spreads a share of the reads that the log allows over all nodes.
 func (n *Node) readPause(least time.Duration, share float64) time.Duration {
-	announced, ok := n.jobs.Announced()
+	announced, ok := n.directory.Announced()
 	if !ok || n.settings.ReadsPerSecond <= 0 {
 		return least
 	}
--- a/internal/hosted/pace_test.go
+++ b/internal/hosted/pace_test.go
@@ -7,9 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
-	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/network"
 )
 
@@ -18,18 +16,9 @@
 	t.Helper()
 	settings := Settings{Name: "n", ReadsPerSecond: readsPerSecond}
 	node := New(settings, Ports{Network: network.TCP{}, Log: emptyLog{}}, event.Discard())
-	require.NoError(t, node.jobs.follower.CatchUp(t.Context()))
+	readDirectory(t, node.directory)
 	for number := range count {
-		entry := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Announced{
-			Announced: &pathbendv1.NodeCapacity{Node: fmt.Sprint(number), Millicores: 800},
-		}}
-		const large = 1 << 10
-		records, err := ledger.Encode(entry, uint64(number), large)
-		require.NoError(t, err)
-		node.jobs.withLedger(func(known *ledger.Ledger) {
-			_, err = known.Apply(records[0], time.Now())
-		})
-		require.NoError(t, err)
+		announceAs(t, node.directory, fmt.Sprint(number), 800)
 	}
 	return node
 }
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -93,6 +93,8 @@
 	// with it what the group dealt out to the machine.
 	Name string
 	Zone string
+	// NodesTopic is a keyed topic in which nodes tell of their machines.
+	NodesTopic string
 	// MaxRecordBytes bounds a record of the log, MaxCallBytes one append.
 	MaxRecordBytes int
 	MaxCallBytes   int
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -85,8 +85,6 @@
 	ordered map[string]map[string]Ordered
 	// newestOrder is the order with the highest fence.
 	newestOrder Ordered
-	// capacities holds what each node announced last.
-	capacities map[string]Capacity
 }
 
 // Ordered is an order to a sampler that was about to be sent.
@@ -100,14 +98,6 @@
 	ReadAt time.Time
 }
 
-// Capacity is what a node announced of its machine.
-type Capacity struct {
-	// Millicores is the processor time a second that the node may use.
-	Millicores uint64
-	// ReadAt is when this process read of it.
-	ReadAt time.Time
-}
-
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
@@ -117,8 +107,6 @@
 		finished:  make(map[string]Result),
 		ended:     make(map[string]bool),
 		ordered:   make(map[string]map[string]Ordered),
-
-		capacities: make(map[string]Capacity),
 	}
 }
 
@@ -165,8 +153,6 @@
 		return l.advance(entry.JobId, fact.Progress.Items), nil
 	case *pathbendv1.LedgerEntry_Ordered:
 		l.noteOrder(fact.Ordered, now)
-	case *pathbendv1.LedgerEntry_Announced:
-		l.capacities[fact.Announced.Node] = Capacity{Millicores: fact.Announced.Millicores, ReadAt: now}
 	}
 	return Change{}, nil
 }
@@ -322,20 +308,7 @@
 // NewestOrder returns the order with the highest fence, to any sampler.
 func (l *Ledger) NewestOrder() Ordered { return l.newestOrder }
 
-// Millicores returns the capacity that a node announced, 0 if none is known.
-func (l *Ledger) Millicores(node string) uint64 { return l.capacities[node].Millicores }
-
-// LargestMillicores returns the largest capacity that any node announced, 0 if
-// none is known, and the number of nodes that did.
-func (l *Ledger) LargestMillicores() (largest uint64, nodes int) {
-	for _, announced := range l.capacities {
-		largest = max(largest, announced.Millicores)
-	}
-	return largest, len(l.capacities)
-}
-
-// Expire forgets the jobs received before a time, and what nodes and samplers
-// were last heard of before it.
+// Expire forgets the jobs received before a time, and the orders read before it.
 func (l *Ledger) Expire(before time.Time) {
 	kept := slices.IndexFunc(l.order, func(job *Job) bool { return !job.ReceivedAt.Before(before) })
 	if kept < 0 {
@@ -353,5 +326,4 @@
 		maps.DeleteFunc(holders, func(_ string, last Ordered) bool { return last.ReadAt.Before(before) })
 		return len(holders) == 0
 	})
-	maps.DeleteFunc(l.capacities, func(_ string, last Capacity) bool { return last.ReadAt.Before(before) })
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -242,25 +242,3 @@
 	require.False(t, known)
 	require.Zero(t, l.LastOrderByOthers("s", "a"))
 }
-
-func TestAnnouncedCapacitiesAreKnownUntilTheyAreOld(t *testing.T) {
-	l := New()
-	apply(t, l, announcement("small", 192))
-	apply(t, l, announcement("large", 800))
-	apply(t, l, announcement("large", 700))
-	largest, nodes := l.LargestMillicores()
-	require.EqualValues(t, 700, largest)
-	require.Equal(t, 2, nodes)
-	require.EqualValues(t, 192, l.Millicores("small"))
-	require.Zero(t, l.Millicores("other"))
-	l.Expire(start.Add(time.Second))
-	largest, nodes = l.LargestMillicores()
-	require.Zero(t, largest)
-	require.Zero(t, nodes)
-}
-
-func announcement(node string, millicores uint64) *pathbendv1.LedgerEntry {
-	return &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Announced{
-		Announced: &pathbendv1.NodeCapacity{Node: node, Millicores: millicores},
-	}}
-}
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -36,6 +36,13 @@
 	return uint64(len(l.records) - len(records)), nil
 }
 
+func (l *fakeLog) AppendKeyed(_ context.Context, _ Partition, records []KeyedRecord) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.keyed = append(l.keyed, records...)
+	return nil
+}
+
 func (l *fakeLog) Read(ctx context.Context, _ Partition, from uint64, wait time.Duration) (Batch, error) {
 	deadline := time.Now().Add(wait)
 	l.set(func() { l.reads++ })
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -52,6 +52,8 @@
 	ReadPart(ctx context.Context, partition Partition, from uint64, maxBytes int) (Batch, error)
 	// ReadKeyed is Read for a keyed topic.
 	ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (KeyedBatch, error)
+	// AppendKeyed is Append for a keyed topic.
+	AppendKeyed(ctx context.Context, partition Partition, records []KeyedRecord) error
 	// Newest returns the newest record of each key and the offset from which
 	// reading goes on.
 	Newest(ctx context.Context, partition Partition) (KeyedBatch, error)
