Bound the looks at samplers that load, and give a model room for twice its work

Cause, from logs of a site of our own with 300 nodes and 3,001 back ends: 430 samplers loading at once were each asked every 60 ms, 7,000 calls a second by one executor, beside its runs. The homes of a model had room for three times its peak work; each version went to more than 200 samplers for 400 items.

Change: looks at loading samplers come at most 1,000 times a second together, and a model's homes have room for twice its peak work. Neither binds on the earlier sites: at most 15 samplers load at once there, and their slots are all wanted.

--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -16,10 +16,13 @@
 const (
 	// controlTimeout bounds a report or an order.
 	controlTimeout = 800 * time.Millisecond
-	// firstLook is when a sampler is first asked whether it took its order;
-	// lookInterval is the pause between looks.
-	firstLook    = 900 * time.Millisecond
-	lookInterval = 60 * time.Millisecond
+	// firstLook is when a sampler is first asked whether it took its order: a load
+	// takes as long where it is alone. lookInterval is the shortest pause between
+	// looks at one sampler; all looks together come looksPerSecond times a second at
+	// most (chosen).
+	firstLook      = 900 * time.Millisecond
+	lookInterval   = 60 * time.Millisecond
+	looksPerSecond = 1000
 	// loadPatience is how long an order may take before the sampler is judged
 	// anew.
 	loadPatience = 4 * time.Second
@@ -183,11 +186,18 @@
 				return false
 			}
 		}
-		wait.For(ctx, lookInterval)
+		wait.For(ctx, e.lookPause())
 	}
 	return false
 }
 
+// lookPause is the pause between two looks at a sampler that loads.
+func (e *executor) lookPause() time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return max(lookInterval, time.Duration(e.roll.Moving())*time.Second/looksPerSecond)
+}
+
 // maxIdleLooks is how many reports in a row may show neither the version nor an
 // order under way before the order counts as not taken.
 const maxIdleLooks = 2
--- a/internal/hosted/weights_test.go
+++ b/internal/hosted/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
+	"github.com/pathbend/pathbend/internal/weights"
 )
 
 // jobsLog keeps the records of one partition.
@@ -105,3 +107,15 @@
 		require.False(t, announces(t, holder("a", 4, log), "s"))
 	})
 }
+
+// 430 samplers that loaded at once were asked 7,000 times a second.
+func TestLooksAtLoadingSamplersAreBounded(t *testing.T) {
+	e := holder("a", 1, emptyLog{})
+	require.Equal(t, lookInterval, e.lookPause())
+	var members []weights.Member
+	for i := range 2500 {
+		members = append(members, weights.Member{ID: fmt.Sprint(i), Versions: map[string]uint64{"m": 1}})
+	}
+	require.Len(t, e.roll.Next(time.Now(), members, map[string]uint64{"m": 2}), 500)
+	require.Equal(t, 500*time.Second/looksPerSecond, e.lookPause())
+}
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -69,7 +69,7 @@
 	// homeRoom is how many times the work that is wanted at once the homes of a
 	// version have slots for: few runs beside each other go faster, samplers fail,
 	// and a part of them is loading (chosen; binds only where samplers are plenty).
-	homeRoom = 3
+	homeRoom = 2
 	// turns is the number of parts of a model's homes that take versions in turn.
 	turns = 2
 )
@@ -331,6 +331,9 @@
 	r.notBefore[samplerID] = now.Add(pause)
 }
 
+// Moving returns the number of orders under way.
+func (r *Roll) Moving() int { return len(r.moving) }
+
 // Forget drops what is known of orders under way, when another node takes over.
 func (r *Roll) Forget() {
 	r.homes = make(map[string]map[string]struct{})
