Add a soak of real processes: make soak

The world of internal/platformsim (store, samplers, callers, judge) now stands on surroundings: the simulated network as before, or real processes on loopback (internal/soak). Six nodes run as processes; proxies stand between them and the store, the samplers and the callers. Rounds of three troubles each are drawn: the faults of the simulation, and links that are reset, delayed or answer nothing, SIGHUP, SIGSTOP, SIGTERM, SIGKILL. Every second part of a round is calm, so that promises with a bound of time are judged too. A process that ends by itself breaks a promise as well. Only processes started by the run are signalled, by their ids.

Not yet: pathbend serve under the same troubles; clocks; a store that refuses some nodes with 503 (their links are reset instead).

--- a/internal/labcommand/root.go
+++ b/internal/labcommand/root.go
@@ -44,7 +44,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemo(), newStandIn(), newLoad(), newExperiment(), newReport())
+	root.AddCommand(newDemo(), newStandIn(), newLoad(), newExperiment(), newReport(), newSoak())
 	return root
 }
 
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -38,7 +38,7 @@
 }
 
 func (w *World) newCaller(name, zone, host string, seed uint64) *caller {
-	transport := network.NewTransport(w.network.For(name, zone), 0)
+	transport := network.NewTransport(w.network.Network(name, zone), 0)
 	transport.DisableKeepAlives = true
 	return &caller{
 		world: w, client: &http.Client{Transport: transport},
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	node := c.world.pickNode(c.random)
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+node+frontPort+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.world.network.Front(node)+path, bytes.NewReader(body))
 	if err != nil {
 		return answered{}, err
 	}
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +19,10 @@
 	settleBound = time.Second
 	drainBound  = 2 * time.Second
 	leaseBound  = 3 * time.Second
+	// thawBound is how long after a thaw or heal an order may still be one of before;
+	// somewhat longer than the users' 300 ms, which real processes need to be
+	// scheduled again.
+	thawBound = time.Second
 	// touchTime is how long a machine must be undisturbed to be in touch.
 	touchTime = 3 * time.Second
 	// slack is given to what is measured at the far end of a link.
@@ -36,8 +41,10 @@
 	// disturbed is when a machine was last in trouble; "" stands for the store.
 	disturbed map[string]time.Time
 	// gone is when a sampler was last acknowledged as draining or gone.
-	gone   map[string]time.Time
-	counts map[string]int
+	gone map[string]time.Time
+	// ordersExcused is until when orders are not judged.
+	ordersExcused time.Time
+	counts        map[string]int
 }
 
 // itemTruth is what samplers saw of an item.
@@ -94,6 +101,13 @@
 	return slices.Clone(t.violations)
 }
 
+// Counts returns what was counted, by name.
+func (t *Truth) Counts() map[string]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return maps.Clone(t.counts)
+}
+
 // Count counts something by name.
 func (t *Truth) Count(name string) {
 	t.mutex.Lock()
@@ -201,6 +215,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
+	if now.Before(t.ordersExcused) {
+		return
+	}
 	last, known := t.orders[sampler]
 	if known && last.holder != holder {
 		switch {
@@ -216,6 +233,14 @@
 	t.counts["orders"]++
 }
 
+// ExcuseOrders leaves orders out until a time: a machine that was thawed, or whose
+// link was healed, may send what it held.
+func (t *Truth) ExcuseOrders(until time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.ordersExcused = maxTime(t.ordersExcused, until)
+}
+
 // Submitted notes a job before its first send.
 func (t *Truth) Submitted(job *jobTruth, items map[string]*itemTruth) {
 	t.mutex.Lock()
--- /dev/null
+++ b/internal/soak/processes.go
@@ -0,0 +1,334 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/platformsim"
+	"github.com/pathbend/pathbend/platform"
+)
+
+// surroundings are real processes and loopback links. They implement
+// platformsim.Surroundings.
+type surroundings struct {
+	program   string
+	directory string
+
+	mutex sync.Mutex
+	nodes map[string]*nodeMachine
+	// backEnds are the links to the store and the samplers, by machine.
+	backEnds map[string]*proxy
+	started  int
+	// unasked tells of processes that ended by themselves.
+	unasked []string
+}
+
+// nodeMachine is where a node's process runs, and the links to it and from it.
+type nodeMachine struct {
+	front, readiness string
+	// callers lead to the node, store leads from it to the store.
+	callers, store *proxy
+	process        *nodeProcess
+}
+
+// storeMachine is the name of the store's machine in a world.
+const storeMachine = "store"
+
+func newSurroundings(program, directory string) *surroundings {
+	return &surroundings{
+		program: program, directory: directory,
+		nodes: make(map[string]*nodeMachine), backEnds: make(map[string]*proxy),
+	}
+}
+
+// Network implements platformsim.Surroundings.
+func (s *surroundings) Network(string, string) network.Network { return network.TCP{} }
+
+// Listen implements platformsim.Surroundings. Others reach the machine through a
+// proxy, whose address stays.
+func (s *surroundings) Listen(machine, _, _ string) (net.Listener, string, error) {
+	listener, err := network.TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if link, known := s.backEnds[machine]; known {
+		link.retarget(listener.Addr().String())
+		return listener, link.address(), nil
+	}
+	link, err := newProxy(listener.Addr().String())
+	if err != nil {
+		return nil, "", err
+	}
+	s.backEnds[machine] = link
+	return listener, link.address(), nil
+}
+
+// node returns a node's machine, which is made at its first use.
+func (s *surroundings) node(name string) *nodeMachine {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if machine, known := s.nodes[name]; known {
+		return machine
+	}
+	machine := &nodeMachine{front: freeAddress(), readiness: freeAddress()}
+	machine.callers = mustProxy(machine.front)
+	machine.store = mustProxy(s.backEnds[storeMachine].address())
+	s.nodes[name] = machine
+	return machine
+}
+
+func mustProxy(target string) *proxy {
+	made, err := newProxy(target)
+	if err != nil {
+		panic(errors.Wrap(err, "make a proxy"))
+	}
+	return made
+}
+
+// freeAddress returns an address that nobody listens on. Another program may take it
+// before the node does; the node then fails to start, which the run reports.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(errors.Wrap(err, "find a free port"))
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// Front implements platformsim.Surroundings.
+func (s *surroundings) Front(node string) string { return s.node(node).callers.address() }
+
+// Readiness implements platformsim.Surroundings.
+func (s *surroundings) Readiness(node string) string { return s.node(node).readiness }
+
+// StartNode implements platformsim.Surroundings.
+func (s *surroundings) StartNode(settings platform.Settings, logs io.Writer) (platformsim.NodeProcess, error) {
+	machine := s.node(settings.Node)
+	settings.Listen.Front, settings.Listen.Readiness = machine.front, machine.readiness
+	settings.Store.Address = machine.store.address()
+	content, err := yaml.Marshal(settings)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the settings")
+	}
+	file := filepath.Join(s.directory, settings.Node+".yaml")
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		return nil, errors.Wrap(err, "write the settings")
+	}
+	process, err := startProcess(s.program, file, logs)
+	if err != nil {
+		return nil, err
+	}
+	go s.watch(settings.Node, process)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	machine.process = process
+	s.started++
+	return process, nil
+}
+
+// watch notes a process that ends by itself.
+func (s *surroundings) watch(node string, process *nodeProcess) {
+	<-process.done
+	if process.asked.Load() {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.unasked = append(s.unasked, fmt.Sprintf("%s ended by itself (%v): %s", node, process.err, process.tail))
+}
+
+// endedByThemselves returns what watch noted.
+func (s *surroundings) endedByThemselves() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.unasked)
+}
+
+func (s *surroundings) signal(node string, signal syscall.Signal) {
+	machine := s.node(node)
+	s.mutex.Lock()
+	process := machine.process
+	s.mutex.Unlock()
+	if process != nil {
+		process.signal(signal)
+	}
+}
+
+// Pause implements platformsim.Surroundings.
+func (s *surroundings) Pause(node string) { s.signal(node, syscall.SIGSTOP) }
+
+// Resume implements platformsim.Surroundings.
+func (s *surroundings) Resume(node string) { s.signal(node, syscall.SIGCONT) }
+
+// Crash implements platformsim.Surroundings.
+func (s *surroundings) Crash(machine string) { s.cut(machine, true) }
+
+// Restore implements platformsim.Surroundings.
+func (s *surroundings) Restore(machine string) { s.cut(machine, false) }
+
+func (s *surroundings) cut(machine string, reset bool) {
+	for _, link := range s.links(machine) {
+		link.set(func(state *linkState) { state.reset = reset })
+	}
+}
+
+// links are those of a machine that proxies stand for.
+func (s *surroundings) links(machine string) []*proxy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if node, known := s.nodes[machine]; known {
+		return []*proxy{node.callers, node.store}
+	}
+	if link, known := s.backEnds[machine]; known {
+		return []*proxy{link}
+	}
+	return nil
+}
+
+// Hold implements platformsim.Surroundings. The links between a node and one sampler
+// have no proxy of their own and pass all.
+func (s *surroundings) Hold(from, to string) { s.hold(from, to, true) }
+
+// Release implements platformsim.Surroundings.
+func (s *surroundings) Release(from, to string) { s.hold(from, to, false) }
+
+func (s *surroundings) hold(from, to string, holds bool) {
+	s.mutex.Lock()
+	sender, sends := s.nodes[from]
+	receiver, receives := s.nodes[to]
+	s.mutex.Unlock()
+	switch {
+	case sends && to == storeMachine:
+		sender.store.set(func(state *linkState) { state.holdOut = holds })
+	case receives && from == storeMachine:
+		receiver.store.set(func(state *linkState) { state.holdBack = holds })
+	case sends && receives:
+		// Nodes speak with callers only here; a cut from all others cuts those too.
+		receiver.callers.set(func(state *linkState) { state.holdOut = holds })
+	}
+}
+
+// close ends every process and link.
+func (s *surroundings) close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, machine := range s.nodes {
+		if machine.process != nil {
+			machine.process.Kill()
+		}
+		machine.callers.close()
+		machine.store.close()
+	}
+	for _, link := range s.backEnds {
+		link.close()
+	}
+}
+
+// nodeProcess is a process of the product.
+type nodeProcess struct {
+	command *exec.Cmd
+	done    chan struct{}
+	tail    *tailWriter
+	// asked is set once the process was told to end.
+	asked atomic.Bool
+	// err is how it ended, set before done is closed.
+	err error
+}
+
+func startProcess(program, settings string, logs io.Writer) (*nodeProcess, error) {
+	p := &nodeProcess{command: exec.Command(program, "platform", "--log-level", "INFO"), done: make(chan struct{}), tail: &tailWriter{}}
+	p.command.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
+	p.command.Stdout = io.Writer(p.tail)
+	if logs != nil {
+		p.command.Stdout = io.MultiWriter(logs, p.tail)
+	}
+	p.command.Stderr = p.command.Stdout
+	// A node that outlived this program would go on for ever. The kernel ends it with
+	// the thread that started it, which is therefore kept until then.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	go func() {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		defer close(p.done)
+		err := p.command.Start()
+		started <- err
+		if err == nil {
+			p.err = p.command.Wait()
+		}
+	}()
+	if err := <-started; err != nil {
+		return nil, errors.Wrapf(err, "start %s", program)
+	}
+	return p, nil
+}
+
+// signal signals the process unless it has ended, whose id may be another's by then.
+func (p *nodeProcess) signal(signal syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		// It may end this moment, and then needs no signal.
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// Kill implements platformsim.NodeProcess.
+func (p *nodeProcess) Kill() {
+	p.asked.Store(true)
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Terminate implements platformsim.NodeProcess.
+func (p *nodeProcess) Terminate() {
+	p.asked.Store(true)
+	p.signal(syscall.SIGTERM)
+}
+
+// Done implements platformsim.NodeProcess.
+func (p *nodeProcess) Done() <-chan struct{} { return p.done }
+
+// tailBytes is how much of a process's output is kept to explain its end.
+const tailBytes = 4 << 10
+
+// tailWriter keeps the end of what is written.
+type tailWriter struct {
+	mutex sync.Mutex
+	kept  []byte
+}
+
+// Write implements io.Writer.
+func (w *tailWriter) Write(content []byte) (int, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.kept = append(w.kept, content...)
+	if over := len(w.kept) - tailBytes; over > 0 {
+		w.kept = bytes.Clone(w.kept[over:])
+	}
+	return len(content), nil
+}
+
+// String returns what was kept.
+func (w *tailWriter) String() string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return string(w.kept)
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/pathbend/pathbend/internal/network"
+)
+
+// linkState is how a proxy treats what passes. The zero value passes all.
+type linkState struct {
+	// holdOut keeps back what callers send, holdBack what the target answers.
+	holdOut, holdBack bool
+	// reset closes every connection at once, also new ones.
+	reset bool
+	// delay is added to what passes, in both directions.
+	delay time.Duration
+}
+
+// proxy passes the connections of one listener on to a target.
+type proxy struct {
+	listener net.Listener
+	work     conc.WaitGroup
+
+	mutex   sync.Mutex
+	target  string
+	state   linkState
+	changed chan struct{}
+	open    map[net.Conn]struct{}
+	closed  bool
+}
+
+// newProxy listens on a free port of the loopback interface.
+func newProxy(target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), open: make(map[net.Conn]struct{})}
+	p.work.Go(p.accept)
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// retarget passes later connections on to another address.
+func (p *proxy) retarget(target string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.target = target
+}
+
+// set changes the state of the link.
+func (p *proxy) set(change func(*linkState)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	change(&p.state)
+	if p.state.reset {
+		p.abortAll()
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// abortAll is called under the lock.
+func (p *proxy) abortAll() {
+	for connection := range p.open {
+		// A connection that is gone already needs no reset.
+		_ = network.Abort(connection)
+	}
+}
+
+func (p *proxy) close() {
+	p.mutex.Lock()
+	p.closed = true
+	p.abortAll()
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.mutex.Unlock()
+	// The listener ends the accept loop, whatever its error.
+	_ = p.listener.Close()
+	p.work.Wait()
+}
+
+func (p *proxy) accept() {
+	for {
+		caller, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.work.Go(func() { p.pass(caller) })
+	}
+}
+
+// track adds a connection. It reports false, and ends it, if the link takes none.
+func (p *proxy) track(connection net.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed || p.state.reset {
+		_ = network.Abort(connection)
+		return false
+	}
+	p.open[connection] = struct{}{}
+	return true
+}
+
+func (p *proxy) forget(connection net.Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.open, connection)
+}
+
+func (p *proxy) pass(caller net.Conn) {
+	if !p.track(caller) {
+		return
+	}
+	defer p.forget(caller)
+	p.mutex.Lock()
+	address := p.target
+	p.mutex.Unlock()
+	target, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		_ = network.Abort(caller)
+		return
+	}
+	if !p.track(target) {
+		_ = network.Abort(caller)
+		return
+	}
+	defer p.forget(target)
+	var directions conc.WaitGroup
+	directions.Go(func() { p.copy(target, caller, func(state linkState) bool { return state.holdOut }) })
+	directions.Go(func() { p.copy(caller, target, func(state linkState) bool { return state.holdBack }) })
+	directions.Wait()
+}
+
+const copyBytes = 32 << 10
+
+// copy passes one direction on until its end, which it passes on too.
+func (p *proxy) copy(to, from net.Conn, holds func(linkState) bool) {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if !p.await(holds) {
+				break
+			}
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				break
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF && p.await(holds) {
+			if half, ok := to.(*net.TCPConn); ok {
+				// The other direction may go on.
+				_ = half.CloseWrite()
+			}
+			return
+		}
+		break
+	}
+	_ = network.Abort(to)
+	_ = network.Abort(from)
+}
+
+// await waits until the direction is not held back. It reports false once the proxy
+// is closed.
+func (p *proxy) await(holds func(linkState) bool) bool {
+	for {
+		p.mutex.Lock()
+		state, changed, closed := p.state, p.changed, p.closed
+		p.mutex.Unlock()
+		if closed {
+			return false
+		}
+		if !holds(state) {
+			time.Sleep(state.delay)
+			return true
+		}
+		<-changed
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,114 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echo serves connections that send back what they get.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				_, _ = io.Copy(connection, connection)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dialThrough(t *testing.T, p *proxy) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", p.address())
+	require.NoError(t, err)
+	t.Cleanup(func() { connection.Close() })
+	return connection
+}
+
+func newTestProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	made, err := newProxy(target)
+	require.NoError(t, err)
+	t.Cleanup(made.close)
+	return made
+}
+
+func exchange(t *testing.T, connection net.Conn) {
+	t.Helper()
+	_, err := connection.Write([]byte("ping"))
+	require.NoError(t, err)
+	got := make([]byte, 4)
+	_, err = io.ReadFull(connection, got)
+	require.NoError(t, err)
+	require.Equal(t, "ping", string(got))
+}
+
+func TestProxyPassesBothDirectionsAndTheEnd(t *testing.T) {
+	connection := dialThrough(t, newTestProxy(t, echo(t)))
+	exchange(t, connection)
+	require.NoError(t, connection.(*net.TCPConn).CloseWrite())
+	rest, err := io.ReadAll(connection)
+	require.NoError(t, err)
+	require.Empty(t, rest)
+}
+
+func TestHeldDirectionPassesOnceItIsReleased(t *testing.T) {
+	for _, hold := range []func(*linkState, bool){
+		func(state *linkState, on bool) { state.holdOut = on },
+		func(state *linkState, on bool) { state.holdBack = on },
+	} {
+		p := newTestProxy(t, echo(t))
+		connection := dialThrough(t, p)
+		exchange(t, connection)
+		p.set(func(state *linkState) { hold(state, true) })
+		_, err := connection.Write([]byte("ping"))
+		require.NoError(t, err)
+		answered := make(chan string)
+		go func() {
+			got := make([]byte, 4)
+			_, _ = io.ReadFull(connection, got)
+			answered <- string(got)
+		}()
+		select {
+		case <-answered:
+			t.Fatal("a held direction passed something")
+		default:
+		}
+		p.set(func(state *linkState) { hold(state, false) })
+		require.Equal(t, "ping", <-answered)
+	}
+}
+
+func TestResetLinkEndsConnectionsAndTakesNone(t *testing.T) {
+	p := newTestProxy(t, echo(t))
+	connection := dialThrough(t, p)
+	exchange(t, connection)
+	p.set(func(state *linkState) { state.reset = true })
+	_, err := connection.Read(make([]byte, 1))
+	require.Error(t, err)
+	later := dialThrough(t, p)
+	_, err = later.Read(make([]byte, 1))
+	require.Error(t, err)
+	p.set(func(state *linkState) { state.reset = false })
+	exchange(t, dialThrough(t, p))
+}
+
+func TestLaterConnectionsGoToTheNewTarget(t *testing.T) {
+	p := newTestProxy(t, "127.0.0.1:1")
+	_, err := dialThrough(t, p).Read(make([]byte, 1))
+	require.Error(t, err, "nobody listens there")
+	p.retarget(echo(t))
+	exchange(t, dialThrough(t, p))
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOneSeedDrawsTheSameTroubles(t *testing.T) {
+	r := &run{}
+	describe := func(seed uint64) string {
+		random := rand.New(rand.NewPCG(seed, 29))
+		var lines []string
+		for range 20 {
+			for _, drawn := range r.draw(random) {
+				require.Less(t, drawn.after, roundTrouble)
+				require.LessOrEqual(t, drawn.after+drawn.lasts, 2*roundTrouble)
+				lines = append(lines, drawn.String())
+			}
+		}
+		return strings.Join(lines, "\n")
+	}
+	require.Equal(t, describe(7), describe(7))
+	require.NotEqual(t, describe(7), describe(8))
+	for _, kind := range linkTroubles {
+		require.Contains(t, describe(7), kind.name)
+	}
+}
+
+func TestVerdictIsTheLastLine(t *testing.T) {
+	for _, report := range []struct {
+		broken []string
+		want   string
+	}{
+		{nil, "soak passed: seed 3, 2 rounds, 9 processes started, 0 promises broken\n"},
+		{[]string{"LOST: x"}, "soak FAILED: seed 3, 2 rounds, 9 processes started, 1 promises broken\n"},
+	} {
+		made := Report{Seed: 3, Rounds: 2, Processes: 9, Violations: report.broken, Counts: map[string]int{"done": 4}}
+		var output strings.Builder
+		made.Print(&output)
+		require.True(t, strings.HasSuffix(output.String(), report.want), output.String())
+		require.Contains(t, output.String(), "done 4")
+	}
+}
+
+func TestProcessThatEndsByItselfIsReported(t *testing.T) {
+	directory := t.TempDir()
+	s := newSurroundings("/bin/false", directory)
+	process, err := startProcess("/bin/false", directory, nil)
+	require.NoError(t, err)
+	s.watch("n", process)
+	require.Len(t, s.endedByThemselves(), 1)
+	asked, err := startProcess("/bin/false", directory, nil)
+	require.NoError(t, err)
+	asked.Kill()
+	s.watch("n", asked)
+	require.Len(t, s.endedByThemselves(), 1)
+}
