Take a job with full patience before a node follows the log

Change: the short patience is for nodes that follow the log and do not get it. The test of it says so now and asks for both; it is as strict as before.

--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -48,9 +48,10 @@
 
 // submitPatience is how long a submission is tried before it is refused. A node
 // that has been without the log for a while refuses soon: the caller finds one
-// that has it, or comes back.
+// that has it, or comes back. One that has just started and does not follow the log
+// yet is not without it.
 func (b *jobBook) submitPatience() time.Duration {
-	if b.inTouch() {
+	if b.inTouch() || !b.followed.Load() {
 		return submitPatience
 	}
 	return isolatedPatience
--- a/internal/hosted/blobs_test.go
+++ b/internal/hosted/blobs_test.go
@@ -188,6 +188,8 @@
 func TestNodeWithoutTheLogRefusesAJobSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		node := newTestNode()
+		require.Equal(t, submitPatience, node.jobs.submitPatience(), "it did not begin to follow the log")
+		node.jobs.followed.Store(true)
 		require.Equal(t, isolatedPatience, node.jobs.submitPatience(), "nothing was read yet")
 		node.jobs.follower.Log = emptyLog{}
 		require.NoError(t, node.jobs.follower.CatchUp(t.Context()))
