--- a/Makefile
+++ b/Makefile
@@ -6,13 +6,12 @@
 SEEDS ?= 20
 FIRST_SEED ?= 1
 DURATION ?= 3m
-SIZES ?= 30,60,120,240,420
 FUZZTIME ?= 30s
 SOAK_TIME ?= 2m
 SEED ?= 0
 OUT ?= out
 
-.PHONY: demo test race check build fuzz simulate mutations soak scale experiments generate clean
+.PHONY: demo test race check build fuzz simulate mutations soak experiments generate clean
 
 demo:
 	$(GO) run ./cmd/pathbend-lab demo
@@ -48,10 +47,6 @@
 soak: build
 	$(BIN)/pathbend-lab soak --time $(SOAK_TIME) --seed $(SEED)
 
-# Measures the control cost of a node at several cluster sizes.
-scale:
-	$(GO) test -count=1 -timeout 0 ./internal/simulation -run TestScale -v -scale-sizes=$(SIZES)
-
 # Runs all experiments into $(OUT).
 experiments: build
 	$(BIN)/pathbend-lab experiment overhead --out $(OUT)
