Move the store of contents out of hosted

internal/hosted held what keeps items and texts in the log beside what decides who runs them. It is internal/content now, with the names of its own: a Store with Put, Get, Fits, PutItems and GetItems, which knows its limits and not the node. No behaviour changes.

--- a/internal/hosted/blobs.go
+++ b/internal/content/store.go
@@ -1,4 +1,7 @@
-package hosted
+// Package content keeps contents of any size in partitions of a log that nobody
+// follows: the items of jobs, and the texts of results. An entry of the ledger names
+// a content, and who knows the name reads it on demand.
+package content
 
 import (
 	"context"
@@ -15,56 +18,72 @@
 )
 
 const (
-	// blobTopic holds what is too large for every node to read: the items of
-	// jobs and the texts of results.
-	blobTopic = "pathbend-blobs"
-	// blobPutTimeout bounds one append of blobs, blobGetTimeout one read.
-	blobPutTimeout = 600 * time.Millisecond
-	blobGetTimeout = 800 * time.Millisecond
-	// blobRetryPause is the pause between attempts.
-	blobRetryPause = 40 * time.Millisecond
-	// blobFraming is what the log adds to a record.
-	blobFraming = 16
-	// blobReadBytes bounds one read.
-	blobReadBytes = 512 << 10
+	// topic holds what is too large for every node to read.
+	topic = "pathbend-blobs"
+	// putTimeout bounds one append of blobs, getTimeout one read.
+	putTimeout = 600 * time.Millisecond
+	getTimeout = 800 * time.Millisecond
+	// retryPause is the pause between attempts.
+	retryPause = 40 * time.Millisecond
+	// retryHint is when to come back after a read that failed (chosen).
+	retryHint = 200 * time.Millisecond
+	// framing is what the log adds to a record.
+	framing = 16
+	// readBytes bounds one read.
+	readBytes = 512 << 10
 )
 
-// blobKind is what a blob holds. Each kind begins in a partition of its own, so
+// Kind is what a blob holds. Each kind begins in a partition of its own, so
 // that what is read together lies together.
-type blobKind int
+type Kind int
 
+// Kinds of blobs: the items of jobs, whole texts, and parts of texts under way.
 const (
-	itemBlobs blobKind = iota
-	textBlobs
-	progressBlobs
+	Items Kind = iota
+	Texts
+	Parts
 )
 
-// blobs keeps contents of any size in partitions of the log that nobody
+// Store keeps contents of any size in partitions of the log that nobody
 // follows. Who knows a blob's name reads it on demand.
-type blobs struct {
+type Store struct {
 	log        sharedlog.Log
-	settings   Settings
-	metrics    *Metrics
+	limits     Limits
+	observe    func(err error, took time.Duration)
 	preference atomic.Uint32
 }
 
-// put keeps contents, each as one blob, and returns the names of those that were
+// Limits are what the log allows.
+type Limits struct {
+	// MaxRecordBytes bounds a record, MaxCallBytes one append.
+	MaxRecordBytes int
+	MaxCallBytes   int
+	// Partitions is the number of partitions of the topic.
+	Partitions int
+}
+
+// New returns a store. observe is told how each append ended.
+func New(log sharedlog.Log, limits Limits, observe func(err error, took time.Duration)) *Store {
+	return &Store{log: log, limits: limits, observe: observe}
+}
+
+// Put keeps contents, each as one blob, and returns the names of those that were
 // kept, the first ones. A content must fit one append. After a failure it goes on
 // in another partition: parts of the log may be down. A content that was appended
 // twice does no harm.
-func (b *blobs) put(ctx context.Context, kind blobKind, patience time.Duration, contents [][]byte) ([]*pathbendv1.Blob, error) {
+func (s *Store) Put(ctx context.Context, kind Kind, patience time.Duration, contents [][]byte) ([]*pathbendv1.Blob, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	named := make([]*pathbendv1.Blob, 0, len(contents))
 	for len(named) < len(contents) {
-		call, err := b.fill(contents[len(named):])
+		call, err := s.fill(contents[len(named):])
 		if err != nil {
 			return named, err
 		}
-		partition, offset, err := b.append(ctx, kind, call.records)
+		partition, offset, err := s.append(ctx, kind, call.records)
 		if err != nil {
-			b.preference.Add(1)
-			if !wait.For(ctx, blobRetryPause) {
+			s.preference.Add(1)
+			if !wait.For(ctx, retryPause) {
 				return named, err
 			}
 			continue
@@ -78,27 +97,27 @@
 	return named, nil
 }
 
-// fits reports whether a content can be kept as one blob.
-func (b *blobs) fits(content []byte) bool {
-	_, err := b.fill([][]byte{content})
+// Fits reports whether a content can be kept as one blob.
+func (s *Store) Fits(content []byte) bool {
+	_, err := s.fill([][]byte{content})
 	return err == nil
 }
 
-// blobCall is one append: records, and the blobs that they make up, whose
+// appendCall is one append: records, and the blobs that they make up, whose
 // offsets count from the first record.
-type blobCall struct {
+type appendCall struct {
 	records [][]byte
 	blobs   []*pathbendv1.Blob
 }
 
 // fill takes as many contents as fit one append.
-func (b *blobs) fill(contents [][]byte) (blobCall, error) {
-	var call blobCall
+func (s *Store) fill(contents [][]byte) (appendCall, error) {
+	var call appendCall
 	size := 0
 	for _, content := range contents {
-		records := cut(content, b.settings.MaxRecordBytes)
-		added := len(content) + len(records)*blobFraming
-		if size+added > b.settings.MaxCallBytes {
+		records := cut(content, s.limits.MaxRecordBytes)
+		added := len(content) + len(records)*framing
+		if size+added > s.limits.MaxCallBytes {
 			break
 		}
 		size += added
@@ -115,7 +134,7 @@
 
 // cut divides a content into records. An empty content is one empty record.
 func cut(content []byte, maxRecordBytes int) [][]byte {
-	size := maxRecordBytes - blobFraming
+	size := maxRecordBytes - framing
 	records := [][]byte{content[:min(size, len(content))]}
 	for from := size; from < len(content); from += size {
 		records = append(records, content[from:min(from+size, len(content))])
@@ -123,23 +142,23 @@
 	return records
 }
 
-func (b *blobs) append(ctx context.Context, kind blobKind, records [][]byte) (partition int, offset uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, blobPutTimeout)
+func (s *Store) append(ctx context.Context, kind Kind, records [][]byte) (partition int, offset uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
-	partition = (int(kind) + int(b.preference.Load())) % b.settings.Partitions
+	partition = (int(kind) + int(s.preference.Load())) % s.limits.Partitions
 	began := time.Now()
-	offset, err = b.log.Append(ctx, sharedlog.Partition{Topic: blobTopic, Number: partition}, records)
-	b.metrics.logAppend(err, time.Since(began))
+	offset, err = s.log.Append(ctx, sharedlog.Partition{Topic: topic, Number: partition}, records)
+	s.observe(err, time.Since(began))
 	return partition, offset, err
 }
 
-// get returns the contents of blobs, in order. Blobs that lie near each other
+// Get returns the contents of blobs, in order. Blobs that lie near each other
 // are read together.
-func (b *blobs) get(ctx context.Context, wanted []*pathbendv1.Blob) ([][]byte, error) {
+func (s *Store) Get(ctx context.Context, wanted []*pathbendv1.Blob) ([][]byte, error) {
 	contents := make([][]byte, 0, len(wanted))
 	for len(contents) < len(wanted) {
 		run := adjacent(wanted[len(contents):])
-		records, err := b.read(ctx, wanted[len(contents)], run.records, run.bytes)
+		records, err := s.read(ctx, wanted[len(contents)], run.records, run.bytes)
 		if err != nil {
 			return nil, err
 		}
@@ -152,8 +171,8 @@
 	return contents, nil
 }
 
-// blobRun is a number of blobs that one read returns.
-type blobRun struct {
+// adjacentRun is a number of blobs that one read returns.
+type adjacentRun struct {
 	blobs   int
 	records int
 	bytes   int
@@ -161,33 +180,33 @@
 
 // adjacent returns the run that the blobs begin with: those that follow each
 // other in one partition.
-func adjacent(wanted []*pathbendv1.Blob) blobRun {
+func adjacent(wanted []*pathbendv1.Blob) adjacentRun {
 	first := wanted[0]
-	run := blobRun{}
+	run := adjacentRun{}
 	for _, blob := range wanted {
 		next := first.Offset + uint64(run.records)
-		bytes := run.bytes + int(blob.Bytes) + int(blob.Records)*blobFraming
-		if blob.Partition != first.Partition || blob.Offset != next || run.blobs > 0 && bytes > blobReadBytes {
+		bytes := run.bytes + int(blob.Bytes) + int(blob.Records)*framing
+		if blob.Partition != first.Partition || blob.Offset != next || run.blobs > 0 && bytes > readBytes {
 			break
 		}
-		run = blobRun{blobs: run.blobs + 1, records: run.records + int(blob.Records), bytes: bytes}
+		run = adjacentRun{blobs: run.blobs + 1, records: run.records + int(blob.Records), bytes: bytes}
 	}
 	return run
 }
 
 // read returns a number of records from a blob's first on.
-func (b *blobs) read(ctx context.Context, blob *pathbendv1.Blob, count, bytes int) ([][]byte, error) {
-	partition := sharedlog.Partition{Topic: blobTopic, Number: int(blob.Partition)}
+func (s *Store) read(ctx context.Context, blob *pathbendv1.Blob, count, bytes int) ([][]byte, error) {
+	partition := sharedlog.Partition{Topic: topic, Number: int(blob.Partition)}
 	var records [][]byte
 	for len(records) < count {
-		callCtx, cancel := context.WithTimeout(ctx, blobGetTimeout)
-		batch, err := b.log.ReadPart(callCtx, partition, blob.Offset+uint64(len(records)), bytes)
+		callCtx, cancel := context.WithTimeout(ctx, getTimeout)
+		batch, err := s.log.ReadPart(callCtx, partition, blob.Offset+uint64(len(records)), bytes)
 		cancel()
 		if err != nil {
-			return nil, result.Wrap(result.LogUnavailable, err, "read a blob").WithRetryAfter(readHint)
+			return nil, result.Wrap(result.LogUnavailable, err, "read a blob").WithRetryAfter(retryHint)
 		}
 		if len(batch.Records) == 0 {
-			return nil, result.New(result.LogUnavailable, "the blob at offset %d is not there", blob.Offset).WithRetryAfter(readHint)
+			return nil, result.New(result.LogUnavailable, "the blob at offset %d is not there", blob.Offset).WithRetryAfter(retryHint)
 		}
 		records = append(records, batch.Records...)
 	}
@@ -205,12 +224,12 @@
 	return content
 }
 
-// putItems keeps the items of a job, each blob a part of them that fits one
+// PutItems keeps the items of a job, each blob a part of them that fits one
 // append.
-func (b *blobs) putItems(ctx context.Context, patience time.Duration, items []*pathbendv1.BatchItem) ([]*pathbendv1.Blob, error) {
+func (s *Store) PutItems(ctx context.Context, patience time.Duration, items []*pathbendv1.BatchItem) ([]*pathbendv1.Blob, error) {
 	var contents [][]byte
 	for len(items) > 0 {
-		count := fitting(items, b.settings.MaxCallBytes/2)
+		count := fitting(items, s.limits.MaxCallBytes/2)
 		content, err := proto.Marshal(&pathbendv1.BatchItems{Items: items[:count]})
 		if err != nil {
 			return nil, errors.Wrap(err, "encode items")
@@ -218,7 +237,7 @@
 		contents = append(contents, content)
 		items = items[count:]
 	}
-	return b.put(ctx, itemBlobs, patience, contents)
+	return s.Put(ctx, Items, patience, contents)
 }
 
 // fitting returns how many items fit a number of bytes, at least one.
@@ -231,9 +250,9 @@
 	return len(items)
 }
 
-// getItems returns the items of a job.
-func (b *blobs) getItems(ctx context.Context, spec *pathbendv1.BatchJob) ([]*pathbendv1.BatchItem, error) {
-	contents, err := b.get(ctx, spec.Items)
+// GetItems returns the items of a job.
+func (s *Store) GetItems(ctx context.Context, spec *pathbendv1.BatchJob) ([]*pathbendv1.BatchItem, error) {
+	contents, err := s.Get(ctx, spec.Items)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -67,7 +67,7 @@
 func (e *executor) read(ctx context.Context, job *ledger.Job) (adopted, error) {
 	var found adopted
 	var err error
-	if found.items, err = e.node.jobs.blobs.getItems(ctx, job.Spec); err != nil {
+	if found.items, err = e.node.jobs.contents.GetItems(ctx, job.Spec); err != nil {
 		return found, err
 	}
 	var begun map[string]ledger.Progress
@@ -87,7 +87,7 @@
 	readers := pool.New().WithMaxGoroutines(readsTogether)
 	for itemID, progress := range begun {
 		readers.Go(func() {
-			parts, err := e.node.jobs.blobs.get(ctx, progress.Parts)
+			parts, err := e.node.jobs.contents.Get(ctx, progress.Parts)
 			if err != nil {
 				e.node.logger.Log(event.JobUnread, "job_id", job.ID, "item_id", itemID, "detail", err.Error())
 				return
--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -37,7 +37,7 @@
 func (b *jobBook) submit(ctx context.Context, id string, spec *pathbendv1.BatchJob, items []*pathbendv1.BatchItem, known func() bool) error {
 	began := time.Now()
 	patience := b.submitPatience()
-	named, err := b.blobs.putItems(ctx, patience, items)
+	named, err := b.contents.PutItems(ctx, patience, items)
 	if err != nil {
 		return notTaken(err)
 	}
@@ -160,7 +160,7 @@
 			wanted = append(wanted, listed.Text)
 		}
 	}
-	texts, err := n.jobs.blobs.get(ctx, wanted)
+	texts, err := n.jobs.contents.Get(ctx, wanted)
 	if err != nil {
 		n.logger.Log(event.BatchReadRefused, "job_id", id, "texts", len(wanted), "detail", err.Error())
 		return Page{}, spread(err)
@@ -209,7 +209,7 @@
 		}
 	})
 	if spec != nil {
-		items, err := n.jobs.blobs.getItems(ctx, spec)
+		items, err := n.jobs.contents.GetItems(ctx, spec)
 		if err != nil {
 			n.logger.Log(event.BatchReadRefused, "job_id", id, "item_id", itemID, "detail", err.Error())
 			return nil, spread(err)
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -379,7 +379,7 @@
 			e.dead(whole.Key, 0, "its reward call failed too often")
 			return
 		}
-		if whole.Kept == nil && !e.node.jobs.blobs.fits(whole.Text) {
+		if whole.Kept == nil && !e.node.jobs.contents.Fits(whole.Text) {
 			e.dead(whole.Key, 0, "its text is too large for the log")
 			return
 		}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/content"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/result"
@@ -46,7 +47,7 @@
 	node     *Node
 	follower *sharedlog.Follower
 	appender *sharedlog.Appender
-	blobs    *blobs
+	contents *content.Store
 	// followed is set once the node follows the log; before, it reads it on demand.
 	followed atomic.Bool
 
@@ -59,7 +60,9 @@
 func newJobBook(n *Node) *jobBook {
 	book := &jobBook{
 		node: n, ledger: ledger.New(), changed: make(chan struct{}),
-		blobs: &blobs{log: n.ports.Log, settings: n.settings, metrics: n.metrics},
+		contents: content.New(n.ports.Log, content.Limits{
+			MaxRecordBytes: n.settings.MaxRecordBytes, MaxCallBytes: n.settings.MaxCallBytes, Partitions: n.settings.Partitions,
+		}, n.metrics.logAppend),
 	}
 	book.follower = &sharedlog.Follower{
 		Log: n.ports.Log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -8,6 +8,7 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/content"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -135,7 +136,7 @@
 			}
 		}
 	}
-	return l.keep(ctx, textBlobs, texts, func(i int, blob *pathbendv1.Blob) { unnamed[i].Text = blob })
+	return l.keep(ctx, content.Texts, texts, func(i int, blob *pathbendv1.Blob) { unnamed[i].Text = blob })
 }
 
 func (l *lister) keepParts(ctx context.Context, progress partsByJob) error {
@@ -146,13 +147,13 @@
 			unnamed, texts = append(unnamed, part.Progress), append(texts, part.Text)
 		}
 	}
-	return l.keep(ctx, progressBlobs, texts, func(i int, blob *pathbendv1.Blob) { unnamed[i].Text = blob })
+	return l.keep(ctx, content.Parts, texts, func(i int, blob *pathbendv1.Blob) { unnamed[i].Text = blob })
 }
 
 // keep keeps texts as blobs and hands over the name of each that was kept, also
 // if not all were.
-func (l *lister) keep(ctx context.Context, kind blobKind, texts [][]byte, name func(i int, blob *pathbendv1.Blob)) error {
-	named, err := l.node.jobs.blobs.put(ctx, kind, listPatience, texts)
+func (l *lister) keep(ctx context.Context, kind content.Kind, texts [][]byte, name func(i int, blob *pathbendv1.Blob)) error {
+	named, err := l.node.jobs.contents.Put(ctx, kind, listPatience, texts)
 	for i, blob := range named {
 		name(i, blob)
 	}
