--- a/client/client.go
+++ b/client/client.go
@@ -89,7 +89,7 @@
 	Repeatable bool
 }
 
-// Response is a whole answer.
+// Response is a complete answer.
 type Response struct {
 	Status int
 	Header http.Header
--- a/internal/command/steps.go
+++ b/internal/command/steps.go
@@ -18,7 +18,7 @@
 		Short: "Tell from log files what each batch job waited for",
 		Long: "steps reads the log files of several nodes and prints a line for each batch job: when it\n" +
 			"was submitted, and how many seconds later its first and last items began, the item that\n" +
-			"was listed last was whole, scored and listed, and the trainer ended the job; then that\n" +
+			"was listed last was complete, scored and listed, and the trainer ended the job; then that\n" +
 			"item, its events and its sampler. A moment that no line shows is a dash.\n" +
 			"A file named - is standard input.",
 		Example: "  pathbend steps node-a.log node-b.log",
@@ -41,12 +41,12 @@
 func writeSteps(output io.Writer, steps []explain.Step) error {
 	const padding = 2
 	table := tabwriter.NewWriter(output, 0, 0, padding, ' ', 0)
-	fmt.Fprintln(table, "model\tstep\tasked\tfirst start\tlast start\tlast whole\tscored\tlisted\tended\tstarts\tlisted of\tlast item\tevents\tsampler")
+	fmt.Fprintln(table, "model\tstep\tasked\tfirst start\tlast start\tlast complete\tscored\tlisted\tended\tstarts\tlisted of\tlast item\tevents\tsampler")
 	for i := range steps {
 		step := &steps[i]
 		fmt.Fprintf(table, "%s\t%d\t%s", step.Model, step.Number, step.Asked.Format("15:04:05.000"))
 		for _, moment := range []time.Time{
-			step.FirstStart, step.LastStart, step.LastWhole, step.LastScored, step.LastListed, step.Ended,
+			step.FirstStart, step.LastStart, step.LastCompleted, step.LastScored, step.LastListed, step.Ended,
 		} {
 			fmt.Fprintf(table, "\t%s", secondsAfter(step.After(moment)))
 		}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,7 +11,7 @@
 
 // Endings of an attempt.
 const (
-	// Answered means that a whole answer arrived, or began to be passed on.
+	// Answered means that a complete answer arrived, or began to be passed on.
 	Answered Ending = iota + 1
 	// NotSent means that no byte of the request left this node.
 	NotSent
--- a/internal/election/standing.go
+++ b/internal/election/standing.go
@@ -50,7 +50,7 @@
 // Joined reports whether the node is to be a member of the group.
 func (s *Standing) Joined() bool { return s.joined }
 
-// Look takes in a look at the owners by a node of this capacity. A failed look
+// Look records a look at the owners by a node of this capacity. A failed look
 // must not be handed in: it changes nothing.
 func (s *Standing) Look(view View, millicores uint64) {
 	regular := view.Regular(millicores)
--- a/internal/explain/steps.go
+++ b/internal/explain/steps.go
@@ -20,11 +20,11 @@
 	Asked      time.Time
 	FirstStart time.Time
 	LastStart  time.Time
-	// LastWhole, LastScored and LastListed are those of the item that was listed
+	// LastCompleted, LastScored and LastListed are those of the item that was listed
 	// last before the end.
-	LastWhole  time.Time
-	LastScored time.Time
-	LastListed time.Time
+	LastCompleted time.Time
+	LastScored    time.Time
+	LastListed    time.Time
 	// Ended is when the trainer ended the job.
 	Ended time.Time
 	// Starts counts runs, Listed results.
@@ -64,7 +64,7 @@
 	return steps
 }
 
-// take takes in one line about the job.
+// take records one line about the job.
 func (s *Step) take(line Line) {
 	switch line.Number {
 	case event.BatchSubmitted:
@@ -92,11 +92,21 @@
 func (s *Step) listed(line Line) {
 	s.Listed++
 	s.LastListed = line.Time
-	s.LastWhole = ago(line, "whole_ms_ago")
+	s.LastCompleted = ago(line, completedField(line))
 	s.LastScored = ago(line, "scored_ms_ago")
 	s.Last, s.Events, s.Sampler = line.Fields.Text("item_id"), line.Fields.Count("events"), line.Fields.Text("sampler")
 }
 
+// completedField is the name under which a line tells when the text was complete.
+// Releases before December 2026 had another.
+func completedField(line Line) string {
+	const current, former = "completed_ms_ago", "whole_ms_ago"
+	if _, old := line.Fields[former]; old {
+		return former
+	}
+	return current
+}
+
 // ago returns the moment that a line tells as milliseconds before it, the zero time
 // if it does not know.
 func ago(line Line, field string) time.Time {
--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -11,12 +11,20 @@
 )
 
 func TestStepIsToldFromItsLines(t *testing.T) {
+	for _, completed := range []string{"completed_ms_ago", "whole_ms_ago"} {
+		stepIsTold(t, completed)
+	}
+}
+
+// stepIsTold reads lines that name the moment of the complete text in one way.
+func stepIsTold(t *testing.T, completed string) {
+	t.Helper()
 	var l log
 	l.add(100, "a", event.BatchSubmitted, `"job_id":"j","model":"m","step":3,"items":2`)
 	l.add(150, "b", event.ItemStarted, `"job_id":"j","item_id":"x"`)
 	l.add(350, "b", event.ItemStarted, `"job_id":"j","item_id":"y"`)
-	l.add(900, "b", event.ItemListed, `"job_id":"j","item_id":"x","events":4,"sampler":"s","whole_ms_ago":60,"scored_ms_ago":30`)
-	l.add(2000, "b", event.ItemListed, `"job_id":"j","item_id":"y","events":9,"sampler":"t","whole_ms_ago":90,"scored_ms_ago":-1`)
+	l.add(900, "b", event.ItemListed, `"job_id":"j","item_id":"x","events":4,"sampler":"s","`+completed+`":60,"scored_ms_ago":30`)
+	l.add(2000, "b", event.ItemListed, `"job_id":"j","item_id":"y","events":9,"sampler":"t","`+completed+`":90,"scored_ms_ago":-1`)
 	l.add(2300, "b", event.BatchEnded, `"job_id":"j"`)
 	l.add(2400, "c", event.ItemListed, `"job_id":"j","item_id":"late"`)
 	l.add(50, "a", event.ItemStarted, `"job_id":"unknown","item_id":"x"`)
@@ -28,7 +36,7 @@
 	require.Equal(t, 3, step.Number)
 	require.Equal(t, 50*time.Millisecond, step.After(step.FirstStart))
 	require.Equal(t, 250*time.Millisecond, step.After(step.LastStart))
-	require.Equal(t, 1810*time.Millisecond, step.After(step.LastWhole))
+	require.Equal(t, 1810*time.Millisecond, step.After(step.LastCompleted))
 	require.Negative(t, step.After(step.LastScored))
 	require.Equal(t, 1900*time.Millisecond, step.After(step.LastListed))
 	require.Equal(t, 2200*time.Millisecond, step.After(step.Ended))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,7 +53,7 @@
 	return hosted
 }
 
-// Update takes in the machine list.
+// Update applies the machine list.
 func (f *Fleet) Update(machines []Machine) {
 	listed := make([]routing.Machine, 0, len(machines))
 	for _, machine := range machines {
@@ -115,7 +115,7 @@
 	return ok && time.Since(last) < window
 }
 
-// NoteVersion takes in the version that an engine was seen to generate with,
+// NoteVersion records the version that an engine was seen to generate with,
 // which is fresher than its last report.
 func (f *Fleet) NoteVersion(endpoint *routing.Endpoint, model string, version uint64) {
 	f.mutex.Lock()
@@ -147,7 +147,7 @@
 // MarkLeaving implements dispatch.Balancer: the endpoint itself said so.
 func (f *Fleet) MarkLeaving(id string) { f.markLeaving(id, "endpoint") }
 
-// MarkLeavingFromPeer takes in what another node found out.
+// MarkLeavingFromPeer records what another node found out.
 func (f *Fleet) MarkLeavingFromPeer(id string) { f.markLeaving(id, "peer") }
 
 func (f *Fleet) markLeaving(id, source string) {
@@ -188,7 +188,7 @@
 	return engines
 }
 
-// TakeLoad takes in an engine's load report.
+// TakeLoad records an engine's load report.
 func (f *Fleet) TakeLoad(id string, load engine.Load, at time.Time) {
 	versions := make(map[string]uint64, len(load.Models))
 	for _, model := range load.Models {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -34,7 +34,7 @@
 	FinishReason string `json:"finish_reason,omitempty"`
 }
 
-// completionAnswer is a whole answer or a streamed chunk.
+// completionAnswer is a complete answer or a streamed chunk.
 type completionAnswer struct {
 	ID      string             `json:"id"`
 	Object  string             `json:"object"`
--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -46,14 +46,14 @@
 // schedule.Kept.
 type adopted struct {
 	items    []*pathbendv1.BatchItem
-	begun    map[string]schedule.Begun
+	partial  map[string]schedule.Partial
 	finished map[string]ledger.Result
 }
 
-// Begun implements schedule.Kept.
-func (a adopted) Begun(itemID string) (schedule.Begun, bool) {
-	begun, ok := a.begun[itemID]
-	return begun, ok
+// Partial implements schedule.Kept.
+func (a adopted) Partial(itemID string) (schedule.Partial, bool) {
+	partial, ok := a.partial[itemID]
+	return partial, ok
 }
 
 // Finished implements schedule.Kept.
@@ -62,7 +62,7 @@
 	return listed, ok
 }
 
-// read reads a job's items and the texts of those that were begun. Text that
+// read reads a job's items and the partial texts. Text that
 // cannot be read is made again.
 func (e *executor) read(ctx context.Context, job *ledger.Job) (adopted, error) {
 	var found adopted
@@ -70,9 +70,9 @@
 	if found.items, err = e.node.jobs.contents.GetItems(ctx, job.Spec); err != nil {
 		return found, err
 	}
-	var begun map[string]ledger.Progress
-	e.node.jobs.withLedger(func(known *ledger.Ledger) { found.finished, begun = textsOf(known, found.items) })
-	found.begun = e.readBegun(ctx, job, begun)
+	var partial map[string]ledger.Progress
+	e.node.jobs.withLedger(func(known *ledger.Ledger) { found.finished, partial = textsOf(known, found.items) })
+	found.partial = e.readPartial(ctx, job, partial)
 	return found, nil
 }
 
@@ -80,12 +80,12 @@
 // all of them.
 const readsTogether = 8
 
-// readBegun reads texts that were begun. Text that cannot be read is made again.
-func (e *executor) readBegun(ctx context.Context, job *ledger.Job, begun map[string]ledger.Progress) map[string]schedule.Begun {
+// readPartial reads partial texts. Text that cannot be read is made again.
+func (e *executor) readPartial(ctx context.Context, job *ledger.Job, partial map[string]ledger.Progress) map[string]schedule.Partial {
 	var mutex sync.Mutex
-	texts := make(map[string]schedule.Begun, len(begun))
+	texts := make(map[string]schedule.Partial, len(partial))
 	readers := pool.New().WithMaxGoroutines(readsTogether)
-	for itemID, progress := range begun {
+	for itemID, progress := range partial {
 		readers.Go(func() {
 			parts, err := e.node.jobs.contents.Get(ctx, progress.Parts)
 			if err != nil {
@@ -94,7 +94,7 @@
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			texts[itemID] = schedule.Begun{
+			texts[itemID] = schedule.Partial{
 				ID: progress.ID, Events: progress.Events, Versions: progress.Versions, Text: bytes.Join(parts, []byte{'\n'}),
 			}
 		})
@@ -104,19 +104,19 @@
 }
 
 // textsOf finds what the log holds of items: texts that an earlier job listed, and
-// texts that were begun. An item may have both, if its listed text was too old for
+// partial texts. An item may have both, if its listed text was too old for
 // a later job that began it anew.
-func textsOf(known *ledger.Ledger, items []*pathbendv1.BatchItem) (finished map[string]ledger.Result, begun map[string]ledger.Progress) {
-	finished, begun = make(map[string]ledger.Result), make(map[string]ledger.Progress)
+func textsOf(known *ledger.Ledger, items []*pathbendv1.BatchItem) (finished map[string]ledger.Result, partial map[string]ledger.Progress) {
+	finished, partial = make(map[string]ledger.Result), make(map[string]ledger.Progress)
 	for _, item := range items {
 		if listed, ok := known.Finished(item.Id); ok {
 			finished[item.Id] = listed
 		}
 		if progress, ok := known.Progress(item.Id); ok {
-			begun[item.Id] = progress
+			partial[item.Id] = progress
 		}
 	}
-	return finished, begun
+	return finished, partial
 }
 
 // add hands a job to the scheduler. Without a route it waits for one.
@@ -139,8 +139,8 @@
 	for _, run := range stopped {
 		e.cancel(run)
 	}
-	for _, whole := range finished {
-		e.finish(whole)
+	for _, completed := range finished {
+		e.finish(completed)
 	}
 	e.wake()
 }
--- a/internal/hosted/adopt_test.go
+++ b/internal/hosted/adopt_test.go
@@ -38,7 +38,7 @@
 	apply(t, known, &pathbendv1.LedgerEntry{JobId: "new", Fact: &pathbendv1.LedgerEntry_Progress{Progress: &pathbendv1.BatchProgress{
 		Items: []*pathbendv1.ItemProgress{{ItemId: "item", Id: 7, Events: 100, Versions: []uint64{3}}},
 	}}})
-	finished, begun := textsOf(known, []*pathbendv1.BatchItem{{Id: "item"}})
+	finished, partial := textsOf(known, []*pathbendv1.BatchItem{{Id: "item"}})
 	require.Equal(t, []uint64{1}, finished["item"].Versions)
-	require.Equal(t, uint64(100), begun["item"].Events)
+	require.Equal(t, uint64(100), partial["item"].Events)
 }
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -58,7 +58,7 @@
 	return d
 }
 
-// apply takes in records. Entries that a Reset lacks are left to grow old.
+// apply applies records. Entries that a Reset lacks are left to grow old.
 func (d *directory) apply(records []sharedlog.KeyedRecord) {
 	now := time.Now()
 	d.mutex.Lock()
--- a/internal/hosted/directory_test.go
+++ b/internal/hosted/directory_test.go
@@ -75,7 +75,7 @@
 	})
 }
 
-// When 295 nodes began with the whole ledger at once, none had its configuration for
+// When 295 nodes began with the entire ledger at once, none had its configuration for
 // 1.2 s and the executor had the ledger after 3.3 s.
 func TestOnlyNodesThatMayExecuteReadTheLedgerAtOnce(t *testing.T) {
 	node := func(millicores uint64, known ...uint64) *Node {
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -54,11 +54,11 @@
 	progressedAt time.Time
 	reviewedAt   time.Time
 	// listed is the list of samplers that the scheduler took in last, at listedAt.
-	listed   *[]schedule.Sampler
-	listedAt time.Time
-	rewards  rewardSlots
-	witness  witness
-	work     conc.WaitGroup
+	listed     *[]schedule.Sampler
+	listedAt   time.Time
+	rewards    rewardSlots
+	splitBrain splitBrainDetector
+	work       conc.WaitGroup
 }
 
 func newExecutor(n *Node) *executor {
@@ -79,7 +79,7 @@
 	}
 }
 
-// jobChanged takes in a change of the ledger. It is called under the ledger's
+// jobChanged records a change of the ledger. It is called under the ledger's
 // lock.
 func (e *executor) jobChanged(change ledger.Change) {
 	if change.Kind == ledger.Nothing || change.Kind == ledger.Progressed {
@@ -149,14 +149,14 @@
 	}
 }
 
-// review does what looks at the whole fleet and need not be done at every event.
+// review does what looks at the entire fleet and need not be done at every event.
 func (e *executor) review(now time.Time) {
 	if now.Sub(e.progressedAt) >= progressInterval {
 		e.progressedAt = now
 		e.saveProgress(progressEvents, now)
 	}
 	e.orderWeights(now)
-	e.askWitness(now)
+	e.detectSplitBrain(now)
 }
 
 func (e *executor) executing() bool {
@@ -280,7 +280,7 @@
 	now := time.Now()
 	e.node.logger.Log(event.ItemListed, "job_id", key.Job, "item_id", key.Item, "dead", dead,
 		"sampler", passed.Sampler, "events", passed.Events, "runs", passed.Runs,
-		"begun_ms_ago", millisecondsSince(passed.Begun, now), "whole_ms_ago", millisecondsSince(passed.Whole, now),
+		"started_ms_ago", millisecondsSince(passed.Started, now), "completed_ms_ago", millisecondsSince(passed.Completed, now),
 		"scored_ms_ago", millisecondsSince(passed.Scored, now))
 }
 
@@ -340,7 +340,7 @@
 	}
 	verdict := scheduler.RunEnded(start.Key, start.Run, end.Ending, time.Now())
 	e.node.metrics.runEnded(end.Ending)
-	if end.Ending != schedule.Whole {
+	if end.Ending != schedule.Complete {
 		e.node.logger.Log(event.ItemRunEnded, "job_id", start.Key.Job, "item_id", start.Key.Item,
 			"sampler", start.Sampler.ID, "ending", end.Ending.String(), "detail", end.Detail, "failures", verdict.Failures)
 	}
@@ -358,34 +358,34 @@
 	e.lister.addResult(key.Job, &pathbendv1.BatchResult{ItemId: key.Item, Dead: true}, nil)
 }
 
-// finish scores a whole text and lists it.
-func (e *executor) finish(whole schedule.Finished) {
+// finish scores a complete text and lists it.
+func (e *executor) finish(completed schedule.Finished) {
 	session, scheduler := e.session, e.scheduler
 	e.work.Go(func() {
-		stamp, alive := whole.Score, true
-		if stamp == "" && whole.Reward != nil {
-			stamp, alive = e.score(session, whole)
+		stamp, alive := completed.Score, true
+		if stamp == "" && completed.Reward != nil {
+			stamp, alive = e.score(session, completed)
 		}
 		if session.Err() != nil {
 			return
 		}
 		e.mutex.Lock()
-		wanted := e.scheduler == scheduler && scheduler.Scored(whole.Key, time.Now())
+		wanted := e.scheduler == scheduler && scheduler.Scored(completed.Key, time.Now())
 		e.mutex.Unlock()
 		if !wanted {
 			return
 		}
 		if !alive {
-			e.dead(whole.Key, 0, "its reward call failed too often")
+			e.dead(completed.Key, 0, "its reward call failed too often")
 			return
 		}
-		if whole.Kept == nil && !e.node.jobs.contents.Fits(whole.Text) {
-			e.dead(whole.Key, 0, "its text is too large for the log")
+		if completed.Kept == nil && !e.node.jobs.contents.Fits(completed.Text) {
+			e.dead(completed.Key, 0, "its text is too large for the log")
 			return
 		}
-		e.lister.addResult(whole.Key.Job, &pathbendv1.BatchResult{
-			ItemId: whole.Key.Item, Text: whole.Kept, Versions: whole.Versions, Score: stamp, RewardId: whole.Reward.GetId(),
-		}, whole.Text)
+		e.lister.addResult(completed.Key.Job, &pathbendv1.BatchResult{
+			ItemId: completed.Key.Item, Text: completed.Kept, Versions: completed.Versions, Score: stamp, RewardId: completed.Reward.GetId(),
+		}, completed.Text)
 	})
 }
 
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -127,7 +127,7 @@
 	return b.changed
 }
 
-// withLedger runs a read of the whole ledger under its lock.
+// withLedger runs a read of the entire ledger under its lock.
 func (b *jobBook) withLedger(read func(known *ledger.Ledger)) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -209,7 +209,7 @@
 	n.logger.Log(event.RecordSkipped, "sampler", id, "detail", err.Error())
 }
 
-// TakeVersion takes in a weight version that a trainer named. Every node learns of
+// TakeVersion records a weight version that a trainer named. Every node learns of
 // it; the executor logs it.
 func (n *Node) TakeVersion(model string, version uint64) {
 	n.mutex.Lock()
@@ -231,7 +231,7 @@
 	return targets
 }
 
-// TakeSamplers takes in the whole list of samplers.
+// TakeSamplers applies the entire list of samplers.
 func (n *Node) TakeSamplers(listed []schedule.Sampler) {
 	machines := make([]fleet.Machine, 0, len(listed))
 	for _, sampler := range listed {
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -21,7 +21,7 @@
 // RunEnd tells how a run ended.
 type RunEnd struct {
 	Ending schedule.Ending
-	// Detail explains an ending other than Whole.
+	// Detail explains an ending other than Complete.
 	Detail string
 }
 
--- a/internal/hosted/rewards.go
+++ b/internal/hosted/rewards.go
@@ -64,13 +64,13 @@
 	}
 }
 
-// score calls the reward of a whole text until it answers. It returns the
+// score calls the reward of a complete text until it answers. It returns the
 // proof of the answer, and false if the item is given up.
-func (e *executor) score(ctx context.Context, whole schedule.Finished) (stamp string, alive bool) {
+func (e *executor) score(ctx context.Context, completed schedule.Finished) (stamp string, alive bool) {
 	failures := 0
 	var avoid []string
-	for attempt := 0; e.wants(whole.Key) && ctx.Err() == nil; attempt++ {
-		outcome := e.callReward(ctx, whole, avoid, attempt)
+	for attempt := 0; e.wants(completed.Key) && ctx.Err() == nil; attempt++ {
+		outcome := e.callReward(ctx, completed, avoid, attempt)
 		if outcome.stamp != "" {
 			return outcome.stamp, true
 		}
@@ -80,8 +80,8 @@
 		if outcome.failed {
 			failures++
 		}
-		e.node.logger.Log(event.RewardFailed, "job_id", whole.Key.Job, "item_id", whole.Key.Item,
-			"reward_id", whole.Reward.Id, "attempt", attempt+1, "back_end", outcome.backEnd, "failures", failures, "detail", outcome.detail)
+		e.node.logger.Log(event.RewardFailed, "job_id", completed.Key.Job, "item_id", completed.Key.Item,
+			"reward_id", completed.Reward.Id, "attempt", attempt+1, "back_end", outcome.backEnd, "failures", failures, "detail", outcome.detail)
 		if outcome.maxFailures > 0 && failures >= outcome.maxFailures {
 			return "", false
 		}
@@ -104,12 +104,12 @@
 	maxFailures int
 }
 
-func (e *executor) callReward(ctx context.Context, whole schedule.Finished, avoid []string, attempt int) rewardOutcome {
+func (e *executor) callReward(ctx context.Context, completed schedule.Finished, avoid []string, attempt int) rewardOutcome {
 	current := e.node.Catalog()
 	if current == nil {
 		return rewardOutcome{detail: "no configuration"}
 	}
-	route := current.Find(whole.Reward.Host, whole.Reward.Path)
+	route := current.Find(completed.Reward.Host, completed.Reward.Path)
 	if route == nil {
 		return rewardOutcome{detail: "no route for the reward call"}
 	}
@@ -120,7 +120,7 @@
 	deadline := time.Now().Add(min(rewardTimeout<<min(attempt, 5), maxRewardTimeout))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	answer, err := e.node.dispatcher.Do(ctx, rewardRequest(route, whole, avoid, deadline))
+	answer, err := e.node.dispatcher.Do(ctx, rewardRequest(route, completed, avoid, deadline))
 	outcome := rewardOutcome{maxFailures: route.MaxAttempts}
 	if err != nil {
 		outcome.detail = err.Error()
@@ -138,8 +138,8 @@
 	return outcome
 }
 
-func rewardRequest(route *catalog.Route, whole schedule.Finished, avoid []string, deadline time.Time) *dispatch.Request {
-	reward := whole.Reward
+func rewardRequest(route *catalog.Route, completed schedule.Finished, avoid []string, deadline time.Time) *dispatch.Request {
+	reward := completed.Reward
 	body := reward.Body
 	if body == nil {
 		body = []byte{}
--- a/internal/hosted/witness_test.go
+++ b/internal/hosted/split_brain_test.go
@@ -13,14 +13,14 @@
 // executors filled the same samplers until the first one's eight seconds were over,
 // and two steps came five seconds late (tipline-dub trouble-1).
 func TestWorkOfOthersAtSamplersShowsAnotherExecutor(t *testing.T) {
-	var w witness
+	var w splitBrainDetector
 	require.False(t, w.heard(12, 2))
 	require.False(t, w.heard(12, 2))
 	require.True(t, w.heard(12, 2))
 }
 
 func TestFewForeignRunsProveNothing(t *testing.T) {
-	var w witness
+	var w splitBrainDetector
 	for range 10 {
 		require.False(t, w.heard(12, 2))
 		require.False(t, w.heard(12, 2))
@@ -29,12 +29,12 @@
 }
 
 func TestOnlyAHolderOutOfTouchAsks(t *testing.T) {
-	var w witness
+	var w splitBrainDetector
 	now := time.Now()
 	require.False(t, w.due(false, now))
 	require.True(t, w.due(true, now))
-	require.False(t, w.due(true, now.Add(witnessInterval/2)))
-	require.True(t, w.due(true, now.Add(witnessInterval)))
+	require.False(t, w.due(true, now.Add(splitBrainInterval/2)))
+	require.True(t, w.due(true, now.Add(splitBrainInterval)))
 	w.heard(12, 0)
 	w.heard(12, 0)
 	w.due(false, now)
@@ -44,7 +44,7 @@
 func TestWitnessesAreModelSamplersInTurn(t *testing.T) {
 	versions := map[string]uint64{"m": 1}
 	loads := []schedule.Load{{ID: "a", Versions: versions}, {ID: "application"}, {ID: "leaving", Leaving: true, Versions: versions}, {ID: "b", Versions: versions}}
-	var w witness
+	var w splitBrainDetector
 	var asked []string
 	for range 4 {
 		load, ok := w.choose(loads)
--- a/internal/idempotency/replica.go
+++ b/internal/idempotency/replica.go
@@ -104,7 +104,7 @@
 // NewReplica returns the replica state of a node that has just started.
 func NewReplica(selfID string) *Replica { return &Replica{selfID: selfID} }
 
-// Follow takes in the groups of a new roster. It must be called for every
+// Follow applies the groups of a new roster. It must be called for every
 // roster in turn: a node that skips one cannot tell whether its entries are
 // complete and fetches them again.
 func (r *Replica) Follow(table *shard.Table, now time.Time) {
@@ -204,7 +204,7 @@
 	return entries, true
 }
 
-// Synced takes in the entries of one former member.
+// Synced applies the entries of one former member.
 func (r *Replica) Synced(task SyncTask, source string, entries []Entry, now time.Time) {
 	state := &r.shards[task.Shard]
 	if len(state.pending) == 0 || state.pending[0].group.Generation != task.Generation {
--- a/internal/keyed/answers.go
+++ b/internal/keyed/answers.go
@@ -48,29 +48,29 @@
 func (a *answers) begin(key, requestID string) *execution {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	begun := &execution{requestID: requestID, done: make(chan struct{}), began: time.Now()}
-	a.byKey[key] = begun
+	current := &execution{requestID: requestID, done: make(chan struct{}), began: time.Now()}
+	a.byKey[key] = current
 	a.order = append(a.order, key)
-	return begun
+	return current
 }
 
 // finish records the outcome and wakes repeats.
-func (a *answers) finish(begun *execution, outcome Stored) {
+func (a *answers) finish(current *execution, outcome Stored) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	begun.outcome = outcome
+	current.outcome = outcome
 	a.bytes += len(outcome.Body)
-	close(begun.done)
+	close(current.done)
 	a.evict()
 }
 
 // forget drops an execution that did not run, so that a repeat may.
-func (a *answers) forget(key string, begun *execution, outcome Stored) {
+func (a *answers) forget(key string, current *execution, outcome Stored) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	begun.outcome = outcome
-	close(begun.done)
-	if a.byKey[key] == begun {
+	current.outcome = outcome
+	close(current.done)
+	if a.byKey[key] == current {
 		delete(a.byKey, key)
 	}
 }
--- a/internal/keyed/executor.go
+++ b/internal/keyed/executor.go
@@ -178,7 +178,7 @@
 // execute runs the request. It goes on when the caller goes away, so that the
 // caller finds the answer under its key when it comes back.
 func (e *Executor) execute(ctx context.Context, key string, binding idempotency.Binding, request *dispatch.Request) (*dispatch.Answer, error) {
-	begun := e.answers.begin(key, binding.RequestID)
+	current := e.answers.begin(key, binding.RequestID)
 	type outcome struct {
 		answer *dispatch.Answer
 		err    error
@@ -189,9 +189,9 @@
 		defer cancel()
 		answer, err := e.runner.Do(runCtx, request)
 		if err == nil {
-			err = e.readWhole(answer)
+			err = e.bufferAnswer(answer)
 		}
-		e.store(key, binding, begun, answer, err)
+		e.store(key, binding, current, answer, err)
 		done <- outcome{answer, err}
 	})
 	select {
@@ -202,8 +202,8 @@
 	}
 }
 
-// readWhole buffers a streamed answer, as it has to outlive the exchange.
-func (e *Executor) readWhole(answer *dispatch.Answer) error {
+// bufferAnswer buffers a streamed answer, as it has to outlive the exchange.
+func (e *Executor) bufferAnswer(answer *dispatch.Answer) error {
 	if answer.Buffered != nil {
 		return nil
 	}
@@ -221,17 +221,17 @@
 	return nil
 }
 
-func (e *Executor) store(key string, binding idempotency.Binding, begun *execution, answer *dispatch.Answer, err error) {
+func (e *Executor) store(key string, binding idempotency.Binding, current *execution, answer *dispatch.Answer, err error) {
 	switch {
 	case err != nil && result.From(err).Run() == result.NotRun:
-		e.answers.forget(key, begun, Stored{Err: err})
+		e.answers.forget(key, current, Stored{Err: err})
 		e.release(key, binding)
 	case err != nil:
-		e.answers.finish(begun, Stored{Err: err})
+		e.answers.finish(current, Stored{Err: err})
 	case len(answer.Buffered) > maxStoredBytes:
-		e.answers.finish(begun, Stored{Status: answer.Status, TooLarge: true})
+		e.answers.finish(current, Stored{Status: answer.Status, TooLarge: true})
 	default:
-		e.answers.finish(begun, Stored{Status: answer.Status, Header: answer.Header, Body: answer.Buffered})
+		e.answers.finish(current, Stored{Status: answer.Status, Header: answer.Header, Body: answer.Buffered})
 	}
 }
 
--- a/internal/ledger/chunks.go
+++ b/internal/ledger/chunks.go
@@ -56,7 +56,7 @@
 
 func newAssembler() *assembler { return &assembler{partial: make(map[uint64]*partialEntry)} }
 
-// add takes in a record and returns the entry that it completes, or nil.
+// add adds a record and returns the entry that it completes, or nil.
 func (a *assembler) add(record []byte) (*pathbendv1.LedgerEntry, error) {
 	var chunk pathbendv1.LedgerChunk
 	if err := proto.Unmarshal(record, &chunk); err != nil {
@@ -68,11 +68,11 @@
 	if chunk.Count == 1 {
 		return decodeEntry(chunk.Payload)
 	}
-	whole := a.collect(&chunk)
-	if whole == nil {
+	assembled := a.collect(&chunk)
+	if assembled == nil {
 		return nil, nil
 	}
-	return decodeEntry(whole)
+	return decodeEntry(assembled)
 }
 
 func (a *assembler) collect(chunk *pathbendv1.LedgerChunk) []byte {
@@ -91,11 +91,11 @@
 		return nil
 	}
 	delete(a.partial, chunk.Nonce)
-	var whole []byte
+	var assembled []byte
 	for _, part := range entry.chunks {
-		whole = append(whole, part...)
+		assembled = append(assembled, part...)
 	}
-	return whole
+	return assembled
 }
 
 func (a *assembler) forgetOldest() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -136,7 +136,7 @@
 	Complete bool
 }
 
-// Apply takes in the next record of the log at a time.
+// Apply applies the next record of the log at a time.
 func (l *Ledger) Apply(record []byte, now time.Time) (Change, error) {
 	entry, err := l.assembler.add(record)
 	if err != nil || entry == nil {
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -338,7 +338,7 @@
 	return wanted
 }
 
-// HandleHeartbeat takes in a probe and returns the acknowledgement.
+// HandleHeartbeat applies a probe and returns the acknowledgement.
 func (m *Machine) HandleHeartbeat(now time.Time, beat Heartbeat) Heartbeat {
 	m.takeIn(now, beat)
 	reply := m.heartbeat()
@@ -349,7 +349,7 @@
 	return reply
 }
 
-// HandleAck takes in the acknowledgement of a heartbeat. It returns a further
+// HandleAck applies the acknowledgement of a heartbeat. It returns a further
 // message if the peer sent its whole table and needs ours.
 func (m *Machine) HandleAck(now time.Time, beat Heartbeat) {
 	m.takeIn(now, beat)
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -24,7 +24,7 @@
 	failing  bool
 }
 
-// set takes in a list that is no older than the present one, and reports
+// set applies a list that is no older than the present one, and reports
 // whether it differs.
 func (c *machineCache) set(machines []fleet.Machine, at time.Time) bool {
 	digest := fleet.Digest(machines)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -89,7 +89,7 @@
 	m.machine.SetSeeds(addresses)
 }
 
-// raiseVersion takes in an announced version and reports whether it is news. A
+// raiseVersion records an announced version and reports whether it is news. A
 // new version wakes the weight roller.
 func (m *members) raiseVersion(key weights.ModelKey, version uint64) bool {
 	m.mutex.Lock()
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -49,7 +49,7 @@
 	return &replicas{node: n, replica: idempotency.NewReplica(n.id), exported: make(map[int]uint64), followed: make(chan struct{}, 1)}
 }
 
-// follow takes in new replica groups.
+// follow applies new replica groups.
 func (r *replicas) follow(table *shard.Table) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// answered is a whole answer.
+// answered is a complete answer.
 type answered struct {
 	status int
 	header http.Header
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -51,7 +51,7 @@
 	}},
 	{Promise: "MIXED: a cut event is no event", Edits: []mutation.Edit{
 		mutation.Replace("platform/events.go", "return 0, nil, io.ErrUnexpectedEOF", "return len(data), data, nil"),
-		mutation.Replace("platform/events.go", "	if err := r.scanner.Err(); err != nil {\n\t\treturn made, err\n\t}\n\tif begun {\n\t\treturn made, io.ErrUnexpectedEOF\n\t}\n", "	if begun {\n\t\treturn r.finish(made, hasData)\n\t}\n"),
+		mutation.Replace("platform/events.go", "	if err := r.scanner.Err(); err != nil {\n\t\treturn made, err\n\t}\n\tif started {\n\t\treturn made, io.ErrUnexpectedEOF\n\t}\n", "	if started {\n\t\treturn r.finish(made, hasData)\n\t}\n"),
 	}},
 }
 
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -33,7 +33,7 @@
 // NewLedger returns a ledger without reports.
 func NewLedger() *Ledger { return &Ledger{reports: make(map[string]report)} }
 
-// Report takes in a node's demand and returns its share of the rate. Under
+// Report records a node's demand and returns its share of the rate. Under
 // overload the rate is divided in proportion to demand; otherwise every node
 // gets its demand and an equal part of what is left, so that demand can grow.
 func (l *Ledger) Report(now time.Time, node string, demand, rate float64) float64 {
@@ -63,7 +63,7 @@
 // smoothing is the weight of the latest interval.
 const smoothing = 0.5
 
-// Observe takes in the arrivals of an interval and returns the demand in
+// Observe records the arrivals of an interval and returns the demand in
 // requests a second.
 func (m *Meter) Observe(arrivals int, interval time.Duration) float64 {
 	latest := float64(arrivals) / interval.Seconds()
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -180,7 +180,7 @@
 	return cancelled
 }
 
-// Pull takes in the trainer's cursor and version and returns what it may have.
+// Pull records the trainer's cursor and version and returns what it may have.
 func (j *Job) Pull(now time.Time, pull Pull) PullAnswer {
 	j.lastPull = now
 	j.hold(pull.Held)
@@ -297,22 +297,22 @@
 		s.firstStart = now
 	}
 	j.sequence++
-	begun := &attempt{id: fmt.Sprintf("%s/%d/%d", j.spec.JobID, index, j.sequence), started: now, lastProgress: now}
+	added := &attempt{id: fmt.Sprintf("%s/%d/%d", j.spec.JobID, index, j.sequence), started: now, lastProgress: now}
 	prompt := j.spec.Prompts[s.prompt]
 	start := Start{
-		Slot: index, Attempt: begun.id, Prompt: prompt, Seed: prompt.Seed + uint64(s.index),
+		Slot: index, Attempt: added.id, Prompt: prompt, Seed: prompt.Seed + uint64(s.index),
 		MinVersion: j.policy.Bound.Minimum(j.trainerVersion), Age: now.Sub(s.firstStart),
 	}
 	for _, other := range s.attempts {
 		start.Exclude = append(start.Exclude, other.engine)
 	}
 	if len(s.attempts) == 0 && s.kept != nil {
-		begun.tokens, begun.segments, begun.started = s.kept, s.keptSegs, s.keptStarted
+		added.tokens, added.segments, added.started = s.kept, s.keptSegs, s.keptStarted
 		start.Resume = slices.Clone(s.kept)
 		s.kept, s.keptSegs = nil, nil
 		j.counters.Resumed++
 	}
-	s.attempts = append(s.attempts, begun)
+	s.attempts = append(s.attempts, added)
 	j.running++
 	j.counters.Started++
 	return start
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -185,7 +185,7 @@
 	m.advance(running, time.Now())
 }
 
-// Submit accepts a job. Submitting the same job again is harmless and takes in
+// Submit accepts a job. Submitting the same job again is harmless and records
 // its cursor; the same id with other prompts is a conflict.
 func (m *Manager) Submit(tenant string, spec Spec, policy Policy) error {
 	encoded, err := json.Marshal(spec.Prompts)
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -18,7 +18,7 @@
 	ReportedAt time.Time
 	// SentSinceReport is the work started here since the report was made.
 	SentSinceReport int
-	// Latency is a moving average of the time to a whole answer.
+	// Latency is a moving average of the time to a complete answer.
 	Latency time.Duration
 
 	// seenVersions are the versions seen on streams, by model.
@@ -77,7 +77,7 @@
 	e.SentSinceReport++
 }
 
-// Succeeded records a whole answer.
+// Succeeded records a complete answer.
 func (e *Endpoint) Succeeded(latency time.Duration) {
 	e.InFlight--
 	e.consecutiveFailures = 0
@@ -127,7 +127,7 @@
 	return !recent
 }
 
-// Reported takes in a load report made at a time.
+// Reported records a load report made at a time.
 func (e *Endpoint) Reported(report LoadReport, at time.Time) {
 	e.Report = report
 	e.ReportedAt = at
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -58,7 +58,7 @@
 	Added, Leaving, Gone []*Endpoint
 }
 
-// Update takes in the machine list. Endpoints keep their dynamic state. An
+// Update applies the machine list. Endpoints keep their dynamic state. An
 // endpoint that vanished from the list gets no new work; attempts in flight
 // keep their pointer and finish.
 func (t *Table) Update(machines []Machine) Changes {
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -9,9 +9,9 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 )
 
-// A trainer ends a job once enough of its groups are whole, and brings the others
+// A trainer ends a job once enough of its groups are complete, and brings the others
 // again in a later job. That job wants newer weights, so the text of their long
-// items, which take a whole step to make, would begin anew. While the first job is
+// items, which take an entire step to make, would begin anew. While the first job is
 // still open, such items are therefore run a second time under weights that the
 // later job will accept, and go on from there when it brings them.
 
@@ -27,7 +27,7 @@
 	usualWeight = 0.02
 )
 
-// Named takes in the newest version of a model that trainers named. It reports
+// Named records the newest version of a model that trainers named. It reports
 // whether that is newer than what was known.
 func (s *Scheduler) Named(model string, version uint64) (newer bool) {
 	if s.named[model] >= version {
@@ -112,8 +112,8 @@
 func (s *Scheduler) worthAhead(open *job, version uint64) []*item {
 	var long []*item
 	for _, entry := range open.items {
-		_, begun := s.ahead[entry.key.Item]
-		if begun || entry.phase != running || entry.events == 0 || entry.versions[0] >= version {
+		_, started := s.ahead[entry.key.Item]
+		if started || entry.phase != running || entry.events == 0 || entry.versions[0] >= version {
 			continue
 		}
 		if float64(entry.events) >= longRatio*s.usualEvents {
@@ -137,12 +137,12 @@
 	return &item{key: key, spec: i.spec, job: later}
 }
 
-// endAhead takes in the end of a run ahead. Its text is kept for a later job.
+// endAhead records the end of a run ahead. Its text is kept for a later job.
 func (s *Scheduler) endAhead(copied *item, ending Ending) {
 	s.free(copied)
 	delete(s.items, copied.key)
 	copied.phase = pending
-	if ending == Whole && copied.events > 0 {
+	if ending == Complete && copied.events > 0 {
 		copied.phase = settled
 	}
 	if copied.events == 0 {
@@ -177,7 +177,7 @@
 	}
 	if copied.events > entry.events && entry.job.fits(copied.versions) {
 		entry.text, entry.events, entry.versions, entry.saved = copied.text, copied.events, copied.versions, savedText{}
-		entry.aheadWhole = copied.phase == settled
+		entry.aheadComplete = copied.phase == settled
 	}
 	return stopped
 }
@@ -185,8 +185,8 @@
 // leave keeps the text of an unfinished item of a job that is over, unless more
 // fitting text was made ahead.
 func (s *Scheduler) leave(entry *item, now time.Time) {
-	copied, begun := s.ahead[entry.key.Item]
-	if begun {
+	copied, started := s.ahead[entry.key.Item]
+	if started {
 		copied.leftAt = now
 		return
 	}
@@ -227,7 +227,7 @@
 	return moves
 }
 
-// noteLength takes in the length of a whole text.
+// noteLength records the length of a complete text.
 func (s *Scheduler) noteLength(events uint64) {
 	if s.usualEvents == 0 {
 		s.usualEvents = float64(events)
--- a/internal/schedule/ahead_test.go
+++ b/internal/schedule/ahead_test.go
@@ -63,7 +63,7 @@
 	longAt(b, 10)
 	ahead := b.starts()[0]
 	require.True(t, b.feed(ahead, 1, 3, 3))
-	require.Nil(t, b.s.RunEnded(ahead.Key, ahead.Run, Whole, b.now).Finished, "no result of the job that is open")
+	require.Nil(t, b.s.RunEnded(ahead.Key, ahead.Run, Complete, b.now).Finished, "no result of the job that is open")
 	b.s.DropJob("k", b.now)
 	again := b.jobOf("l", 3, "g:1")
 	again.items[0].Id = "k-0"
--- a/internal/schedule/demand.go
+++ b/internal/schedule/demand.go
@@ -17,7 +17,7 @@
 	former, latest map[string]int
 }
 
-// take takes in what is wanted at a time.
+// take records what is wanted at a time.
 func (d *demand) take(wanted map[string]int, now time.Time) {
 	if d.latest == nil || now.Sub(d.since) >= demandWindow {
 		d.since, d.former, d.latest = now, d.latest, make(map[string]int)
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -44,7 +44,7 @@
 const (
 	pending phase = iota
 	running
-	// scoring means that the text is whole and its reward call is under way.
+	// scoring means that the text is complete and its reward call is under way.
 	scoring
 	// settled means that the result waits for its place in the log.
 	settled
@@ -59,7 +59,7 @@
 	rank int
 	// carried is set if an earlier job brought the item's group already.
 	carried bool
-	// latestStart is when the item must begin to be whole in time, as of the last
+	// latestStart is when the item must begin to be complete in time, as of the last
 	// look.
 	latestStart time.Time
 
@@ -74,8 +74,8 @@
 	startedAt  time.Time
 	lastEvent  time.Time
 	milestones Milestones
-	// aheadWhole is set if the text was made whole ahead of the job.
-	aheadWhole bool
+	// aheadComplete is set if the text was made complete ahead of the job.
+	aheadComplete bool
 	// leftAt is when the job of a run ahead was over.
 	leftAt    time.Time
 	notBefore time.Time
@@ -88,11 +88,11 @@
 // Milestones are the moments of an item's way to its result, as far as this
 // executor saw them; a moment that it did not see is zero.
 type Milestones struct {
-	// Begun is when the item was first sent to a sampler.
-	Begun time.Time
-	// Whole is when its text was whole, Scored when its reward call had answered.
-	Whole  time.Time
-	Scored time.Time
+	// Started is when the item was first sent to a sampler.
+	Started time.Time
+	// Completed is when its text was complete, Scored when its reward call had answered.
+	Completed time.Time
+	Scored    time.Time
 	// Sampler made the end of the text, which has Events events.
 	Sampler string
 	Events  uint64
@@ -101,8 +101,8 @@
 }
 
 func (m *Milestones) sent(samplerID string, now time.Time) {
-	if m.Begun.IsZero() {
-		m.Begun = now
+	if m.Started.IsZero() {
+		m.Started = now
 	}
 	m.Sampler = samplerID
 	m.Runs++
@@ -134,7 +134,7 @@
 }
 
 // resume takes over a kept text if its versions fit the job.
-func (i *item) resume(kept Begun) {
+func (i *item) resume(kept Partial) {
 	if !i.job.fits(kept.Versions) {
 		return
 	}
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -54,7 +54,7 @@
 }
 
 // waiting lists the items that may begin, by the time at which each must begin to
-// be whole when its job is due: a long item of a later job may go before a short
+// be complete when its job is due: a long item of a later job may go before a short
 // one of an earlier.
 func (s *Scheduler) waiting(now time.Time) []*item {
 	var waiting []*item
@@ -86,7 +86,7 @@
 const priorityLead = time.Second
 
 // carriedLead is how much earlier than others an item begins whose group an
-// earlier job brought already: the job waits for it whichever others are whole.
+// earlier job brought already: the job waits for it whichever others are complete.
 const carriedLead = 2 * time.Second
 
 func (s *Scheduler) freeSlots(now time.Time) int {
@@ -107,7 +107,7 @@
 
 // mostCandidates bounds the samplers that one choice compares: the cost of a choice
 // stays flat as the fleet grows, and the best of so many is hardly worse than the
-// best of all. Fleets of up to so many samplers are looked at whole.
+// best of all. Fleets of up to so many samplers are looked at in full.
 const mostCandidates = 128
 
 // choose returns the sampler that is expected to finish the item first among those
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -16,7 +16,7 @@
 	maxItemPause = 500 * time.Millisecond
 )
 
-// Progress takes in an event of a run. It reports false if the run is not
+// Progress records an event of a run. It reports false if the run is not
 // wanted any more.
 func (s *Scheduler) Progress(key Key, run uint64, event Event, now time.Time) bool {
 	entry := s.current(key, run)
@@ -64,7 +64,7 @@
 	return entry
 }
 
-// Finished is an item whose text is whole.
+// Finished is an item whose text is complete.
 type Finished struct {
 	Key  Key
 	Text []byte
@@ -86,8 +86,8 @@
 
 // Endings of a run.
 const (
-	// Whole means that the stream ended as complete.
-	Whole Ending = iota + 1
+	// Complete means that the stream ended as complete.
+	Complete Ending = iota + 1
 	// Refused means that the sampler did not begin.
 	Refused
 	// WrongSampler means that the address belongs to another sampler.
@@ -103,7 +103,7 @@
 )
 
 var endingNames = [...]string{
-	Whole: "whole", Refused: "refused", WrongSampler: "wrong_sampler", Failed: "failed",
+	Complete: "complete", Refused: "refused", WrongSampler: "wrong_sampler", Failed: "failed",
 	Impossible: "impossible", Broken: "broken", Stopped: "stopped",
 }
 
@@ -112,7 +112,7 @@
 
 // Verdict is what follows from the end of a run.
 type Verdict struct {
-	// Finished is set if the text is whole and wants its score.
+	// Finished is set if the text is complete and wants its score.
 	Finished *Finished
 	// Dead is set if the item is given up.
 	Dead bool
@@ -120,7 +120,7 @@
 	Failures int
 }
 
-// RunEnded takes in the end of a run.
+// RunEnded records the end of a run.
 func (s *Scheduler) RunEnded(key Key, run uint64, ending Ending, now time.Time) Verdict {
 	entry := s.current(key, run)
 	if entry == nil {
@@ -135,16 +135,16 @@
 	entry.phase = pending
 	entry.avoid = sampler.ID
 	switch ending {
-	case Whole:
+	case Complete:
 		if entry.events == 0 {
 			entry.notBefore = now.Add(itemPause)
 			return Verdict{}
 		}
 		entry.phase = scoring
-		entry.milestones.Whole, entry.milestones.Events = now, entry.events
+		entry.milestones.Completed, entry.milestones.Events = now, entry.events
 		s.noteLength(entry.events)
-		whole := entry.finished()
-		return Verdict{Finished: &whole}
+		completed := entry.finished()
+		return Verdict{Finished: &completed}
 	case Impossible:
 		entry.phase = settled
 		return Verdict{Dead: true}
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// observe takes in the time to one event.
+// observe records the time to one event.
 func (s *samplerState) observe(gap, fleet time.Duration) {
 	s.pace, s.observed = s.expectedPace(fleet), true
 	s.pace += time.Duration(paceWeight * float64(gap-s.pace))
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Samplers takes in the list of samplers. What is known of each is kept.
+// Samplers applies the list of samplers. What is known of each is kept.
 func (s *Scheduler) Samplers(listed []Sampler) {
 	present := make(map[string]struct{}, len(listed))
 	for _, sampler := range listed {
--- a/internal/schedule/saved.go
+++ b/internal/schedule/saved.go
@@ -28,7 +28,7 @@
 // Unsaved returns the text that the log does not keep yet of every running
 // item that has made at least minEvents events since, and counts it as sent. A
 // part that was not read back in time is sent again with all that is before it:
-// the log may have lost it, or another executor may have begun the item anew.
+// the log may have lost it, or another executor may have started the item anew.
 func (s *Scheduler) Unsaved(minEvents uint64, log Saved, now time.Time) map[string][]Part {
 	unsaved := make(map[string][]Part)
 	for _, key := range s.runningKeys() {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -35,7 +35,7 @@
 	// ahead holds text of unfinished items for later jobs, by item id.
 	ahead  map[string]*item
 	demand demand
-	// usualEvents is a moving average of the length of whole texts.
+	// usualEvents is a moving average of the length of complete texts.
 	usualEvents float64
 }
 
@@ -57,13 +57,13 @@
 
 // Kept finds text of items from earlier runs.
 type Kept interface {
-	// Begun returns the text of an item that was not finished.
-	Begun(itemID string) (Begun, bool)
+	// Partial returns the text of an item that was not finished.
+	Partial(itemID string) (Partial, bool)
 	Finished(itemID string) (ledger.Result, bool)
 }
 
-// Begun is the kept text of an item that was not finished.
-type Begun struct {
+// Partial is the kept text of an item that was not finished.
+type Partial struct {
 	// ID names the last part of the text in the log.
 	ID       uint64
 	Events   uint64
@@ -71,7 +71,7 @@
 	Versions []uint64
 }
 
-// AddJob takes in an open job with its items. It returns the items whose text is
+// AddJob records an open job with its items. It returns the items whose text is
 // whole already, which need only their score, and the runs to stop.
 func (s *Scheduler) AddJob(open *ledger.Job, items []*pathbendv1.BatchItem, policy Policy, kept Kept) (finished []Finished, stopped []Key) {
 	if _, known := s.jobs[open.ID]; known {
@@ -88,12 +88,12 @@
 		entry := &item{key: key, spec: spec, job: added}
 		s.items[key] = entry
 		added.items = append(added.items, entry)
-		whole, reused := entry.reuse(kept)
+		completed, reused := entry.reuse(kept)
 		if reused {
-			finished = append(finished, whole)
+			finished = append(finished, completed)
 		}
 		stopped = append(stopped, s.takeAhead(entry)...)
-		if !reused && entry.aheadWhole {
+		if !reused && entry.aheadComplete {
 			entry.phase = scoring
 			finished = append(finished, entry.finished())
 		}
@@ -115,20 +115,20 @@
 	}
 }
 
-// reuse takes over text of an earlier run, whole or in part.
+// reuse takes over text of an earlier run, in full or in part.
 func (i *item) reuse(kept Kept) (Finished, bool) {
 	if done, ok := kept.Finished(i.key.Item); ok && i.job.fits(done.Versions) && len(done.Versions) > 0 {
 		i.versions = done.Versions
 		i.phase = scoring
-		whole := i.finished()
-		whole.Kept = done.Text
+		completed := i.finished()
+		completed.Kept = done.Text
 		if done.RewardID == i.spec.GetReward().GetId() {
-			whole.Score = done.Score
+			completed.Score = done.Score
 		}
-		return whole, true
+		return completed, true
 	}
-	if begun, ok := kept.Begun(i.key.Item); ok {
-		i.resume(begun)
+	if partial, ok := kept.Partial(i.key.Item); ok {
+		i.resume(partial)
 	}
 	return Finished{}, false
 }
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -16,11 +16,11 @@
 
 // kept is text of earlier runs.
 type kept struct {
-	begun    map[string]Begun
+	partial  map[string]Partial
 	finished map[string]ledger.Result
 }
 
-func (k kept) Begun(id string) (Begun, bool)            { p, ok := k.begun[id]; return p, ok }
+func (k kept) Partial(id string) (Partial, bool)        { p, ok := k.partial[id]; return p, ok }
 func (k kept) Finished(id string) (ledger.Result, bool) { r, ok := k.finished[id]; return r, ok }
 
 // saved tells which part of an item's text the log holds last.
@@ -163,7 +163,7 @@
 	require.NotEqual(t, first.Sampler.ID, second.Sampler.ID)
 	require.False(t, b.feed(first, 4, 4, 3), "the former run is over")
 	require.True(t, b.feed(second, 4, 4, 4))
-	verdict := b.s.RunEnded(second.Key, second.Run, Whole, b.now)
+	verdict := b.s.RunEnded(second.Key, second.Run, Complete, b.now)
 	require.Equal(t, "1\n2\n3\n4", string(verdict.Finished.Text))
 	require.Equal(t, []uint64{3, 4}, verdict.Finished.Versions)
 }
@@ -244,7 +244,7 @@
 
 func TestKeptTextIsUsedIfItsVersionsFit(t *testing.T) {
 	earlier := kept{
-		begun: map[string]Begun{
+		partial: map[string]Partial{
 			"j-0": {ID: 9, Events: 2, Text: []byte("1\n2"), Versions: []uint64{4}},
 			"j-1": {ID: 8, Events: 2, Text: []byte("1\n2"), Versions: []uint64{2}},
 		},
@@ -297,7 +297,7 @@
 	passed, stopped := b.s.Settled(Key{Job: "k", Item: "k-0"})
 	require.Len(t, stopped, 1)
 	require.Equal(t, 1, passed.Runs)
-	require.NotZero(t, passed.Begun)
+	require.NotZero(t, passed.Started)
 	_, stopped = b.s.Settled(Key{Job: "k", Item: "k-0"})
 	require.Empty(t, stopped)
 	require.Equal(t, 1, b.s.Loads()[0].Running)
@@ -360,7 +360,7 @@
 	require.Empty(t, b.s.Moves(b.now.Add(time.Second+moveAfter)))
 }
 
-// A short item of the job that is due next would be whole in time either way.
+// A short item of the job that is due next would be complete in time either way.
 func TestLongItemOfALaterJobGoesBeforeAShortOneOfAnEarlier(t *testing.T) {
 	b := newBench(t, sampler("s", 10, 1))
 	b.addJob(b.jobOf("soon", 1, "g:45"), policy(5*time.Second), kept{})
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -13,7 +13,7 @@
 	// pollWait is how long one read waits at the service for a record. It also
 	// bounds how long a follower that hears nothing counts as current.
 	pollWait = 600 * time.Millisecond
-	// readTimeout is added to pollWait to bound a whole read.
+	// readTimeout is added to pollWait to bound an entire read.
 	readTimeout = 700 * time.Millisecond
 	// bulkTimeout bounds a read of records that are there already.
 	bulkTimeout = 2 * time.Second
@@ -92,7 +92,7 @@
 	Log       Log
 	Partition Partition
 	Observer  Observer
-	// Apply takes in records in order; offset is that of the first.
+	// Apply applies records in order; offset is that of the first.
 	Apply func(offset uint64, records [][]byte)
 	// Pause is waited after a read that returned records, so that several join
 	// one read; none if it is nil.
@@ -113,11 +113,11 @@
 		wait.For(ctx, retryPause)
 	}
 	for ctx.Err() == nil {
-		whole, err := f.step(ctx, pollWait)
+		caughtUp, err := f.step(ctx, pollWait)
 		switch {
 		case err != nil:
 			wait.For(ctx, retryPause)
-		case whole:
+		case caughtUp:
 			rest(ctx, f.Pause)
 		}
 	}
@@ -175,8 +175,8 @@
 
 func (f *Follower) catchUp(ctx context.Context) error {
 	for {
-		whole, err := f.step(ctx, 0)
-		if err != nil || whole {
+		caughtUp, err := f.step(ctx, 0)
+		if err != nil || caughtUp {
 			return err
 		}
 	}
@@ -184,7 +184,7 @@
 
 // step makes one read. It reports whether every record was read: one read
 // returns a bounded part of what is there.
-func (f *Follower) step(ctx context.Context, poll time.Duration) (whole bool, err error) {
+func (f *Follower) step(ctx context.Context, poll time.Duration) (caughtUp bool, err error) {
 	f.reading.Lock()
 	from := f.next
 	f.reading.Unlock()
@@ -259,8 +259,8 @@
 	Log       Log
 	Partition Partition
 	Observer  Observer
-	// Reset takes in the newest record of every key; keys that are missing are
-	// dropped. Apply takes in later records in order.
+	// Reset applies the newest record of every key; keys that are missing are
+	// dropped. Apply applies later records in order.
 	Reset  func(records []KeyedRecord)
 	Apply  func(records []KeyedRecord)
 	Pause  func() time.Duration
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -31,18 +31,18 @@
 // Roll decides which samplers change their weights when. Loads are scarce: only
 // a part of the samplers changes at once, since more would slow each other's
 // loads down, and a new version of each model comes every few seconds. So each
-// model has homes, and only they follow its versions; the other samplers keep
-// what they have. Of the homes an equal share of the fleet takes each version.
-// Where jobs allow the version before the newest, a model has twice as many homes
+// model has replicas, and only they follow its versions; the other samplers keep
+// what they have. Of the replicas an equal share of the fleet takes each version.
+// Where jobs allow the version before the newest, a model has twice as many replicas
 // if there are so many, and they take turns: half of them serve the newest
-// version, half the one before. No model has many more homes than its work needs:
+// version, half the one before. No model has many more replicas than its work needs:
 // an order to a sampler that then has nothing to do is of no use. A Roll is pure and not safe for concurrent use.
 type Roll struct {
 	// Least is the number of changes that may be under way in the smallest fleet.
 	Least int
 
-	homes map[string]map[string]struct{} // by sampler: its models
-	// share is the number of homes of a model that take each version.
+	replicas map[string]map[string]struct{} // by sampler: its models
+	// share is the number of replicas of a model that take each version.
 	share map[string]int
 	// slack is how many versions behind the newest the jobs of a model allow.
 	slack map[string]uint64
@@ -63,14 +63,14 @@
 	// its models over; it gets them back after rollRecovery.
 	failuresToLeave = 2
 	rollRecovery    = 5 * time.Second
-	// leastHomes is how many samplers follow a model at least, so that the loss
+	// minReplicas is how many samplers follow a model at least, so that the loss
 	// of one does not stop it.
-	leastHomes = 2
-	// homeRoom is how many times the work that is wanted at once the homes of a
+	minReplicas = 2
+	// replicaHeadroom is how many times the work that is wanted at once the replicas of a
 	// version have slots for: few runs beside each other go faster, samplers fail,
 	// and a part of them is loading (chosen; binds only where samplers are plenty).
-	homeRoom = 2
-	// turns is the number of parts of a model's homes that take versions in turn.
+	replicaHeadroom = 2
+	// turns is the number of parts of a model's replicas that take versions in turn.
 	turns = 2
 )
 
@@ -153,13 +153,13 @@
 // that is asked from now on.
 func (r *Roll) tooOld(step Step, lag uint64) bool { return lag > r.slack[step.Model] }
 
-// fresh counts the homes of each model that serve its newest version or are on
+// fresh counts the replicas of each model that serve its newest version or are on
 // their way to it.
 func (r *Roll) fresh(members []Member, targets map[string]uint64) map[string]int {
 	fresh := make(map[string]int)
 	for _, member := range members {
 		moving := r.moving[member.ID]
-		for model := range r.homes[member.ID] {
+		for model := range r.replicas[member.ID] {
 			if member.Versions[model] >= targets[model] || moving.Model == model && moving.Version >= targets[model] {
 				fresh[model]++
 			}
@@ -168,7 +168,7 @@
 	return fresh
 }
 
-// Allow takes in how many versions behind the newest a job of a model allows. The
+// Allow records how many versions behind the newest a job of a model allows. The
 // latest step counts: jobs that were taken over may come in any order, and an older
 // one allows more by now.
 func (r *Roll) Allow(model string, step, slack uint64) {
@@ -178,7 +178,7 @@
 	r.latest[model], r.slack[model] = step, slack
 }
 
-// Want takes in the most work of each model that was wanted at once of late. A model
+// Want records the most work of each model that was wanted at once of late. A model
 // that is missing takes its even share of the fleet.
 func (r *Roll) Want(demand map[string]int) { r.demand = demand }
 
@@ -187,7 +187,7 @@
 	return !member.Leaving && (r.failures[member.ID] < failuresToLeave || !now.Before(r.notBefore[member.ID]))
 }
 
-// settle keeps the number of homes of each model even, with as few changes as
+// settle keeps the number of replicas of each model even, with as few changes as
 // it takes.
 func (r *Roll) settle(now time.Time, members []Member, targets map[string]uint64) {
 	able := make(map[string]Member)
@@ -196,9 +196,9 @@
 			able[member.ID] = member
 		}
 	}
-	for id := range r.homes {
+	for id := range r.replicas {
 		if _, ok := able[id]; !ok {
-			delete(r.homes, id)
+			delete(r.replicas, id)
 		}
 	}
 	models := slices.Sorted(maps.Keys(targets))
@@ -217,22 +217,22 @@
 			hosts = append(hosts, id)
 		}
 	}
-	share := min(max((len(hosts)+models-1)/models, leastHomes), len(hosts))
+	share := min(max((len(hosts)+models-1)/models, minReplicas), len(hosts))
 	if wanted, known := r.demand[model]; known {
-		share = min(share, max(homesFor(wanted, hosts, able), leastHomes))
+		share = min(share, max(replicasFor(wanted, hosts, able), minReplicas))
 	}
 	wanted := share
 	if r.slack[model] > 0 {
 		wanted = min(turns*share, len(hosts))
-		share = max((wanted+turns-1)/turns, min(leastHomes, wanted))
+		share = max((wanted+turns-1)/turns, min(minReplicas, wanted))
 	}
 	r.share[model] = share
-	r.addHomes(model, hosts, able, target, wanted)
-	r.dropHomes(model, hosts, able, wanted)
+	r.addReplicas(model, hosts, able, target, wanted)
+	r.dropReplicas(model, hosts, able, wanted)
 }
 
-// homesFor returns how many samplers have room for an amount of work.
-func homesFor(wanted int, hosts []string, able map[string]Member) int {
+// replicasFor returns how many samplers have room for an amount of work.
+func replicasFor(wanted int, hosts []string, able map[string]Member) int {
 	slots := 0
 	for _, id := range hosts {
 		slots += able[id].Slots
@@ -240,65 +240,65 @@
 	if slots == 0 {
 		return len(hosts)
 	}
-	return (wanted*homeRoom*len(hosts) + slots - 1) / slots
+	return (wanted*replicaHeadroom*len(hosts) + slots - 1) / slots
 }
 
-// addHomes gives a model more homes: samplers with the fewest models, then
+// addReplicas gives a model more replicas: samplers with the fewest models, then
 // those with the newest version.
-func (r *Roll) addHomes(model string, hosts []string, able map[string]Member, target uint64, wanted int) {
+func (r *Roll) addReplicas(model string, hosts []string, able map[string]Member, target uint64, wanted int) {
 	for count := r.count(model, hosts); count < wanted; count++ {
 		best := ""
 		for _, id := range hosts {
-			if r.isHome(id, model) {
+			if r.isReplica(id, model) {
 				continue
 			}
 			if best == "" || cmp.Or(
-				cmp.Compare(len(r.homes[id]), len(r.homes[best])),
+				cmp.Compare(len(r.replicas[id]), len(r.replicas[best])),
 				cmp.Compare(target-able[id].Versions[model], target-able[best].Versions[model]),
 			) < 0 {
 				best = id
 			}
 		}
-		if r.homes[best] == nil {
-			r.homes[best] = make(map[string]struct{})
+		if r.replicas[best] == nil {
+			r.replicas[best] = make(map[string]struct{})
 		}
-		r.homes[best][model] = struct{}{}
+		r.replicas[best][model] = struct{}{}
 	}
 }
 
-// dropHomes takes homes away from a model that has too many: samplers with the
+// dropReplicas takes replicas away from a model that has too many: samplers with the
 // most models, then those with the oldest version.
-func (r *Roll) dropHomes(model string, hosts []string, able map[string]Member, wanted int) {
+func (r *Roll) dropReplicas(model string, hosts []string, able map[string]Member, wanted int) {
 	for count := r.count(model, hosts); count > wanted; count-- {
 		worst := ""
 		for _, id := range hosts {
-			if !r.isHome(id, model) {
+			if !r.isReplica(id, model) {
 				continue
 			}
 			if worst == "" || cmp.Or(
-				cmp.Compare(len(r.homes[worst]), len(r.homes[id])),
+				cmp.Compare(len(r.replicas[worst]), len(r.replicas[id])),
 				cmp.Compare(able[id].Versions[model], able[worst].Versions[model]),
 			) < 0 {
 				worst = id
 			}
 		}
-		delete(r.homes[worst], model)
+		delete(r.replicas[worst], model)
 	}
 }
 
 func (r *Roll) count(model string, hosts []string) int {
 	count := 0
 	for _, id := range hosts {
-		if r.isHome(id, model) {
+		if r.isReplica(id, model) {
 			count++
 		}
 	}
 	return count
 }
 
-func (r *Roll) isHome(samplerID, model string) bool {
-	_, home := r.homes[samplerID][model]
-	return home
+func (r *Roll) isReplica(samplerID, model string) bool {
+	_, replica := r.replicas[samplerID][model]
+	return replica
 }
 
 // stepsFor returns the steps that would bring a member up to date.
@@ -307,7 +307,7 @@
 		return nil
 	}
 	var steps []Step
-	for model := range r.homes[member.ID] {
+	for model := range r.replicas[member.ID] {
 		if member.Versions[model] < targets[model] {
 			steps = append(steps, Step{SamplerID: member.ID, Model: model, Version: targets[model]})
 		}
@@ -336,7 +336,7 @@
 
 // Forget drops what is known of orders under way, when another node takes over.
 func (r *Roll) Forget() {
-	r.homes = make(map[string]map[string]struct{})
+	r.replicas = make(map[string]map[string]struct{})
 	r.share = make(map[string]int)
 	r.slack = make(map[string]uint64)
 	r.latest = make(map[string]uint64)
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -129,7 +129,7 @@
 	require.Equal(t, []Step{{SamplerID: "s0", Model: "a", Version: 2}}, roll.Next(now, members, targets))
 }
 
-// A fleet of 35 samplers with three models changed two at a time: twelve homes
+// A fleet of 35 samplers with three models changed two at a time: twelve replicas
 // took seven seconds, and a new version came every four.
 func TestLargerFleetChangesAPartOfItAtOnce(t *testing.T) {
 	now := time.Unix(100, 0)
@@ -139,7 +139,7 @@
 	require.Len(t, NewRoll(2).Next(now, membersOf(9, map[string]uint64{"a": 1}), map[string]uint64{"a": 2}), 2)
 }
 
-// Half of the samplers idled while a model's nine homes had a queue: jobs allow
+// Half of the samplers idled while a model's nine replicas had a queue: jobs allow
 // the version before the newest, so twice as many samplers can serve them for the
 // same number of loads.
 func TestHomesTakeTurnsWhereJobsAllowTheVersionBefore(t *testing.T) {
@@ -239,7 +239,7 @@
 	require.Equal(t, 14, play(roll, now, members, targets), "84 slots for 40 items")
 	roll.Want(map[string]int{"a": 1})
 	targets["a"] = 3
-	require.Equal(t, leastHomes, play(roll, now, members, targets))
+	require.Equal(t, minReplicas, play(roll, now, members, targets))
 	roll.Want(map[string]int{"a": 4000})
 	targets["a"] = 4
 	require.Equal(t, 150, play(roll, now, members, targets), "its even share, if that is less")
--- a/internal/weights/versions.go
+++ b/internal/weights/versions.go
@@ -21,7 +21,7 @@
 // NewVersions returns an empty register.
 func NewVersions() *Versions { return &Versions{highest: make(map[ModelKey]uint64)} }
 
-// Raise takes in a version and reports whether it is the highest so far.
+// Raise records a version and reports whether it is the highest so far.
 func (v *Versions) Raise(key ModelKey, version uint64) bool {
 	if version <= v.highest[key] {
 		return false
