Learn how many tokens an event holds; expect items past their guess to go on

Change: tokens an event are learned from complete texts, from a prior of 45 that some ten items outweigh; an item is expected to make at least 0.15 of what it has made. The order of items and the worth of a move both use it.

--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -152,9 +152,3 @@
 	}
 	return versions[0] >= j.spec.MinVersion
 }
-
-// remaining estimates the events that are still to come.
-func (i *item) remaining(tokensPerEvent float64) float64 {
-	expected := float64(i.spec.ExpectedTokens) / tokensPerEvent
-	return max(expected-float64(i.events), 1)
-}
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -15,8 +15,6 @@
 	moveAfter = 400 * time.Millisecond
 	// moveWorth is the time that a move must save.
 	moveWorth = 400 * time.Millisecond
-	// assumedTokensPerEvent serves to turn expected tokens into events.
-	assumedTokensPerEvent = 45
 )
 
 // Move is a run to stop so that the item goes on elsewhere.
@@ -98,6 +96,6 @@
 	}
 	there := max(best.expectedPace(s.fleetPace), brisk)
 	gain := float64(entry.sampler.pace) - float64(there)
-	saved := time.Duration(gain * entry.remaining(assumedTokensPerEvent))
+	saved := time.Duration(gain * s.lengths.remaining(entry))
 	return float64(entry.sampler.pace) > moveRatio*float64(there) && saved > moveWorth
 }
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -73,7 +73,7 @@
 }
 
 func (s *Scheduler) latestStart(entry *item) time.Time {
-	needed := time.Duration(entry.remaining(assumedTokensPerEvent) * float64(s.fleetPace))
+	needed := time.Duration(s.lengths.remaining(entry) * float64(s.fleetPace))
 	if entry.carried {
 		needed += carriedLead
 	}
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -143,6 +143,7 @@
 		entry.phase = scoring
 		entry.milestones.Completed, entry.milestones.Events = now, entry.events
 		s.noteLength(entry.events)
+		s.lengths.note(entry.spec.ExpectedTokens, entry.events)
 		completed := entry.finished()
 		return Verdict{Finished: &completed}
 	case Impossible:
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -33,8 +33,9 @@
 	// carries tells of which models jobs bring groups of earlier jobs again.
 	carries map[string]bool
 	// ahead holds text of unfinished items for later jobs, by item id.
-	ahead  map[string]*item
-	demand demand
+	ahead   map[string]*item
+	demand  demand
+	lengths lengths
 	// usualEvents is a moving average of the length of complete texts.
 	usualEvents float64
 }
@@ -44,6 +45,7 @@
 	return &Scheduler{
 		newID:      newID,
 		fleetPace:  initialPace,
+		lengths:    newLengths(),
 		jobs:       make(map[string]*job),
 		items:      make(map[Key]*item),
 		samplers:   make(map[string]*samplerState),
