Play the removal of the executor's machine in the simulation

The simulation had no such kind: a killed node always came back under its name and took its share up again.

node_replaced removes the machine that gave the last order for good; another one with another name and address comes seconds later. TestReplacedExecutorStopsNoModel plays it twice and asks that both models go on. Cause: the stand-in store told expired members of a group as owners, so nobody ever took a lost executor's share over; the users' store does not.

--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -138,9 +138,11 @@
 			carried = c.unfinished(job, document, wanted/2, size)
 			if whole >= wanted {
 				c.world.Truth.Count("steps whole")
+				c.world.Truth.Count("steps whole of " + model)
 			}
 		}
 		c.world.Truth.Count("steps")
+		c.world.Truth.Count("steps of " + model)
 		c.world.nameVersion(model, step+1)
 		wait.Until(ctx, began.Add(stepInterval))
 	}
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -36,6 +36,7 @@
 	SamplerLateOrders
 	ConfigChange
 	StoreForgets
+	NodeReplaced
 	faultKinds
 )
 
@@ -43,7 +44,7 @@
 	"node_kill", "node_freeze", "node_cut_from_store", "node_cut_from_all", "node_term", "herd_kill", "kill_all",
 	"store_down", "store_silent", "store_slow", "store_lost", "store_late", "store_rebalance",
 	"sampler_crash", "sampler_slow", "sampler_cut", "sampler_fail", "sampler_surplus", "sampler_replaced", "sampler_late_orders",
-	"config_change", "store_forgets",
+	"config_change", "store_forgets", "node_replaced",
 }
 
 // String implements fmt.Stringer.
@@ -77,15 +78,16 @@
 
 // Inject carries a fault out and heals it.
 func (w *World) Inject(fault Fault) {
-	node := w.nodes[fault.Target%uint64(len(w.nodes))]
+	nodes := w.present()
+	node := nodes[fault.Target%uint64(len(nodes))]
 	machine := w.samplers[fault.Target%uint64(len(w.samplers))]
 	switch fault.Kind {
 	case NodeKill:
 		w.killFor(fault, node)
 	case HerdKill:
-		w.killFor(fault, w.nodes[:len(w.nodes)*2/3]...)
+		w.killFor(fault, nodes[:len(nodes)*2/3]...)
 	case KillAll:
-		w.killFor(fault, w.nodes...)
+		w.killFor(fault, nodes...)
 	case NodeTerm:
 		w.term(node)
 	case NodeFreeze:
@@ -102,6 +104,8 @@
 		w.PutConfig(int(fault.Target % 50))
 	case StoreRebalance:
 		w.Store.Rebalance()
+	case NodeReplaced:
+		w.replaceNode(fault, w.lastToOrder(node))
 	case StoreForgets:
 		w.Store.Forget(platform.TopicOperator)
 		w.Store.Forget(platform.TopicSamplers)
@@ -177,6 +181,38 @@
 	}
 }
 
+// lastToOrder returns the node that gave the last order, or another if none did.
+func (w *World) lastToOrder(other *nodeMachine) *nodeMachine {
+	holder := w.Truth.lastHolder()
+	for _, machine := range w.present() {
+		if machine.name == holder {
+			return machine
+		}
+	}
+	return other
+}
+
+// replaceNode removes a node's machine for good. Another one, empty and with another
+// name and address, comes in its place.
+func (w *World) replaceNode(fault Fault, machine *nodeMachine) {
+	w.mutex.Lock()
+	gone := machine.down || machine.removed
+	machine.removed = true
+	w.mutex.Unlock()
+	if gone {
+		return
+	}
+	w.disturb(fault, machine.name)
+	w.kill(machine)
+	time.Sleep(fault.For)
+	next := &nodeMachine{name: machine.name + "-next", zone: machine.zone}
+	w.mutex.Lock()
+	w.nodes = append(w.nodes, next)
+	w.mutex.Unlock()
+	w.startNode(next)
+	w.healed(next.name)
+}
+
 // term stops a node as planned work does and starts it again.
 func (w *World) term(machine *nodeMachine) {
 	w.mutex.Lock()
@@ -196,7 +232,7 @@
 
 func (w *World) others(name string) []string {
 	others := []string{"store"}
-	for _, machine := range w.nodes {
+	for _, machine := range w.present() {
 		if machine.name != name {
 			others = append(others, machine.name)
 		}
--- a/internal/platformsim/group.go
+++ b/internal/platformsim/group.go
@@ -57,11 +57,7 @@
 }
 
 func (g *group) join(document platform.JoinDocument, now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(g.members)) {
-		if now.After(g.members[name].expires) {
-			g.remove(name)
-		}
-	}
+	g.expire(now)
 	member, known := g.members[document.Member]
 	if !known {
 		member = &groupMember{}
@@ -74,6 +70,15 @@
 	g.pass()
 }
 
+// expire drops the members that were silent for too long.
+func (g *group) expire(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(g.members)) {
+		if now.After(g.members[name].expires) {
+			g.remove(name)
+		}
+	}
+}
+
 func (g *group) remove(name string) {
 	if _, known := g.members[name]; !known {
 		return
@@ -173,6 +178,7 @@
 	defer s.mutex.Unlock()
 	document := platform.OwnersDocument{Parts: [][]json.RawMessage{}}
 	if dealing := s.groups[request.URL.Query().Get(platform.QueryGroup)]; dealing != nil {
+		dealing.expire(time.Now())
 		document.Parts = dealing.owners()
 	}
 	writeDocument(writer, document)
--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -115,3 +115,21 @@
 		})
 	}
 }
+
+// "Since then, when a machine comes back empty at another address, batches of two
+// models stop and the trainer sits idle" (letter on size). The machine is the one that
+// executes and orders, removed for good.
+func TestReplacedExecutorStopsNoModel(t *testing.T) {
+	faults := []Fault{
+		{Kind: NodeReplaced, At: 8 * time.Second, For: 2 * time.Second},
+		{Kind: NodeReplaced, At: 26 * time.Second, For: 4 * time.Second},
+	}
+	world := play(t, example(300, nil), faults)
+	require.Empty(t, world.Truth.Violations())
+	counts := world.Truth.counts
+	for _, model := range []string{"m1", "m2"} {
+		require.GreaterOrEqual(t, counts["steps of "+model], 15, counts)
+		// A step in each loss may run out of its time; none after it does.
+		require.GreaterOrEqual(t, counts["steps whole of "+model], counts["steps of "+model]-len(faults), "%s: %v", model, counts)
+	}
+}
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -42,6 +42,8 @@
 	disturbed map[string]time.Time
 	// gone is when a sampler was last acknowledged as draining or gone.
 	gone map[string]time.Time
+	// orderedBy is who gave the last order.
+	orderedBy string
 	// ordersExcused is until when orders are not judged.
 	ordersExcused time.Time
 	counts        map[string]int
@@ -215,6 +217,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
+	t.orderedBy = holder
 	if now.Before(t.ordersExcused) {
 		return
 	}
@@ -233,6 +236,12 @@
 	t.counts["orders"]++
 }
 
+func (t *Truth) lastHolder() string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.orderedBy
+}
+
 // ExcuseOrders leaves orders out until a time: a machine that was thawed, or whose
 // link was healed, may send what it held.
 func (t *Truth) ExcuseOrders(until time.Time) {
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -77,6 +77,8 @@
 	name, zone string
 	process    NodeProcess
 	down       bool
+	// removed is set once the machine is gone for good.
+	removed bool
 }
 
 // samplerMachine is a machine that runs a sampler.
@@ -195,12 +197,19 @@
 	return w.nodes[random.IntN(len(w.nodes))].name
 }
 
+// present returns the nodes whose machines were not removed.
+func (w *World) present() []*nodeMachine {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(w.nodes), func(machine *nodeMachine) bool { return machine.removed })
+}
+
 // WatchReadiness asks every node each second whether it is ready.
 func (w *World) WatchReadiness(ctx context.Context) {
 	asker := w.newCaller("entry", zones[0], "", 0)
 	for ctx.Err() == nil {
 		var ready []string
-		for _, machine := range w.nodes {
+		for _, machine := range w.present() {
 			askCtx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 			request, err := http.NewRequestWithContext(askCtx, http.MethodGet, "http://"+w.network.Readiness(machine.name)+platform.PathReady, nil)
 			if err != nil {
@@ -309,7 +318,7 @@
 // healed.
 func (w *World) JudgeEnd(ctx context.Context) {
 	reader := w.newCaller("judge", zones[0], host, 99)
-	for _, machine := range w.nodes {
+	for _, machine := range w.present() {
 		w.mutex.Lock()
 		w.ready = []string{machine.name}
 		w.mutex.Unlock()
@@ -342,7 +351,7 @@
 
 // Close ends everything.
 func (w *World) Close() {
-	for _, machine := range w.nodes {
+	for _, machine := range w.present() {
 		w.kill(machine)
 	}
 	for _, server := range w.servers {
@@ -372,8 +381,8 @@
 
 // Nodes returns the names of the nodes' machines.
 func (w *World) Nodes() []string {
-	names := make([]string, 0, len(w.nodes))
-	for _, machine := range w.nodes {
+	var names []string
+	for _, machine := range w.present() {
 		names = append(names, machine.name)
 	}
 	return names
