Leave a node that does not answer: Go client and load tool

Cause: the client preferred the node that answered last until another one answered. A frozen machine takes requests and answers none, so each request went there first and waited for all of its time; the load tool used its first address only.

Change: a node that did not answer is asked last for 2 s; an attempt that may be repeated elsewhere takes at most a third of the time left; what must not be repeated fails as unknown, and the next request goes elsewhere. Client.Call ends 250 ms after the deadline that it states. Options.Spread begins each request at the next address; the load tool sets it.

Tests: TestSilentNodeIsLeft and three more.

--- a/client/client.go
+++ b/client/client.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +23,9 @@
 	// Addresses are the HTTP addresses of nodes, host:port, nearest first.
 	Addresses []string
 	Tenant    string
+	// Spread begins each request at the next address instead of the one that
+	// answered last, as many callers together would.
+	Spread bool
 	// MaxAttempts bounds the sends of one request; 0 means DefaultMaxAttempts.
 	MaxAttempts int
 	// Network replaces the operating system's, as in simulations.
@@ -50,8 +52,7 @@
 type Client struct {
 	options Options
 	http    *http.Client
-	// preferred is the index of the node that answered last.
-	preferred atomic.Int64
+	nodes   *nodes
 }
 
 // New returns a client.
@@ -63,7 +64,10 @@
 		options.Network = network.TCP{}
 	}
 	transport := network.NewTransport(options.Network, maxIdlePerNode)
-	return &Client{options: options, http: &http.Client{Transport: transport}}
+	return &Client{
+		options: options, http: &http.Client{Transport: transport},
+		nodes: newNodes(options.Addresses, options.Spread),
+	}
 }
 
 // Close releases idle connections.
@@ -132,9 +136,18 @@
 	}
 	path := "/v1/tenants/" + c.options.Tenant + "/routes/" + request.Route + request.Path
 	mayRepeat := request.Repeatable || request.IdempotencyKey != ""
+	if request.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, request.Timeout+answerMargin)
+		defer cancel()
+	}
 	return c.send(ctx, request.Method, path, request.header(), request.Body, mayRepeat)
 }
 
+// answerMargin is left for the service's own answer at the deadline that was stated to
+// it (chosen: some round trips between regions).
+const answerMargin = 250 * time.Millisecond
+
 func (r *Request) header() http.Header {
 	header := r.Header.Clone()
 	if header == nil {
@@ -155,19 +168,25 @@
 	return header
 }
 
-// send tries nodes in turn. maybeRun remembers that an attempt may have run, so
+// send tries nodes in turn, those last that lately did not answer. maybeRun remembers that an attempt may have run, so
 // that a later refusal is not reported as not run.
 func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, mayRepeat bool) (*Response, error) {
 	var maybeRun *Error
 	var latest *Error
+	order := c.nodes.order(time.Now())
 	for attempt := 1; attempt <= c.options.MaxAttempts; attempt++ {
-		node := (int(c.preferred.Load()) + attempt - 1) % len(c.options.Addresses)
-		response, failure := c.exchange(ctx, c.options.Addresses[node], method, path, header, body)
+		node := order[(attempt-1)%len(order)]
+		attemptCtx, cancel := c.attemptContext(ctx, mayRepeat && attempt < c.options.MaxAttempts)
+		response, failure := c.exchange(attemptCtx, c.options.Addresses[node], method, path, header, body)
+		cancel()
 		if failure == nil {
-			c.preferred.Store(int64(node))
+			c.nodes.answered(node)
 			response.Attempts = attempt
 			return response, nil
 		}
+		if failure.Code == 0 {
+			c.nodes.silent(node, time.Now())
+		}
 		latest = failure
 		if failure.Run == Unknown {
 			maybeRun = failure
@@ -184,6 +203,19 @@
 	return nil, latest
 }
 
+// attemptParts is the part of the time left that an attempt may take after which
+// another node may be asked: a node may be frozen, and takes requests all the same.
+const attemptParts = 3
+
+// attemptContext bounds an attempt that may be repeated elsewhere.
+func (c *Client) attemptContext(ctx context.Context, mayRepeat bool) (context.Context, context.CancelFunc) {
+	deadline, bounded := ctx.Deadline()
+	if !mayRepeat || !bounded || len(c.options.Addresses) == 1 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/attemptParts)
+}
+
 // retryable reports whether another attempt is safe and may help.
 func retryable(failure *Error, mayRepeat bool) bool {
 	permanent := failure.Code >= 1000 && failure.Code < 2000 || failure.Code >= 4000 && failure.Code < 4003 || failure.Name == "key_outcome_lost"
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -168,3 +168,65 @@
 	require.Equal(t, int64(2), submits.Load(), "a lost job is submitted again")
 	require.Equal(t, []int{0, 1, 2}, job.Held())
 }
+
+// silentNode takes requests and never answers, as a frozen machine does.
+func silentNode(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	release := make(chan struct{})
+	address, count := node(t, func(http.ResponseWriter, *http.Request) { <-release })
+	t.Cleanup(func() { close(release) })
+	return address, count
+}
+
+// With the first of three nodes stopped for 8 s, 26 % of the requests were lost: each
+// went to it first and waited there for all of its time.
+func TestSilentNodeIsLeft(t *testing.T) {
+	silent, asked := silentNode(t)
+	healthy, served := node(t, fine)
+	c := New(Options{Addresses: []string{silent, healthy}, Tenant: "shop"})
+	defer c.Close()
+	for range 5 {
+		response, err := c.Call(t.Context(), Request{Route: "pay", Repeatable: true, Timeout: time.Second})
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.Status)
+	}
+	require.EqualValues(t, 1, asked.Load())
+	require.EqualValues(t, 5, served.Load())
+}
+
+func TestSilentNodeGetsNoSecondRequestThatMustNotBeRepeated(t *testing.T) {
+	silent, asked := silentNode(t)
+	healthy, _ := node(t, fine)
+	c := New(Options{Addresses: []string{silent, healthy}, Tenant: "shop"})
+	defer c.Close()
+	request := Request{Route: "pay", AtMostOnce: true, Timeout: 50 * time.Millisecond}
+	_, err := c.Call(t.Context(), request)
+	require.Equal(t, Unknown, err.(*Error).Run, "it may have run")
+	response, err := c.Call(t.Context(), request)
+	require.NoError(t, err)
+	require.Equal(t, 1, response.Attempts)
+	require.EqualValues(t, 1, asked.Load())
+}
+
+func TestSpreadRequestsUseAllNodes(t *testing.T) {
+	first, ofFirst := node(t, fine)
+	second, ofSecond := node(t, fine)
+	c := New(Options{Addresses: []string{first, second}, Tenant: "shop", Spread: true})
+	defer c.Close()
+	for range 6 {
+		_, err := c.Call(t.Context(), Request{Route: "pay", Repeatable: true})
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 3, ofFirst.Load())
+	require.EqualValues(t, 3, ofSecond.Load())
+}
+
+func TestNodeThatWasSilentIsAskedFirstAgainLater(t *testing.T) {
+	now := time.Unix(100, 0)
+	n := newNodes([]string{"a", "b", "c"}, false)
+	require.Equal(t, []int{0, 1, 2}, n.order(now))
+	n.silent(0, now)
+	require.Equal(t, []int{1, 2, 0}, n.order(now))
+	n.answered(1)
+	require.Equal(t, []int{1, 2, 0}, n.order(now.Add(avoidFor)))
+}
--- a/internal/labcommand/measure.go
+++ b/internal/labcommand/measure.go
@@ -47,7 +47,7 @@
 		truth.Blind = true // the executions happen in other processes
 		caller := &emulator.Caller{
 			Name: fmt.Sprintf("load-%d", time.Now().UnixNano()), Rate: rate, Truth: truth, Random: newRandom(),
-			Client: client.New(client.Options{Addresses: splitList(nodes), Tenant: tenant}),
+			Client: client.New(client.Options{Addresses: splitList(nodes), Tenant: tenant, Spread: true}),
 			Mix:    []emulator.RouteMix{{Route: route, Weight: 1, AtMostOnce: keyed, BodyBytes: body, Timeout: timeout}},
 		}
 		ctx, cancel := context.WithTimeout(command.Context(), duration)
