--- a/internal/hosted/directory_test.go
+++ b/internal/hosted/directory_test.go
@@ -118,8 +118,8 @@
 	return l.emptyLog.Read(ctx, partition, from, wait)
 }
 
-func (l *startLog) Newest(context.Context, sharedlog.Partition) (sharedlog.KeyedBatch, error) {
-	return sharedlog.KeyedBatch{Records: l.entries}, nil
+func (l *startLog) Newest(context.Context, sharedlog.Partition, string) (sharedlog.KeyedPage, error) {
+	return sharedlog.KeyedPage{KeyedBatch: sharedlog.KeyedBatch{Records: l.entries}}, nil
 }
 
 func (l *startLog) AppendKeyed(context.Context, sharedlog.Partition, []sharedlog.KeyedRecord) error {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -52,6 +52,9 @@
 
 	mutex    sync.Mutex
 	versions map[string]uint64
+	// configured is closed once the node knows routes.
+	configured     chan struct{}
+	configuredOnce sync.Once
 	// informed is closed once the node knows routes and samplers.
 	informed     chan struct{}
 	informedOnce sync.Once
@@ -70,6 +73,8 @@
 		exchanger: dispatch.NewExchanger(ports.Network),
 		versions:  make(map[string]uint64),
 		informed:  make(chan struct{}),
+
+		configured: make(chan struct{}),
 	}
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
@@ -189,10 +194,15 @@
 	if current == nil {
 		n.logger.Log(event.NodeReady, "version", taken.Version)
 	}
+	n.configuredOnce.Do(func() { close(n.configured) })
 	n.noteInformed()
 	n.executor.wake()
 }
 
+// Configured is closed once the node knows routes, which it needs before anything
+// else: what is larger is better read after them.
+func (n *Node) Configured() <-chan struct{} { return n.configured }
+
 func (n *Node) noteInformed() {
 	if n.catalog.Load() != nil && n.samplers.Load() != nil {
 		n.informedOnce.Do(func() { close(n.informed) })
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -93,8 +93,8 @@
 	return sharedlog.KeyedBatch{}, nil
 }
 
-func (emptyLog) Newest(context.Context, sharedlog.Partition) (sharedlog.KeyedBatch, error) {
-	return sharedlog.KeyedBatch{}, nil
+func (emptyLog) Newest(context.Context, sharedlog.Partition, string) (sharedlog.KeyedPage, error) {
+	return sharedlog.KeyedPage{}, nil
 }
 
 // An executor that had just restarted held the jobs for four seconds while it
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -252,69 +252,6 @@
 	f.next = max(f.next, first)
 }
 
-// KeyedFollower reads the newest record of every key, then follows the
-// partition. Records may be handed over again after a truncation; the receiver
-// must not move backwards.
-type KeyedFollower struct {
-	Log       Log
-	Partition Partition
-	Observer  Observer
-	// Reset applies the newest record of every key; keys that are missing are
-	// dropped. Apply applies later records in order.
-	Reset  func(records []KeyedRecord)
-	Apply  func(records []KeyedRecord)
-	Pause  func() time.Duration
-	Health Health
-}
-
-// Run follows the partition until ctx ends.
-func (f *KeyedFollower) Run(ctx context.Context) {
-	known := false
-	var next uint64
-	for ctx.Err() == nil {
-		began := time.Now()
-		batch, err := f.read(ctx, known, next)
-		switch {
-		case result.Is(err, result.LogTruncated):
-			known = false
-			continue
-		case err != nil:
-			if ctx.Err() == nil && f.Health.failed() {
-				f.Observer.ReadFailed(f.Partition, err)
-			}
-			wait.For(ctx, retryPause)
-			continue
-		case !known && batch.End < next:
-			// A stale answer: what was applied already goes further.
-			wait.For(ctx, retryPause)
-			continue
-		case !known:
-			f.Reset(batch.Records)
-			known, next = true, batch.End
-		case len(batch.Records) > 0:
-			f.Apply(batch.Records)
-			next = batch.Records[len(batch.Records)-1].Offset + 1
-		}
-		if regained, after := f.Health.answered(began); regained {
-			f.Observer.ReadRecovered(f.Partition, after)
-		}
-		rest(ctx, f.Pause)
-	}
-}
-
-func (f *KeyedFollower) read(ctx context.Context, known bool, next uint64) (KeyedBatch, error) {
-	poll, timeout := pollWait, pollWait+readTimeout
-	if known && f.Health.probes() {
-		poll, timeout = 0, probeTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !known {
-		return f.Log.Newest(ctx, f.Partition)
-	}
-	return f.Log.ReadKeyed(ctx, f.Partition, next, poll)
-}
-
 func rest(ctx context.Context, pause func() time.Duration) {
 	if pause != nil {
 		wait.For(ctx, pause())
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -85,7 +85,7 @@
 	return KeyedBatch{End: uint64(len(l.keyed)), Records: l.keyed[from:]}, nil
 }
 
-func (l *fakeLog) Newest(context.Context, Partition) (KeyedBatch, error) {
+func (l *fakeLog) Newest(context.Context, Partition, string) (KeyedPage, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	end := uint64(len(l.keyed))
@@ -93,7 +93,7 @@
 		end = l.staleEnd
 		l.staleEnd = 0
 	}
-	return KeyedBatch{End: end, Records: l.newest}, nil
+	return KeyedPage{KeyedBatch: KeyedBatch{End: end, Records: l.newest}}, nil
 }
 
 type silentObserver struct{ failed, recovered int }
--- /dev/null
+++ b/internal/sharedlog/keyed.go
@@ -0,0 +1,165 @@
+package sharedlog
+
+import (
+	"context"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/wait"
+)
+
+const (
+	// pageTimeout bounds the first attempt at a page of newest records, mostPageTimeout
+	// any later one: each attempt that runs out of time doubles it. When hundreds of
+	// nodes start at once, each waits for the pages of all others: 300 pages of 0.8 MB
+	// take 3 s at 80 MB a second, and one that is given up has cost the store as much.
+	pageTimeout     = pollWait + readTimeout
+	mostPageTimeout = 8 * time.Second
+)
+
+// KeyedFollower reads the newest record of every key, then follows the
+// partition. Records may be handed over again after a truncation; the receiver
+// must not move backwards.
+type KeyedFollower struct {
+	Log       Log
+	Partition Partition
+	Observer  Observer
+	// Reset applies the newest record of every key; keys that are missing are
+	// dropped. Apply applies later records in order.
+	Reset  func(records []KeyedRecord)
+	Apply  func(records []KeyedRecord)
+	Pause  func() time.Duration
+	Health Health
+
+	gathering gathering
+	// ahead holds, by key, the offset of records that were read ahead of next.
+	ahead map[string]uint64
+}
+
+// gathering is what was read of the newest records so far. Pages stay when a later
+// one fails.
+type gathering struct {
+	KeyedBatch
+	after   string
+	begun   bool
+	timeout time.Duration
+}
+
+// Run follows the partition until ctx ends.
+func (f *KeyedFollower) Run(ctx context.Context) {
+	known := false
+	var next uint64
+	for ctx.Err() == nil {
+		began := time.Now()
+		batch, err := f.read(ctx, known, next)
+		switch {
+		case result.Is(err, result.LogTruncated):
+			known = false
+			continue
+		case err != nil:
+			if ctx.Err() == nil && f.Health.failed() {
+				f.Observer.ReadFailed(f.Partition, err)
+			}
+			wait.For(ctx, retryPause)
+			continue
+		case !known && batch.End < next:
+			// A stale answer: what was applied already goes further.
+			wait.For(ctx, retryPause)
+			continue
+		case !known:
+			f.Reset(batch.Records)
+			known, next = true, batch.End
+		case len(batch.Records) > 0:
+			f.Apply(f.unread(batch.Records))
+			next = batch.Records[len(batch.Records)-1].Offset + 1
+		}
+		if regained, after := f.Health.answered(began); regained {
+			f.Observer.ReadRecovered(f.Partition, after)
+		}
+		rest(ctx, f.Pause)
+	}
+}
+
+func (f *KeyedFollower) read(ctx context.Context, known bool, next uint64) (KeyedBatch, error) {
+	if !known {
+		return f.gather(ctx)
+	}
+	poll, timeout := pollWait, pollWait+readTimeout
+	if f.Health.probes() {
+		poll, timeout = 0, probeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.Log.ReadKeyed(ctx, f.Partition, next, poll)
+}
+
+// gather reads all pages of the newest records. After a failure the next call goes on
+// where this one ended.
+func (f *KeyedFollower) gather(ctx context.Context) (KeyedBatch, error) {
+	for {
+		page, err := f.page(ctx)
+		if err != nil {
+			return KeyedBatch{}, err
+		}
+		if f.gathering.add(page) {
+			gathered := f.gathering.KeyedBatch
+			f.gathering = gathering{}
+			f.noteAhead(gathered)
+			return gathered, nil
+		}
+	}
+}
+
+// page reads the next page. An attempt that ran out of time lengthens the next.
+func (f *KeyedFollower) page(ctx context.Context) (KeyedPage, error) {
+	timeout := max(f.gathering.timeout, pageTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	page, err := f.Log.Newest(callCtx, f.Partition, f.gathering.after)
+	if err != nil && callCtx.Err() != nil {
+		f.gathering.timeout = min(2*timeout, mostPageTimeout)
+	}
+	return page, err
+}
+
+// add takes a page and reports whether it was the last.
+func (g *gathering) add(page KeyedPage) (complete bool) {
+	if !g.begun {
+		g.begun, g.End = true, page.End
+	}
+	g.Records = append(g.Records, page.Records...)
+	if len(page.Records) == 0 {
+		return true
+	}
+	g.after = page.Records[len(page.Records)-1].Key
+	return !page.More
+}
+
+// noteAhead remembers the records that lie past the end from which reading goes on:
+// a later page may be newer than the first. Older ones of their keys are to come.
+func (f *KeyedFollower) noteAhead(gathered KeyedBatch) {
+	f.ahead = make(map[string]uint64)
+	for _, record := range gathered.Records {
+		if record.Offset >= gathered.End {
+			f.ahead[record.Key] = record.Offset
+		}
+	}
+}
+
+// unread drops records older than what was read ahead of them.
+func (f *KeyedFollower) unread(records []KeyedRecord) []KeyedRecord {
+	if len(f.ahead) == 0 {
+		return records
+	}
+	kept := make([]KeyedRecord, 0, len(records))
+	for _, record := range records {
+		if newest, known := f.ahead[record.Key]; known {
+			if record.Offset < newest {
+				continue
+			}
+			delete(f.ahead, record.Key)
+		}
+		kept = append(kept, record)
+	}
+	return kept
+}
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -38,6 +38,14 @@
 	Records []KeyedRecord
 }
 
+// KeyedPage is a page of the newest records of a keyed partition. The pages are no
+// snapshot: reading goes on from the end that the first page told.
+type KeyedPage struct {
+	KeyedBatch
+	// More is set if there are keys after the last of the page.
+	More bool
+}
+
 // Log reads and appends records. Errors are *result.Error: LogUnavailable
 // means that nothing was done, LogUnknown that an append may have been done or
 // may still be, LogTruncated that the records asked for are gone.
@@ -54,9 +62,9 @@
 	ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (KeyedBatch, error)
 	// AppendKeyed is Append for a keyed topic.
 	AppendKeyed(ctx context.Context, partition Partition, records []KeyedRecord) error
-	// Newest returns the newest record of each key and the offset from which
-	// reading goes on.
-	Newest(ctx context.Context, partition Partition) (KeyedBatch, error)
+	// Newest returns a page of the newest records of all keys, those of the keys after
+	// one, or the first page if that is empty.
+	Newest(ctx context.Context, partition Partition, after string) (KeyedPage, error)
 }
 
 // Share is what a group deals out to one member.
