Do not cut a keyed request for another attempt

Change: only requests that are marked repeatable and carry no key are cut. A keyed request still leaves a silent node for the next one. Test: TestRequestUnderAKeyIsNotCutForAnotherAttempt.

--- a/client/client.go
+++ b/client/client.go
@@ -141,7 +141,10 @@
 		ctx, cancel = context.WithTimeout(ctx, request.Timeout+answerMargin)
 		defer cancel()
 	}
-	return c.send(ctx, request.Method, path, request.header(), request.Body, mayRepeat)
+	// A request under a key is not cut to be sent elsewhere: its outcome would be lost
+	// with the execution that the cut ends.
+	mayCut := request.Repeatable && request.IdempotencyKey == ""
+	return c.send(ctx, request.Method, path, request.header(), request.Body, repetition{allowed: mayRepeat, mayCut: mayCut})
 }
 
 // answerMargin is left for the service's own answer at the deadline that was stated to
@@ -168,15 +171,23 @@
 	return header
 }
 
+// repetition is what a request allows.
+type repetition struct {
+	// allowed is set if it may be sent again after an attempt that may have run.
+	allowed bool
+	// mayCut is set if an attempt may be given up for another one.
+	mayCut bool
+}
+
 // send tries nodes in turn, those last that lately did not answer. maybeRun remembers that an attempt may have run, so
 // that a later refusal is not reported as not run.
-func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, mayRepeat bool) (*Response, error) {
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, repeats repetition) (*Response, error) {
 	var maybeRun *Error
 	var latest *Error
 	order := c.nodes.order(time.Now())
 	for attempt := 1; attempt <= c.options.MaxAttempts; attempt++ {
 		node := order[(attempt-1)%len(order)]
-		attemptCtx, cancel := c.attemptContext(ctx, mayRepeat && attempt < c.options.MaxAttempts)
+		attemptCtx, cancel := c.attemptContext(ctx, repeats.mayCut && attempt < c.options.MaxAttempts)
 		response, failure := c.exchange(attemptCtx, c.options.Addresses[node], method, path, header, body)
 		cancel()
 		if failure == nil {
@@ -193,7 +204,7 @@
 		}
 		// The last failure is reported at once, not after its hint.
 		last := attempt == c.options.MaxAttempts
-		if last || !retryable(failure, mayRepeat) || !c.pause(ctx, attempt, failure.RetryAfter) {
+		if last || !retryable(failure, repeats.allowed) || !c.pause(ctx, attempt, failure.RetryAfter) {
 			break
 		}
 	}
@@ -208,9 +219,9 @@
 const attemptParts = 3
 
 // attemptContext bounds an attempt that may be repeated elsewhere.
-func (c *Client) attemptContext(ctx context.Context, mayRepeat bool) (context.Context, context.CancelFunc) {
+func (c *Client) attemptContext(ctx context.Context, mayCut bool) (context.Context, context.CancelFunc) {
 	deadline, bounded := ctx.Deadline()
-	if !mayRepeat || !bounded || len(c.options.Addresses) == 1 {
+	if !mayCut || !bounded || len(c.options.Addresses) == 1 {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, time.Until(deadline)/attemptParts)
@@ -301,7 +312,7 @@
 		return err
 	}
 	header := http.Header{"Content-Type": []string{"application/json"}}
-	response, err := c.send(ctx, method, "/v1/tenants/"+c.options.Tenant+path, header, content, true)
+	response, err := c.send(ctx, method, "/v1/tenants/"+c.options.Tenant+path, header, content, repetition{allowed: true})
 	if err != nil {
 		return err
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -230,3 +230,15 @@
 	n.answered(1)
 	require.Equal(t, []int{1, 2, 0}, n.order(now.Add(avoidFor)))
 }
+
+// A keyed request that was cut for another attempt lost its outcome: the execution that
+// the key belonged to ended with the cut ("key_outcome_lost" in a planned restart).
+func TestRequestUnderAKeyIsNotCutForAnotherAttempt(t *testing.T) {
+	silent, _ := silentNode(t)
+	healthy, served := node(t, fine)
+	c := New(Options{Addresses: []string{silent, healthy}, Tenant: "shop", MaxAttempts: 2})
+	defer c.Close()
+	_, err := c.Call(t.Context(), Request{Route: "pay", IdempotencyKey: "k", Timeout: 50 * time.Millisecond})
+	require.Equal(t, Unknown, err.(*Error).Run)
+	require.Zero(t, served.Load())
+}
