Read the change once more: one framing, one verdict, one way to carry troubles out

A comment of the client is wrapped.

No behaviour changes and no test's assertion does; the values are the same (16 bytes).

--- a/client/client.go
+++ b/client/client.go
@@ -179,8 +179,8 @@
 	mayCut bool
 }
 
-// send tries nodes in turn, those last that lately did not answer. maybeRun remembers that an attempt may have run, so
-// that a later refusal is not reported as not run.
+// send tries nodes in turn, those last that lately did not answer. maybeRun remembers
+// that an attempt may have run, so that a later refusal is not reported as not run.
 func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, repeats repetition) (*Response, error) {
 	var maybeRun *Error
 	var latest *Error
--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -27,8 +27,6 @@
 	retryPause = 40 * time.Millisecond
 	// retryHint is when to come back after a read that failed (chosen).
 	retryHint = 200 * time.Millisecond
-	// framing is what the log adds to a record.
-	framing = 16
 	// readBytes bounds one read.
 	readBytes = 512 << 10
 )
@@ -116,7 +114,7 @@
 	size := 0
 	for _, content := range contents {
 		records := cut(content, s.limits.MaxRecordBytes)
-		added := len(content) + len(records)*framing
+		added := len(content) + len(records)*sharedlog.RecordFraming
 		if size+added > s.limits.MaxCallBytes {
 			break
 		}
@@ -134,7 +132,7 @@
 
 // cut divides a content into records. An empty content is one empty record.
 func cut(content []byte, maxRecordBytes int) [][]byte {
-	size := maxRecordBytes - framing
+	size := maxRecordBytes - sharedlog.RecordFraming
 	records := [][]byte{content[:min(size, len(content))]}
 	for from := size; from < len(content); from += size {
 		records = append(records, content[from:min(from+size, len(content))])
@@ -185,7 +183,7 @@
 	run := adjacentRun{}
 	for _, blob := range wanted {
 		next := first.Offset + uint64(run.records)
-		bytes := run.bytes + int(blob.Bytes) + int(blob.Records)*framing
+		bytes := run.bytes + int(blob.Bytes) + int(blob.Records)*sharedlog.RecordFraming
 		if blob.Partition != first.Partition || blob.Offset != next || run.blobs > 0 && bytes > readBytes {
 			break
 		}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -240,16 +240,15 @@
 		}
 		records = append(records, encoded...)
 	}
-	const framing = 16
 	var calls [][][]byte
 	size := b.node.settings.MaxCallBytes
 	for _, record := range records {
-		if size+len(record)+framing > b.node.settings.MaxCallBytes {
+		if size+len(record)+sharedlog.RecordFraming > b.node.settings.MaxCallBytes {
 			calls = append(calls, nil)
 			size = 0
 		}
 		calls[len(calls)-1] = append(calls[len(calls)-1], record)
-		size += len(record) + framing
+		size += len(record) + sharedlog.RecordFraming
 	}
 	return calls, nil
 }
--- a/internal/labcommand/root.go
+++ b/internal/labcommand/root.go
@@ -36,6 +36,15 @@
 	return 0
 }
 
+// printVerdict prints a report and fails the command if promises were broken.
+func printVerdict(output io.Writer, report interface{ Print(output io.Writer) }, broken int) error {
+	report.Print(output)
+	if broken > 0 {
+		return errViolations
+	}
+	return nil
+}
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "pathbend-lab",
@@ -58,11 +67,7 @@
 			if err != nil {
 				return err
 			}
-			report.Print(command.OutOrStdout())
-			if len(report.Violations) > 0 {
-				return errViolations
-			}
-			return nil
+			return printVerdict(command.OutOrStdout(), report, len(report.Violations))
 		},
 	}
 	command.Flags().DurationVar(&options.Duration, "duration", 18*time.Second, "how long the traffic runs")
--- a/internal/labcommand/soak.go
+++ b/internal/labcommand/soak.go
@@ -47,11 +47,7 @@
 			if err != nil {
 				return err
 			}
-			report.Print(command.OutOrStdout())
-			if len(report.Violations) > 0 {
-				return errViolations
-			}
-			return nil
+			return printVerdict(command.OutOrStdout(), &report, len(report.Violations))
 		},
 	}
 	command.Flags().DurationVar(&options.Time, "time", 2*time.Minute, "how long the traffic runs")
--- a/internal/sharedlog/appender.go
+++ b/internal/sharedlog/appender.go
@@ -19,10 +19,11 @@
 	callHold = 250 * time.Millisecond
 	// callTimeout bounds one call.
 	callTimeout = 1500 * time.Millisecond
-	// recordFraming is what the log adds to a record, in bytes, at most.
-	recordFraming = 16
 )
 
+// RecordFraming is what the log adds to a record, in bytes, at most.
+const RecordFraming = 16
+
 // Appender appends to one partition for many callers at once. Records that wait
 // while calls are under way go out together: a burst of callers costs a few calls,
 // where one call each would take longer than any of them waits. It is safe for
@@ -51,7 +52,7 @@
 func (p *pendingAppend) size() int {
 	size := 0
 	for _, record := range p.records {
-		size += len(record) + recordFraming
+		size += len(record) + RecordFraming
 	}
 	return size
 }
--- a/internal/sharedlog/appender_test.go
+++ b/internal/sharedlog/appender_test.go
@@ -76,7 +76,7 @@
 func TestCallsKeepToTheirSize(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &turnLog{turn: make(chan struct{}, 1), takes: 4 * time.Millisecond}
-		appender := &Appender{Log: log, MaxBytes: 10 * (1 + recordFraming)}
+		appender := &Appender{Log: log, MaxBytes: 10 * (1 + RecordFraming)}
 		var callers conc.WaitGroup
 		for range 104 {
 			callers.Go(func() {
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -94,25 +94,26 @@
 		after := time.Duration(random.Int64N(int64(roundTrouble / 2)))
 		lasts := time.Second + time.Duration(random.Int64N(int64(roundTrouble/2)))
 		target := random.Uint64()
-		if random.IntN(2) == 0 {
-			chosen := outerTroubles[random.IntN(len(outerTroubles))]
-			drawn = append(drawn, trouble{name: chosen.name, after: after, lasts: lasts, inject: func(ctx context.Context) {
-				r.world.Truth.Disturb("", time.Now().Add(lasts))
-				ctx, cancel := context.WithTimeout(ctx, lasts)
-				defer cancel()
-				chosen.last(ctx, r, target)
-				r.world.Healed()
-			}})
-			continue
-		}
-		fault := platformsim.Fault{Kind: platformsim.AnyKind(random), For: lasts, Target: target}
-		drawn = append(drawn, trouble{name: fault.Kind.String(), after: after, lasts: lasts, inject: func(context.Context) {
+		name, last := r.drawKind(random, lasts, target)
+		drawn = append(drawn, trouble{name: name, after: after, lasts: lasts, inject: func(ctx context.Context) {
 			r.world.Truth.Disturb("", time.Now().Add(lasts))
-			r.world.Inject(fault)
+			ctx, cancel := context.WithTimeout(ctx, lasts)
+			defer cancel()
+			last(ctx)
 			r.world.Healed()
 		}})
 	}
 	return drawn
 }
 
+// drawKind draws a trouble and returns its name and what carries it out.
+func (r *run) drawKind(random *rand.Rand, lasts time.Duration, target uint64) (name string, last func(ctx context.Context)) {
+	if random.IntN(2) == 0 {
+		chosen := outerTroubles[random.IntN(len(outerTroubles))]
+		return chosen.name, func(ctx context.Context) { chosen.last(ctx, r, target) }
+	}
+	fault := platformsim.Fault{Kind: platformsim.AnyKind(random), For: lasts, Target: target}
+	return fault.Kind.String(), func(context.Context) { r.world.Inject(fault) }
+}
+
 func (t trouble) String() string { return fmt.Sprintf("%s after %v for %v", t.name, t.after, t.lasts) }
