Let the soak's nodes listen below the ports of connections

Its port was one that the system had given out and taken back; a connection of the run or of the tests had it by then. The product is not concerned: the process ended before it served anything.

Change: ports are drawn from 20000 to 29999, below those given to connections. Test: TestNodesListenBelowThePortsOfConnections.

--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -130,15 +131,27 @@
 	return made
 }
 
-// freeAddress returns an address that nobody listens on. Another program may take it
-// before the node does; the node then fails to start, which the run reports.
+const (
+	// firstPort and ports are the range that nodes listen in: below the ports that
+	// systems give to connections (32768 and up on Linux, ip_local_port_range), since
+	// one of those may be taken between the look and the node's start.
+	firstPort = 20000
+	ports     = 10000
+)
+
+// freeAddress returns an address that nobody listens on. Another program may still take
+// it before the node does; the node then fails to start, which the run reports.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(errors.Wrap(err, "find a free port"))
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		// Nothing was accepted that could be lost.
+		_ = listener.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // Front implements platformsim.Surroundings.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -60,3 +62,16 @@
 	s.watch("n", asked)
 	require.Len(t, s.endedByThemselves(), 1)
 }
+
+// A node's port that the system had given out, closed again, went to a connection
+// before the node listened: "address already in use" (soak of 5 s, seed 1).
+func TestNodesListenBelowThePortsOfConnections(t *testing.T) {
+	for range 50 {
+		_, port, err := net.SplitHostPort(freeAddress())
+		require.NoError(t, err)
+		number, err := strconv.Atoi(port)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, number, firstPort)
+		require.Less(t, number, firstPort+ports)
+	}
+}
