Know tenants by their keys on the users' platform

Ruled out: a check at the ingress alone.

A node whose configuration may be out of date (1.5 s unheard) denies nothing and answers 503 with when to come back; where revocation is strict it stops to admit after revokeMs. The simulation has tenants, keys that are taken away and callers who show keys that nobody holds.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pathbend/pathbend/internal/credential"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
@@ -49,6 +50,8 @@
 	MaxAttempts int
 	Priority    int
 	Resumable   bool
+	// Public lets callers use the route without a key.
+	Public bool
 	// SingleVersion wants the text of an item made by one weight version.
 	SingleVersion bool
 	// Due is when all results of a batch job are wanted, counted from its
@@ -83,15 +86,18 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
+	// Keys tells the tenants of callers; nil where the deployment has no tenants.
+	Keys *credential.Keyring
 
 	byHost map[string][]*Route
 	routes int
 }
 
-// New checks the parts and builds a catalog.
-func New(version uint64, routes []Route, services []Service, limits Limits) (*Catalog, error) {
+// New checks the parts and builds a catalog. keys is nil where the deployment has no
+// tenants.
+func New(version uint64, routes []Route, services []Service, limits Limits, keys *credential.Keyring) (*Catalog, error) {
 	built := &Catalog{
-		Version: version, Services: make(map[string]Service, len(services)), Limits: limits,
+		Version: version, Services: make(map[string]Service, len(services)), Limits: limits, Keys: keys,
 		byHost: make(map[string][]*Route), routes: len(routes),
 	}
 	for _, service := range services {
--- /dev/null
+++ b/internal/credential/keyring_test.go
@@ -0,0 +1,52 @@
+package credential
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestKeysBelongToTheirTenant(t *testing.T) {
+	ring := NewKeyring([]Grant{
+		{Tenant: Tenant{Name: "dakar", Priority: 1}, Keys: []string{"first", "second", ""}},
+		{Tenant: Tenant{Name: "perth"}, Keys: []string{"third", "first"}},
+		{Tenant: Tenant{Name: "keyless"}},
+	})
+	for _, one := range []struct {
+		key, holder string
+	}{{"first", "dakar"}, {"second", "dakar"}, {"third", "perth"}, {"", ""}, {"First", ""}, {"dakar", ""}} {
+		tenant, known := ring.Holder(one.key)
+		require.Equal(t, one.holder != "", known, one.key)
+		require.Equal(t, one.holder, tenant.Name, one.key)
+	}
+	tenant, known := ring.Tenant("dakar")
+	require.True(t, known)
+	require.Equal(t, 1, tenant.Priority)
+	_, known = ring.Tenant("keyless")
+	require.True(t, known)
+	require.Equal(t, 3, ring.Size())
+}
+
+func TestNoKeyringKnowsNoKey(t *testing.T) {
+	var ring *Keyring
+	_, known := ring.Holder("any")
+	require.False(t, known)
+	_, known = ring.Tenant("any")
+	require.False(t, known)
+	require.Zero(t, ring.Size())
+}
+
+func TestPrintedKeyringShowsNoKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.StringMatching(`[a-z0-9]{12,24}`).Draw(t, "key")
+		ring := NewKeyring([]Grant{{Tenant: Tenant{Name: "T"}, Keys: []string{key}}})
+		require.NotContains(t, fmt.Sprintf("%v %+v %#v", ring, ring, ring), key)
+		holder, known := ring.Holder(key)
+		require.True(t, known)
+		require.Equal(t, "T", holder.Name)
+		_, known = ring.Holder(key + "x")
+		require.False(t, known)
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,6 +43,28 @@
 	AnyZone bool
 	// Excluded are back ends that must not get the request.
 	Excluded []string
+	// Permitted is asked before every attempt but the first; an error ends the
+	// request. It may be nil.
+	Permitted func() error
+	// Began is told when an attempt was sent whose back end ran the request or may
+	// have. It may be nil.
+	Began func(sentAt time.Time)
+}
+
+// permitted reports why no further attempt may be made, nil if one may.
+func (r *Request) permitted() error {
+	if r.Permitted == nil {
+		return nil
+	}
+	return r.Permitted()
+}
+
+// noteBegan tells of an attempt whose back end ran the request or may have.
+func (r *Request) noteBegan(outcome *incoming) {
+	mayHaveRun := outcome.ending == Answered || outcome.ending == FailedByBackEnd || outcome.ending == Lost
+	if mayHaveRun && r.Began != nil {
+		r.Began(outcome.sentAt)
+	}
 }
 
 // Balancer picks back ends and learns how attempts end.
@@ -108,6 +130,7 @@
 			return d.giveUp(request, ran, noBackEnd(request.Pool), plan.Attempts())
 		}
 		outcome := d.attempt(ctx, request, endpoint, plan.Attempts()+1 >= request.MaxAttempts)
+		request.noteBegan(&outcome)
 		if outcome.answer != nil {
 			outcome.answer.Attempts = plan.Attempts() + 1
 			outcome.answer.BackEnd = endpoint.ID
@@ -125,6 +148,9 @@
 		if step == Stop || !d.spend() || !wait.For(ctx, pause) {
 			return d.giveUp(request, ran, outcome.err, plan.Attempts())
 		}
+		if err := request.permitted(); err != nil {
+			return d.giveUp(request, ran, err, plan.Attempts())
+		}
 		route.Excluded = append(route.Excluded, endpoint.ID)
 	}
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -148,6 +148,9 @@
 	bodyRead bool
 	leaving  bool
 	answer   *Answer
+	// sentAt is when the request had been handed to the connection, or when the
+	// exchange began if that is not known.
+	sentAt time.Time
 }
 
 // Answer is a back end's answer. Body must be closed; a read error other than
@@ -171,12 +174,21 @@
 func (e *Exchanger) exchange(ctx context.Context, out outgoing) incoming {
 	var connection *meteredConn
 	var writtenBefore int64
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connection, _ = info.Conn.(*meteredConn)
-		if connection != nil {
-			writtenBefore = connection.written.Load()
-		}
-	}}
+	var sentAt atomic.Pointer[time.Time]
+	began := time.Now()
+	sentAt.Store(&began)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			connection, _ = info.Conn.(*meteredConn)
+			if connection != nil {
+				writtenBefore = connection.written.Load()
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			now := time.Now()
+			sentAt.Store(&now)
+		},
+	}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), out.method, out.url, nil)
 	if err != nil {
 		return incoming{ending: NotSent, err: result.Wrap(result.MalformedRequest, err, "build request")}
@@ -189,9 +201,13 @@
 	response, err := e.transport.RoundTrip(request)
 	if err != nil {
 		sent := connection != nil && connection.written.Load() > writtenBefore
-		return classifyFailure(ctx, err, sent, out.body.wasRead())
+		failed := classifyFailure(ctx, err, sent, out.body.wasRead())
+		failed.sentAt = *sentAt.Load()
+		return failed
 	}
-	return classifyResponse(ctx, response, out.judge(response), out.body.wasRead())
+	outcome := classifyResponse(ctx, response, out.judge(response), out.body.wasRead())
+	outcome.sentAt = *sentAt.Load()
+	return outcome
 }
 
 func classifyFailure(ctx context.Context, err error, sent, bodyRead bool) incoming {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -113,8 +113,12 @@
 // retryHint is the hint given with refusals that depend on back ends.
 const retryHint = 250 * time.Millisecond
 
-// notRunError is the caller's error when no attempt ran.
+// notRunError is the caller's error when no attempt ran. A caller whose key was taken
+// away is not asked to come back.
 func notRunError(last error) error {
 	typed := result.From(last)
+	if typed.Code == result.Unauthenticated {
+		return typed
+	}
 	return typed.WithRetryAfter(max(typed.RetryAfter, retryHint))
 }
--- /dev/null
+++ b/internal/hosted/admission_test.go
@@ -0,0 +1,92 @@
+package hosted
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/credential"
+	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+)
+
+// closedCatalog has one route that needs a key.
+func closedCatalog(t *testing.T, version uint64, keys ...string) *catalog.Catalog {
+	t.Helper()
+	built := catalogOf(t, version)
+	built.Keys = credential.NewKeyring([]credential.Grant{
+		{Tenant: credential.Tenant{Name: "T"}, Keys: keys}, {Tenant: credential.Tenant{Name: "U"}, Keys: []string{"of-u"}},
+	})
+	return built
+}
+
+func closedNode(t *testing.T) *Node {
+	t.Helper()
+	node := newTestNode()
+	node.TakeCatalog(closedCatalog(t, 1, "of-t"))
+	node.TakeSamplers([]schedule.Sampler{})
+	return node
+}
+
+func TestKeyThatWasTakenAwayIsDeniedBeforeTheNextAttempt(t *testing.T) {
+	node := closedNode(t)
+	admitted, err := node.Admit(t.Context(), "h", "/x", "of-t")
+	require.NoError(t, err)
+	require.Equal(t, "T", admitted.Tenant.Name)
+	permits := node.permits(admitted, "of-t")
+	require.NoError(t, permits())
+	node.TakeCatalog(closedCatalog(t, 2))
+	require.True(t, result.Is(permits(), result.Unauthenticated))
+	_, err = node.Admit(t.Context(), "h", "/x", "of-t")
+	require.True(t, result.Is(err, result.Unauthenticated))
+}
+
+func TestNodeThatMayBeOutOfDateDeniesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := closedNode(t)
+		knownAt := time.Now()
+		node.WatchConfiguration(func() time.Time { return knownAt })
+		for _, path := range []struct{ host, key string }{{"h", "new-key"}, {"other", "of-t"}} {
+			_, err := node.Admit(t.Context(), path.host, "/x", path.key)
+			require.False(t, result.Is(err, result.NotReady), "%v", path)
+		}
+		time.Sleep(denialLimit + time.Millisecond)
+		for _, path := range []struct{ host, key string }{{"h", "new-key"}, {"other", "of-t"}} {
+			_, err := node.Admit(t.Context(), path.host, "/x", path.key)
+			require.True(t, result.Is(err, result.NotReady), "%v", path)
+			require.Positive(t, result.From(err).RetryAfter)
+		}
+		_, err := node.Admit(t.Context(), "h", "/x", "of-t")
+		require.NoError(t, err, "what was held still is, where revocation is not strict")
+		node.settings.RevokeAfter = time.Second
+		_, err = node.Admit(t.Context(), "h", "/x", "of-t")
+		require.True(t, result.Is(err, result.NotReady), "strict: the key may have been taken away")
+	})
+}
+
+func TestJobsAreTheirTenantsOnly(t *testing.T) {
+	node := closedNode(t)
+	node.jobs.ledger = ledger.New()
+	put := func(id, tenant string) {
+		records, err := ledger.Encode(&pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{
+			Submitted: &pathbendv1.BatchJob{Tenant: tenant, ItemIds: []string{"i"}},
+		}}, 1, 1<<20)
+		require.NoError(t, err)
+		_, err = node.jobs.ledger.Apply(records[0], time.Now())
+		require.NoError(t, err)
+	}
+	put("job-of-t", "T")
+	put("open-job", "")
+	require.NoError(t, node.requireJob(t.Context(), "job-of-t", "of-t"))
+	require.True(t, result.Is(node.requireJob(t.Context(), "job-of-t", "of-u"), result.JobUnknown))
+	require.True(t, result.Is(node.requireJob(t.Context(), "job-of-t", "nobody's"), result.Unauthenticated))
+	require.NoError(t, node.requireJob(t.Context(), "open-job", ""))
+	err := node.Submit(t.Context(), "job-of-t", &pathbendv1.BatchJob{Tenant: "U"}, nil)
+	require.True(t, result.Is(err, result.JobConflict), "an id is its first tenant's")
+	require.NoError(t, node.Submit(t.Context(), "job-of-t", &pathbendv1.BatchJob{Tenant: "T"}, nil))
+}
--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -10,15 +10,20 @@
 	"github.com/pathbend/pathbend/internal/result"
 )
 
-// Submit keeps a batch job. An error of LogUnavailable promises that it was
-// not taken; LogUnknown promises nothing.
+// Submit keeps a batch job of the tenant that its specification names. An error of
+// LogUnavailable promises that it was not taken; LogUnknown promises nothing.
 func (n *Node) Submit(ctx context.Context, id string, spec *pathbendv1.BatchJob, items []*pathbendv1.BatchItem) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
 	began := time.Now()
-	known := func() bool { return n.jobs.ledger.Job(id) != nil }
+	foreign := false
+	known := func() bool {
+		job := n.jobs.ledger.Job(id)
+		foreign = job != nil && job.Spec.Tenant != spec.Tenant
+		return job != nil
+	}
 	if _, already := n.jobs.seen(known); already {
-		return nil
+		return taken(id, foreign)
 	}
 	err := n.jobs.submit(ctx, id, spec, items, known)
 	took := time.Since(began)
@@ -27,11 +32,22 @@
 		n.logger.Log(event.BatchRefused, "job_id", id, "step", spec.Step, "took_ms", took.Milliseconds(), "detail", err.Error())
 		return spread(err)
 	}
+	if _, already := n.jobs.seen(known); already && foreign {
+		return taken(id, foreign)
+	}
 	n.logger.Log(event.BatchSubmitted, "job_id", id, "step", spec.Step, "model", spec.Model,
 		"min_version", spec.MinVersion, "items", len(items), "took_ms", took.Milliseconds())
 	return nil
 }
 
+// taken is the answer to the submission of a job that is known already.
+func taken(id string, foreign bool) error {
+	if foreign {
+		return result.New(result.JobConflict, "the id %q is taken", id)
+	}
+	return nil
+}
+
 // submit keeps the items of a job and then the job itself. Items without their
 // job never run.
 func (b *jobBook) submit(ctx context.Context, id string, spec *pathbendv1.BatchJob, items []*pathbendv1.BatchItem, known func() bool) error {
@@ -77,44 +93,57 @@
 	return err
 }
 
-// End ends a batch job.
-func (n *Node) End(ctx context.Context, id string) error {
+// End ends a batch job of the tenant that holds the key.
+func (n *Node) End(ctx context.Context, id, key string) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
 	ended := func() bool {
 		job := n.jobs.ledger.Job(id)
 		return job != nil && job.Ended
 	}
+	if err := n.requireJob(ctx, id, key); err != nil {
+		return err
+	}
 	if _, already := n.jobs.seen(ended); already {
 		return nil
 	}
-	if err := n.requireJob(ctx, id); err != nil {
-		return err
-	}
 	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}
 	return spread(n.jobs.record(ctx, submitPatience, ended, entry))
 }
 
-// requireJob returns an error unless the job is known, after asking the log if
-// it is not.
-func (n *Node) requireJob(ctx context.Context, id string) error {
-	known := false
-	look := func(job *ledger.Job) { known = job != nil }
+// requireJob returns an error unless the job is known and belongs to the tenant that
+// holds the key, after asking the log if it is not known. A key that nobody holds is
+// denied, but for a job of a route that asks for none.
+func (n *Node) requireJob(ctx context.Context, id, key string) error {
+	tenant, denial := n.Caller(ctx, key)
+	known, usable := false, false
+	look := func(job *ledger.Job) {
+		known = job != nil
+		usable = known && (job.Spec.Tenant == "" || denial == nil && n.mayUse(job, tenant))
+	}
 	n.jobs.view(id, look)
-	if known {
+	switch {
+	case usable:
 		return nil
+	case denial != nil:
+		return denial
+	case known:
+		return unknownJob(id)
 	}
 	if err := n.jobs.refresh(ctx); err != nil {
 		n.logger.Log(event.BatchReadRefused, "job_id", id, "detail", err.Error())
 		return err
 	}
 	n.jobs.view(id, look)
-	if !known {
-		return result.New(result.JobUnknown, "no batch job %q", id)
+	if !usable {
+		return unknownJob(id)
 	}
 	return nil
 }
 
+// unknownJob is the same for a job that there is not and for one of another tenant.
+func unknownJob(id string) error { return result.New(result.JobUnknown, "no batch job %q", id) }
+
 // Page is a part of a job's results.
 type Page struct {
 	Total   int
@@ -125,12 +154,12 @@
 	Next int
 }
 
-// Results returns the results of a job from a position on. It waits up to hold
-// for one.
-func (n *Node) Results(ctx context.Context, id string, from int, hold time.Duration) (Page, error) {
+// Results returns the results of a job of the tenant that holds the key, from a
+// position on. It waits up to hold for one.
+func (n *Node) Results(ctx context.Context, id, key string, from int, hold time.Duration) (Page, error) {
 	n.active.Add(1)
 	defer n.active.Add(-1)
-	if err := n.requireJob(ctx, id); err != nil {
+	if err := n.requireJob(ctx, id, key); err != nil {
 		return Page{}, err
 	}
 	holdCtx, cancel := context.WithTimeout(ctx, hold)
@@ -197,9 +226,10 @@
 	return page, changed, settled
 }
 
-// Body returns the body of an item that is not listed yet.
-func (n *Node) Body(ctx context.Context, id, itemID string) ([]byte, error) {
-	if err := n.requireJob(ctx, id); err != nil {
+// Body returns the body of an item that is not listed yet, of a job of the tenant that
+// holds the key.
+func (n *Node) Body(ctx context.Context, id, key, itemID string) ([]byte, error) {
+	if err := n.requireJob(ctx, id, key); err != nil {
 		return nil, err
 	}
 	var spec *pathbendv1.BatchJob
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -319,7 +319,9 @@
 		"pace_ms", start.Pace.Milliseconds(), "after_event", start.AfterEvent, "ahead", start.Key.Ahead)
 	e.work.Go(func() {
 		defer cancel()
-		run := Run{Sampler: start.Sampler, Host: start.Job.Host, Item: start.Item, AfterEvent: start.AfterEvent}
+		run := Run{
+			Sampler: start.Sampler, Host: start.Job.Host, Item: start.Item, Tenant: start.Job.Tenant, AfterEvent: start.AfterEvent,
+		}
 		end := e.node.ports.Generator.Generate(ctx, run, func(made schedule.Event) bool {
 			e.mutex.Lock()
 			defer e.mutex.Unlock()
--- a/internal/hosted/forward.go
+++ b/internal/hosted/forward.go
@@ -22,6 +22,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Key is what the client showed to prove its tenant.
+	Key string
 	// Wait is how long the client waits; 0 if it does not say.
 	Wait time.Duration
 }
@@ -38,13 +40,16 @@
 
 // Forward sends a request to a sampler of its route's service and returns the
 // answer, or a *result.Error that tells whether it ran.
-func (n *Node) Forward(ctx context.Context, route *catalog.Route, in *Inbound) (*dispatch.Answer, error) {
+func (n *Node) Forward(ctx context.Context, admitted Admitted, in *Inbound) (*dispatch.Answer, error) {
+	route := admitted.Route
 	n.active.Add(1)
 	defer n.active.Add(-1)
 	began := time.Now()
 	deadline := began.Add(holdTime(route, in))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	request := requestOf(route, in, deadline)
+	request.Tenant = admitted.Tenant.Name
+	request.Permitted = n.permits(admitted, in.Key)
 	answer, err := n.dispatcher.Do(ctx, request)
 	if answer == nil || answer.Buffered != nil {
 		cancel()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -15,7 +15,6 @@
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/fleet"
 	"github.com/pathbend/pathbend/internal/network"
-	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -59,6 +58,9 @@
 	informed     chan struct{}
 	informedOnce sync.Once
 
+	// configuredAt tells as of when the configuration is the newest.
+	configuredAt func() time.Time
+
 	draining atomic.Bool
 	active   atomic.Int64
 	stop     context.CancelFunc
@@ -256,21 +258,6 @@
 	n.executor.wake()
 }
 
-// Route finds the route of a host and path. A node that has just started waits a
-// little for its first configuration.
-func (n *Node) Route(ctx context.Context, host, path string) (*catalog.Route, error) {
-	n.awaitInformed(ctx)
-	current := n.catalog.Load()
-	if current == nil {
-		return nil, spread(result.New(result.NotReady, "no configuration yet").WithRetryAfter(notReadyHint))
-	}
-	route := current.Find(host, path)
-	if route == nil {
-		return nil, result.New(result.UnknownRoute, "no route for host %q and path %q", host, path)
-	}
-	return route, nil
-}
-
 func (n *Node) awaitInformed(ctx context.Context) {
 	select {
 	case <-n.informed:
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	built, err := catalog.New(version, []catalog.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: catalog.Repeatable, Shares: []catalog.Share{{Service: "s", Weight: 1}},
-	}}, nil, catalog.Limits{})
+	}}, nil, catalog.Limits{}, nil)
 	require.NoError(t, err)
 	return built
 }
@@ -38,10 +38,10 @@
 			node.TakeCatalog(catalogOf(t, 1))
 			node.TakeSamplers([]schedule.Sampler{})
 		})
-		route, err := node.Route(t.Context(), "h", "/x")
+		admitted, err := node.Admit(t.Context(), "h", "/x", "")
 		require.NoError(t, err)
-		require.Equal(t, "r", route.Name)
-		_, err = node.Route(t.Context(), "other", "/x")
+		require.Equal(t, "r", admitted.Route.Name)
+		_, err = node.Admit(t.Context(), "other", "/x", "")
 		require.True(t, result.Is(err, result.UnknownRoute))
 	})
 }
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		node := newTestNode()
 		began := time.Now()
-		_, err := node.Route(t.Context(), "h", "/x")
+		_, err := node.Admit(t.Context(), "h", "/x", "")
 		require.True(t, result.Is(err, result.NotReady), "no 404 out of ignorance")
 		require.InDelta(t, notReadyHint, result.From(err).RetryAfter, float64(notReadyHint)*0.4)
 		require.Equal(t, startPatience, time.Since(began))
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -14,6 +14,8 @@
 	// Host is the host of the job's route.
 	Host string
 	Item *pathbendv1.BatchItem
+	// Tenant is who submitted the job, empty if the route asks for no key.
+	Tenant string
 	// AfterEvent is the event to continue after, 0 to begin.
 	AfterEvent uint64
 }
@@ -115,6 +117,9 @@
 	// Millicores is the processor time a second that the node may use, 0 if that
 	// is not known.
 	Millicores uint64
+	// RevokeAfter is how long a node that hears nothing of the configuration goes on
+	// with the keys that it knows; 0 for as long as that lasts.
+	RevokeAfter time.Duration
 }
 
 const (
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -35,6 +35,8 @@
 	client *http.Client
 	random *rand.Rand
 	host   string
+	// tenant is whose keys the caller shows; none if it is empty.
+	tenant string
 }
 
 func (w *World) newCaller(name, zone, host string, seed uint64) *caller {
@@ -68,6 +70,11 @@
 	for name, values := range header {
 		request.Header[name] = values
 	}
+	key := ""
+	if c.tenant != "" {
+		key = c.world.tenants.keyFor(c.tenant, c.random)
+		request.Header.Set(platform.HeaderAuthorization, authorization(key))
+	}
 	began := time.Now()
 	response, err := c.client.Do(request)
 	if err != nil {
@@ -75,7 +82,11 @@
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return answered{status: response.StatusCode, header: response.Header, body: content, node: node, began: began}, err
+	got := answered{status: response.StatusCode, header: response.Header, body: content, node: node, began: began}
+	if err == nil && key != "" {
+		c.world.Truth.judgeDenial(got, path, key, c.world.tenants.heldFor(key)-time.Since(began))
+	}
+	return got, err
 }
 
 // promisesNotRun reports whether a status promises that nothing ran.
@@ -90,7 +101,8 @@
 		id := fmt.Sprintf("c%x", c.random.Uint64())
 		path := fmt.Sprintf("%sq/%d?a=%%2F&b", applicationPrefix, number)
 		body := []byte("body of " + id)
-		header := http.Header{platform.HeaderRequestID: {id}, platform.HeaderDeadline: {"1500"}}
+		header := http.Header{platform.HeaderRequestID: {id}, platform.HeaderDeadline: {"1500"}, platform.HeaderTenant: {"forged"}}
+		c.world.Truth.Claims(id, c.tenant)
 		got, err := c.call(ctx, http.MethodPost, path, header, body)
 		switch {
 		case err != nil && ctx.Err() != nil:
@@ -150,7 +162,7 @@
 
 func (c *caller) newStep(model string, step uint64, groups, size int, carried []platform.ItemDocument) (*jobTruth, platform.JobDocument) {
 	job := &jobTruth{
-		id: fmt.Sprintf("j%x", c.random.Uint64()), minVersion: max(step, 2) - 1,
+		id: fmt.Sprintf("j%x", c.random.Uint64()), minVersion: max(step, 2) - 1, tenant: c.tenant,
 		results: make(map[int]platform.ResultDocument),
 	}
 	document := platform.JobDocument{Step: step, Model: model, MinVersion: job.minVersion, Desired: uint32(float64(groups) * wantedShare)}
@@ -165,6 +177,7 @@
 		job.items = append(job.items, item.ID)
 		_, out, _ := strings.Cut(item.Headers[platform.HeaderTokens], ",")
 		events, _ := strconv.Atoi(out)
+		c.world.Truth.Claims(item.ID, c.tenant)
 		known[item.ID] = &itemTruth{events: events, reward: item.Scorer.ID, body: item.Body}
 	}
 	c.world.Truth.Submitted(job, known)
@@ -234,6 +247,7 @@
 // read reads one page and judges it.
 func (c *caller) read(ctx context.Context, job *jobTruth, from int) (platform.PageDocument, bool) {
 	path := fmt.Sprintf("%s?%s=%d", strings.Replace(platform.PathJob, ":id", job.id, 1), platform.QueryAfter, from)
+	c.tenant = job.tenant
 	got, err := c.call(ctx, http.MethodGet, path, http.Header{platform.HeaderWait: {"300"}}, nil)
 	var page platform.PageDocument
 	if err != nil {
@@ -320,6 +334,29 @@
 	}
 }
 
+// runTrespasser shows keys that no tenant holds any more, and reads jobs of others.
+func (c *caller) runTrespasser(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, time.Second)
+		key, id := c.world.tenants.takenKey(), fmt.Sprintf("x%x", c.random.Uint64())
+		header := http.Header{
+			platform.HeaderRequestID: {id}, platform.HeaderDeadline: {"1500"}, platform.HeaderAuthorization: {authorization(key)},
+		}
+		if got, err := c.call(ctx, http.MethodPost, applicationPrefix+"trespass", header, []byte("x")); err == nil {
+			c.world.Truth.judgeTrespass(got, id, key)
+		}
+		job := c.world.Truth.anyJob(c.random)
+		if job == nil {
+			continue
+		}
+		path := strings.Replace(platform.PathJob, ":id", job.id, 1)
+		header.Set(platform.HeaderAuthorization, authorization(c.world.tenants.keyFor(c.world.tenants.other(job.tenant), c.random)))
+		if got, err := c.call(ctx, http.MethodGet, path, header, nil); err == nil && got.status == http.StatusOK {
+			c.world.Truth.Update(job, func() { c.world.Truth.broken("ROUTE", "%s shows job %s to another tenant", got.node, job.id) })
+		}
+	}
+}
+
 // runLooker reads jobs from any position on any node.
 func (c *caller) runLooker(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -37,6 +37,7 @@
 	ConfigChange
 	StoreForgets
 	NodeReplaced
+	KeysTaken
 	faultKinds
 )
 
@@ -44,7 +45,7 @@
 	"node_kill", "node_freeze", "node_cut_from_store", "node_cut_from_all", "node_term", "herd_kill", "kill_all",
 	"store_down", "store_silent", "store_slow", "store_lost", "store_late", "store_rebalance",
 	"sampler_crash", "sampler_slow", "sampler_cut", "sampler_fail", "sampler_surplus", "sampler_replaced", "sampler_late_orders",
-	"config_change", "store_forgets", "node_replaced",
+	"config_change", "store_forgets", "node_replaced", "keys_taken",
 }
 
 // String implements fmt.Stringer.
@@ -102,6 +103,9 @@
 		w.cut(fault, node.name, w.others(node.name))
 	case ConfigChange:
 		w.PutConfig(int(fault.Target % 50))
+	case KeysTaken:
+		w.tenants.rotate(fault.Target)
+		w.PutConfig(int(fault.Target % 50))
 	case StoreRebalance:
 		w.Store.Rebalance()
 	case NodeReplaced:
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -159,6 +159,7 @@
 	}
 	id := request.Header.Get(platform.HeaderRequestID)
 	s.truth.Arrived(s.ID, node, id)
+	s.truth.judgeTenant(id, request.Header)
 	writer.Header().Set(platform.HeaderRequestID, id)
 	model := request.Header.Get(platform.HeaderModel)
 	if !s.enter(request, model) {
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -47,6 +47,8 @@
 	// ordersExcused is until when orders are not judged.
 	ordersExcused time.Time
 	counts        map[string]int
+	// tenants tells for whom a request or an item runs.
+	tenants map[string]string
 }
 
 // itemTruth is what samplers saw of an item.
@@ -62,6 +64,7 @@
 type jobTruth struct {
 	id         string
 	items      []string
+	tenant     string
 	minVersion uint64
 	accepted   time.Time
 	// unsure is set once an attempt got no promise.
@@ -87,7 +90,7 @@
 	return &Truth{
 		items: make(map[string]*itemTruth), jobs: make(map[string]*jobTruth), stamps: make(map[string]stampTruth),
 		orders: make(map[string]orderTruth), disturbed: make(map[string]time.Time), gone: make(map[string]time.Time),
-		counts: make(map[string]int),
+		counts: make(map[string]int), tenants: make(map[string]string),
 	}
 }
 
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -60,6 +60,7 @@
 
 	options      Options
 	network      Surroundings
+	tenants      *tenantBook
 	servers      []*http.Server
 	storeAddress string
 	config       uint64
@@ -95,7 +96,7 @@
 func NewWorld(options Options) *World {
 	w := &World{
 		Truth: NewTruth(), Store: NewStore(options.Seed), options: options,
-		network: options.Surroundings, versions: make(map[string]uint64),
+		network: options.Surroundings, versions: make(map[string]uint64), tenants: newTenantBook(),
 	}
 	if w.network == nil {
 		w.network = newSimulated(options.Seed)
@@ -247,6 +248,7 @@
 		add(fmt.Sprint("extra", i), fmt.Sprintf("/extra%d/", i), platform.KindSafe, applicationName, 0)
 	}
 	document.Services = []platform.ServiceDocument{{Name: modelService}, {Name: applicationName}}
+	document.Tenants = w.tenants.documents()
 	content, err := json.Marshal(document)
 	if err != nil {
 		panic(err)
@@ -283,13 +285,17 @@
 	var callers conc.WaitGroup
 	for i, model := range w.options.Models {
 		trainer := w.newCaller("trainer-"+model, zones[i%len(zones)], host, w.options.Seed+uint64(i)*17)
+		trainer.tenant = w.tenants.names[i%tenantCount]
 		callers.Go(func() { trainer.runTrainer(ctx, model, 6, 4) })
 	}
 	for i, zone := range zones {
 		client := w.newCaller("client-"+zone, zone, host, w.options.Seed+uint64(i)*19+5)
+		client.tenant = w.tenants.names[i%tenantCount]
 		callers.Go(func() { client.runClient(ctx, 250*time.Millisecond) })
 		looker := w.newCaller("looker-"+zone, zone, host, w.options.Seed+uint64(i)*23+7)
 		callers.Go(func() { looker.runLooker(ctx) })
+		trespasser := w.newCaller("trespasser-"+zone, zone, host, w.options.Seed+uint64(i)*29+9)
+		callers.Go(func() { trespasser.runTrespasser(ctx) })
 	}
 	callers.Wait()
 }
--- a/internal/result/definitions.go
+++ b/internal/result/definitions.go
@@ -11,6 +11,7 @@
 	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, NotRun, "The request body is larger than the interface accepts.", "Send a smaller body."},
 	{UnknownPath, "unknown_path", http.StatusNotFound, NotRun, "The interface has no such path or method.", "See docs/API.md."},
 	{SlowBody, "slow_body", http.StatusRequestTimeout, NotRun, "The request body did not arrive in time.", "Send the body faster."},
+	{Unauthenticated, "unauthenticated", http.StatusUnauthorized, NotRun, "The route needs the key of a tenant, and no tenant holds the one that was shown.", "Send a key that the tenant holds."},
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, "The node is leaving and takes no new work.", "Repeat at another node at once."},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, NotRun, "The node has no configuration yet.", "Repeat at another node, or after the hint."},
 	{RateLimited, "rate_limited", http.StatusTooManyRequests, NotRun, "The tenant is over its rate.", "Repeat after the hint."},
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -36,6 +36,7 @@
 	BodyTooLarge     Code = 1005
 	UnknownPath      Code = 1006
 	SlowBody         Code = 1007
+	Unauthenticated  Code = 1008
 
 	Draining         Code = 2001
 	NotReady         Code = 2002
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -130,6 +130,7 @@
 func (i *item) ahead(version uint64) *item {
 	spec := &pathbendv1.BatchJob{
 		Host: i.job.spec.Host, Path: i.job.spec.Path, Step: i.job.spec.Step, Model: i.job.spec.Model, MinVersion: version,
+		Tenant: i.job.spec.Tenant,
 	}
 	later := &job{id: i.job.id, spec: spec, policy: i.job.policy}
 	key := i.key
--- a/internal/schedule/ahead_test.go
+++ b/internal/schedule/ahead_test.go
@@ -42,6 +42,7 @@
 	ahead := b.starts()
 	require.Len(t, ahead, 1)
 	require.True(t, ahead[0].Key.Ahead)
+	require.Equal(t, "tenant", ahead[0].Job.Tenant, "a run ahead is the tenant's too")
 	require.Equal(t, "new", ahead[0].Sampler.ID)
 	require.Zero(t, ahead[0].AfterEvent)
 	require.True(t, b.feed(ahead[0], 1, 6, 3))
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -51,7 +51,7 @@
 func (b *bench) jobOf(id string, minVersion uint64, words ...string) testJob {
 	b.t.Helper()
 	var items []*pathbendv1.BatchItem
-	spec := &pathbendv1.BatchJob{Model: "m", MinVersion: minVersion}
+	spec := &pathbendv1.BatchJob{Model: "m", MinVersion: minVersion, Tenant: "tenant"}
 	for i, word := range words {
 		group, tokens, _ := strings.Cut(word, ":")
 		expected := uint64(0)
