Report what tenants use, once a window, from the node that holds the duty

Ways weighed: (a) each node appends its counts to a topic and the holder sums them; (b) nodes report to the holder, who asks again: cheaper in calls, but counts die with the holder, and a new one has to ask all nodes; (c) the holder works them out from the ledger: it holds items, which usage leaves out, and no requests.

Change: internal/metering. The holder decides a window once all nodes that closed the last two have closed it, at the latest 1.5 s before it is due, writes the decision down, and sends the decision that stands first in the log: a successor, or two holders at once, send the same. internal/duty names what such calls share; weight orders and usage use one mechanism (hosted/claims.go, moved out of the orders). Jumps of the machine's clock are ignored for 30 s. The simulation has the platform's API with its troubles and judges ONE and the counts.

Decisions were blocked by an earlier window whose report failed (found by a test): they are made all the same now.

--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	$(GO) test ./internal/peer -run '^$$' -fuzz FuzzReadEnvelope -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/config -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/state -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/metering -run '^$$' -fuzz FuzzBook -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/ledger -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzEvents -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDocuments -fuzztime $(FUZZTIME)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -94,6 +94,12 @@
 	LogAppendRetried     Number = 807
 	LinesDropped         Number = 808
 	StandingChanged      Number = 809
+	UsageUnsaved         Number = 901
+	UsageDecided         Number = 902
+	UsageReported        Number = 903
+	UsageUnsent          Number = 904
+	SamplersOrdered      Number = 905
+	SamplersUnordered    Number = 906
 )
 
 var definitions = []Definition{
@@ -165,6 +171,12 @@
 	{LogAppendRetried, "log_append_retried", slog.LevelInfo, "An append had no answer in time or was refused and is repeated.", "Check the log service if it lasts."},
 	{LinesDropped, "lines_dropped", slog.LevelWarn, "Log lines were dropped because the output did not keep up.", "Check the reader of the output."},
 	{StandingChanged, "standing_changed", slog.LevelInfo, "A node with a small machine enters the group of executors as no larger one is in it, or leaves it again.", "None, unless small nodes execute for long: the large ones are gone."},
+	{UsageUnsaved, "usage_unsaved", slog.LevelWarn, "Counts of tenants' requests could not be written to the log; they are kept and written later.", "Check the log service; counts that a killed process held are lost."},
+	{UsageDecided, "usage_decided", slog.LevelInfo, "The holder of the duty sums a window's requests; the line tells whether all nodes had closed it.", "Not complete again and again: look for a node that cannot write to the log."},
+	{UsageReported, "usage_reported", slog.LevelInfo, "The platform took the report of a window; the line tells how long after its end.", "None."},
+	{UsageUnsent, "usage_unsent", slog.LevelWarn, "The platform did not take the report of a window; it is sent again.", "Check the platform's API."},
+	{SamplersOrdered, "samplers_ordered", slog.LevelInfo, "The platform took the number of samplers wanted in a zone; the line tells what it was decided from.", "None."},
+	{SamplersUnordered, "samplers_unordered", slog.LevelWarn, "The platform did not take the number of samplers wanted in a zone; it is sent again.", "Check the platform's API; 409 means that there are none of the kind."},
 }
 
 var byNumber = indexByNumber()
--- /dev/null
+++ b/internal/hosted/claims.go
@@ -0,0 +1,92 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/duty"
+	"github.com/pathbend/pathbend/internal/ledger"
+)
+
+const (
+	// claimPatience bounds how long a claim waits for the log.
+	claimPatience = 700 * time.Millisecond
+	// claimLimit is how old a claim may be when its call is made.
+	claimLimit = time.Second
+)
+
+// claims lets the holder of the jobs' partition, and no other node, make calls that only
+// one node at a time may make: orders to samplers and duties towards the platform.
+// Whoever is about to make one writes it down and reads the log up to that entry. The
+// log puts the claims of two nodes that both take themselves for the holder in one
+// order: the one with the lower fence that comes second finds the other's and gives its
+// call up, and the one with the higher fence leaves the subject alone for a while that
+// the other claimed before.
+type claims struct {
+	node *Node
+}
+
+// MayAct implements duty.Holder.
+func (c *claims) MayAct(now time.Time) bool {
+	_, ok := c.node.ownership.mayOrder(jobPartition, now)
+	return ok
+}
+
+// Claim implements duty.Holder.
+func (c *claims) Claim(ctx context.Context, subject string) (duty.Right, bool) {
+	fence, ok := c.take(ctx, subject)
+	return duty.Right{Holder: c.node.settings.Name, Fence: fence}, ok
+}
+
+// take claims a subject for one call, which must follow at once. It returns the fence,
+// and false if this node may not make the call after all.
+func (c *claims) take(ctx context.Context, subject string) (fence uint64, ok bool) {
+	holder := c.node.settings.Name
+	fence, ok = c.node.ownership.mayOrder(jobPartition, time.Now())
+	if !ok {
+		return 0, false
+	}
+	began := time.Now()
+	serial := rand.Uint64()
+	entry := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Claimed{Claimed: &pathbendv1.Claim{
+		Subject: subject, Holder: holder, Fence: fence, Serial: serial,
+	}}}
+	readBack := func() bool {
+		last, known := c.node.jobs.ledger.LastClaim(subject, holder)
+		return known && last.Serial == serial
+	}
+	if err := c.node.jobs.record(ctx, claimPatience, readBack, entry); err != nil {
+		return 0, false
+	}
+	if !c.node.jobs.awaitReadBack(ctx, claimPatience, readBack) || time.Since(began) > claimLimit {
+		return 0, false
+	}
+	if c.superseded(fence) || c.recent(subject, time.Now()) {
+		return 0, false
+	}
+	// The share may have ended while the log was slow.
+	return c.node.ownership.mayOrder(jobPartition, time.Now())
+}
+
+// superseded reports whether another node made a claim under a higher fence.
+func (c *claims) superseded(fence uint64) bool {
+	superseded := false
+	c.node.jobs.withLedger(func(known *ledger.Ledger) {
+		newest := known.NewestClaim()
+		superseded = newest.Fence > fence && newest.Holder != c.node.settings.Name
+	})
+	return superseded
+}
+
+// recent reports whether another node claimed a subject of late. Calls of two nodes
+// about one subject must lie the grace apart.
+func (c *claims) recent(subject string, now time.Time) bool {
+	waits := false
+	c.node.jobs.withLedger(func(known *ledger.Ledger) {
+		last := known.LastClaimByOthers(subject, c.node.settings.Name)
+		waits = !last.IsZero() && now.Sub(last) < c.node.settings.OrderGrace+orderMargin
+	})
+	return waits
+}
--- a/internal/hosted/forward.go
+++ b/internal/hosted/forward.go
@@ -50,7 +50,10 @@
 	request := requestOf(route, in, deadline)
 	request.Tenant = admitted.Tenant.Name
 	request.Permitted = n.permits(admitted, in.Key)
+	meter := n.usage.meter(admitted)
+	request.Began = meter.sent
 	answer, err := n.dispatcher.Do(ctx, request)
+	meter.watch(answer)
 	if answer == nil || answer.Buffered != nil {
 		cancel()
 	} else {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -14,6 +14,7 @@
 	"github.com/pathbend/pathbend/internal/election"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/fleet"
+	"github.com/pathbend/pathbend/internal/metering"
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
@@ -28,6 +29,8 @@
 	Protocol  dispatch.Protocol
 	Generator Generator
 	Control   Control
+	// Usage takes reports of usage; it may be nil where there are none.
+	Usage metering.Sender
 	// Score reads the proof of a reward call from its answer.
 	Score func(*dispatch.Answer) (Scored, error)
 }
@@ -45,6 +48,8 @@
 	jobs       *jobBook
 	ownership  *ownership
 	executor   *executor
+	claims     *claims
+	usage      *usage
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	samplers atomic.Pointer[[]schedule.Sampler]
@@ -83,6 +88,8 @@
 	n.directory = newDirectory(ports.Log, settings.NodesTopic, n, logger)
 	n.jobs = newJobBook(n)
 	n.executor = newExecutor(n)
+	n.claims = &claims{node: n}
+	n.usage = newUsage(n)
 	n.ownership = newOwnership(settings, ports.Group, n.directory, n.executor.flush, logger)
 	return n
 }
@@ -96,6 +103,7 @@
 	n.loops.Go(func() { n.joinGroup(ctx) })
 	n.loops.Go(func() { n.announce(ctx) })
 	n.loops.Go(func() { n.executor.run(ctx) })
+	n.usage.start(ctx)
 }
 
 // joinGroup takes part in the group once the node knows routes and samplers: a
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -117,6 +117,12 @@
 	// Millicores is the processor time a second that the node may use, 0 if that
 	// is not known.
 	Millicores uint64
+	// UsageTopic is where nodes tell what tenants used, UsageWindow the length of a
+	// window of usage, 0 if nothing is to be reported, and UsageLate how long after its
+	// end the report of a window is due.
+	UsageTopic  string
+	UsageWindow time.Duration
+	UsageLate   time.Duration
 	// RevokeAfter is how long a node that hears nothing of the configuration goes on
 	// with the keys that it knows; 0 for as long as that lasts.
 	RevokeAfter time.Duration
--- /dev/null
+++ b/internal/hosted/usage.go
@@ -0,0 +1,130 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/credential"
+	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/metering"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+const (
+	// leastGather is how long a node gathers counts at least before it writes them.
+	leastGather = 300 * time.Millisecond
+	// gatherPerNode lengthens that so that all nodes together append no more than a
+	// hundred times a second: a partition takes an append each 4 ms.
+	gatherPerNode = 10 * time.Millisecond
+	// longestGather bounds it, since reports wait for it and a killed process loses what
+	// it gathered.
+	longestGather = 3 * time.Second
+)
+
+// usage counts what tenants use and reports it where the platform asks for that.
+type usage struct {
+	node     *Node
+	recorder *metering.Recorder
+	reporter *metering.Reporter
+}
+
+// newUsage returns a usage that counts nothing if nothing is to be reported.
+func newUsage(n *Node) *usage {
+	u := &usage{node: n}
+	length := n.settings.UsageWindow
+	if length <= 0 || n.ports.Usage == nil {
+		return u
+	}
+	clock := &metering.Clock{Now: time.Now}
+	partition := sharedlog.Partition{Topic: n.settings.UsageTopic}
+	u.recorder = metering.NewRecorder(metering.NewCounter(n.settings.Name, rand.Uint64(), length, clock.Read()))
+	u.recorder.Log, u.recorder.Partition, u.recorder.Clock = n.ports.Log, partition, clock
+	u.recorder.Pause, u.recorder.Logger = u.gather, n.logger
+	u.reporter = &metering.Reporter{
+		Log: n.ports.Log, Partition: partition, Observer: n, Holder: n.claims, Sender: n.ports.Usage,
+		Clock: clock, Logger: n.logger, Length: length, Late: n.settings.UsageLate, Gather: u.gather,
+	}
+	return u
+}
+
+func (u *usage) start(ctx context.Context) {
+	if u.recorder == nil {
+		return
+	}
+	u.node.loops.Go(func() { u.recorder.Run(ctx) })
+	u.node.loops.Go(func() { u.reporter.Run(ctx) })
+}
+
+// gather is how long a node gathers counts before it writes them.
+func (u *usage) gather() time.Duration {
+	announced, ok := u.node.directory.Announced()
+	if !ok {
+		return leastGather
+	}
+	return min(max(leastGather, time.Duration(announced.nodes)*gatherPerNode), longestGather)
+}
+
+// count counts a request of a tenant that began at a time.
+func (u *usage) count(tenant credential.Tenant, began time.Time) {
+	if u.recorder != nil && tenant.Name != "" {
+		u.recorder.Count(tenant.Name, began)
+	}
+}
+
+// meter counts one request once, however many attempts it takes. A request began to run
+// when a back end got it; a stream when its first event came.
+type meter struct {
+	usage  *usage
+	tenant credential.Tenant
+	stream bool
+
+	mutex   sync.Mutex
+	counted bool
+}
+
+func (u *usage) meter(admitted Admitted) *meter {
+	return &meter{usage: u, tenant: admitted.Tenant, stream: admitted.Route.Kind == catalog.Stream}
+}
+
+// sent records an attempt that its back end ran or may have.
+func (m *meter) sent(at time.Time) {
+	if !m.stream {
+		m.count(at)
+	}
+}
+
+func (m *meter) count(at time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.counted {
+		return
+	}
+	m.counted = true
+	m.usage.count(m.tenant, at)
+}
+
+// watch counts a stream when its first bytes are read.
+func (m *meter) watch(answer *dispatch.Answer) {
+	if m.stream && answer != nil {
+		answer.Body = &meteredBody{ReadCloser: answer.Body, meter: m}
+	}
+}
+
+// meteredBody tells its meter of the first bytes.
+type meteredBody struct {
+	io.ReadCloser
+	meter *meter
+}
+
+// Read implements io.Reader.
+func (b *meteredBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if n > 0 {
+		b.meter.count(time.Now())
+	}
+	return n, err
+}
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
-	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/internal/weights"
@@ -26,10 +23,6 @@
 	// loadPatience is how long an order may take before the sampler is judged
 	// anew.
 	loadPatience = 4 * time.Second
-	// announcePatience bounds how long an order waits for the log.
-	announcePatience = 700 * time.Millisecond
-	// announceLimit is how old an announcement may be when its order is sent.
-	announceLimit = time.Second
 )
 
 // orderWeights begins the orders that are due. It is called under the lock.
@@ -45,7 +38,7 @@
 	for _, load := range e.scheduler.Loads() {
 		members = append(members, weights.Member{
 			ID: load.ID, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
-			Wait: e.orderedByAnother(load.ID, now),
+			Wait: e.node.claims.recent(load.ID, now),
 		})
 	}
 	e.roll.Want(e.scheduler.Demand(now))
@@ -72,60 +65,6 @@
 	}
 }
 
-// orderedByAnother reports whether a sampler had an order of another node of
-// late. Orders of two nodes to one sampler must lie the grace apart.
-func (e *executor) orderedByAnother(samplerID string, now time.Time) bool {
-	waits := false
-	e.node.jobs.withLedger(func(known *ledger.Ledger) {
-		last := known.LastOrderByOthers(samplerID, e.node.settings.Name)
-		waits = !last.IsZero() && now.Sub(last) < e.node.settings.OrderGrace+orderMargin
-	})
-	return waits
-}
-
-// announceOrder writes down that an order is about to be sent and reads the log up
-// to that entry. The log puts the announcements of two nodes that both take
-// themselves for the holder in one order: the one with the lower fence that comes
-// second finds the other's and gives its order up, and the one with the higher
-// fence leaves the samplers alone for a while that the other announced before. It
-// returns the fence, and false if this node may not order after all.
-func (e *executor) announceOrder(ctx context.Context, sampler schedule.Sampler) (fence uint64, ok bool) {
-	fence, ok = e.node.ownership.mayOrder(jobPartition, time.Now())
-	if !ok {
-		return 0, false
-	}
-	began := time.Now()
-	serial := rand.Uint64()
-	entry := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Ordered{Ordered: &pathbendv1.WeightOrder{
-		SamplerId: sampler.ID, Holder: e.node.settings.Name, Fence: fence, Serial: serial,
-	}}}
-	readBack := func() bool {
-		last, known := e.node.jobs.ledger.LastOrder(sampler.ID, e.node.settings.Name)
-		return known && last.Serial == serial
-	}
-	if err := e.node.jobs.record(ctx, announcePatience, readBack, entry); err != nil {
-		return 0, false
-	}
-	if !e.node.jobs.awaitReadBack(ctx, announcePatience, readBack) || time.Since(began) > announceLimit {
-		return 0, false
-	}
-	if e.superseded(fence) || e.orderedByAnother(sampler.ID, time.Now()) {
-		return 0, false
-	}
-	// The share may have ended while the log was slow.
-	return e.node.ownership.mayOrder(jobPartition, time.Now())
-}
-
-// superseded reports whether another node announced an order under a higher fence.
-func (e *executor) superseded(fence uint64) bool {
-	superseded := false
-	e.node.jobs.withLedger(func(known *ledger.Ledger) {
-		newest := known.NewestOrder()
-		superseded = newest.Fence > fence && newest.Holder != e.node.settings.Name
-	})
-	return superseded
-}
-
 // move brings one sampler to a version. It reports whether the sampler was seen
 // to serve it.
 func (e *executor) move(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
@@ -141,7 +80,7 @@
 	if report.Busy {
 		return e.awaitVersion(ctx, scheduler, sampler, step)
 	}
-	fence, ok := e.announceOrder(ctx, sampler)
+	fence, ok := e.node.claims.take(ctx, sampler.ID)
 	if !ok || ctx.Err() != nil {
 		return false
 	}
--- a/internal/hosted/weights_test.go
+++ b/internal/hosted/weights_test.go
@@ -13,7 +13,6 @@
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/result"
-	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/weights"
 )
@@ -58,7 +57,7 @@
 
 func announces(t *testing.T, e *executor, samplerID string) bool {
 	t.Helper()
-	fence, ok := e.announceOrder(t.Context(), schedule.Sampler{ID: samplerID})
+	fence, ok := e.node.claims.take(t.Context(), samplerID)
 	if ok {
 		require.Equal(t, e.node.ownership.current(), fence)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -80,22 +79,8 @@
 	finished map[string]Result
 	// ended holds ends that came before their job, which a reader that begins
 	// in the middle of the log may see.
-	ended map[string]bool
-	// ordered holds, by sampler, the last order of each holder.
-	ordered map[string]map[string]Ordered
-	// newestOrder is the order with the highest fence.
-	newestOrder Ordered
-}
-
-// Ordered is an order to a sampler that was about to be sent.
-type Ordered struct {
-	Holder string
-	// Fence is the right under which it was given; a later holder's is higher.
-	Fence uint64
-	// Serial was drawn for this order.
-	Serial uint64
-	// ReadAt is when this process read of it, not before it was written.
-	ReadAt time.Time
+	ended  map[string]bool
+	claims claims
 }
 
 // New returns an empty ledger.
@@ -106,7 +91,7 @@
 		progress:  make(map[string]Progress),
 		finished:  make(map[string]Result),
 		ended:     make(map[string]bool),
-		ordered:   make(map[string]map[string]Ordered),
+		claims:    newClaims(),
 	}
 }
 
@@ -151,23 +136,12 @@
 		return l.list(entry.JobId, fact.Listed.Results), nil
 	case *pathbendv1.LedgerEntry_Progress:
 		return l.advance(entry.JobId, fact.Progress.Items), nil
-	case *pathbendv1.LedgerEntry_Ordered:
-		l.noteOrder(fact.Ordered, now)
+	case *pathbendv1.LedgerEntry_Claimed:
+		l.claims.note(fact.Claimed, now)
 	}
 	return Change{}, nil
 }
 
-func (l *Ledger) noteOrder(order *pathbendv1.WeightOrder, now time.Time) {
-	noted := Ordered{Holder: order.Holder, Fence: order.Fence, Serial: order.Serial, ReadAt: now}
-	if l.ordered[order.SamplerId] == nil {
-		l.ordered[order.SamplerId] = make(map[string]Ordered)
-	}
-	l.ordered[order.SamplerId][order.Holder] = noted
-	if noted.Fence >= l.newestOrder.Fence {
-		l.newestOrder = noted
-	}
-}
-
 func (l *Ledger) submit(id string, spec *pathbendv1.BatchJob, now time.Time) Change {
 	if _, known := l.jobs[id]; known {
 		return Change{}
@@ -286,29 +260,7 @@
 	return listed, ok
 }
 
-// LastOrder returns the last order of a holder to a sampler, false if none is
-// known.
-func (l *Ledger) LastOrder(samplerID, holder string) (Ordered, bool) {
-	last, ok := l.ordered[samplerID][holder]
-	return last, ok
-}
-
-// LastOrderByOthers returns when this process read of the last order to a sampler
-// by any other holder, the zero time if none is known.
-func (l *Ledger) LastOrderByOthers(samplerID, holder string) time.Time {
-	var last time.Time
-	for other, order := range l.ordered[samplerID] {
-		if other != holder && order.ReadAt.After(last) {
-			last = order.ReadAt
-		}
-	}
-	return last
-}
-
-// NewestOrder returns the order with the highest fence, to any sampler.
-func (l *Ledger) NewestOrder() Ordered { return l.newestOrder }
-
-// Expire forgets the jobs received before a time, and the orders read before it.
+// Expire forgets the jobs received before a time, and the claims read before it.
 func (l *Ledger) Expire(before time.Time) {
 	kept := slices.IndexFunc(l.order, func(job *Job) bool { return !job.ReceivedAt.Before(before) })
 	if kept < 0 {
@@ -322,8 +274,5 @@
 		}
 	}
 	l.order = slices.Clone(l.order[kept:])
-	maps.DeleteFunc(l.ordered, func(_ string, holders map[string]Ordered) bool {
-		maps.DeleteFunc(holders, func(_ string, last Ordered) bool { return last.ReadAt.Before(before) })
-		return len(holders) == 0
-	})
+	l.claims.expire(before)
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -223,22 +223,22 @@
 
 func TestOrdersAreKnownToAll(t *testing.T) {
 	l := New()
-	_, known := l.LastOrder("s", "a")
+	_, known := l.LastClaim("s", "a")
 	require.False(t, known)
-	require.Zero(t, l.LastOrderByOthers("s", "a"))
+	require.Zero(t, l.LastClaimByOthers("s", "a"))
 	for fence, holder := range []string{"a", "b", "a"} {
-		apply(t, l, &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Ordered{
-			Ordered: &pathbendv1.WeightOrder{SamplerId: "s", Holder: holder, Fence: uint64(fence), Serial: uint64(10 + fence)},
+		apply(t, l, &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Claimed{
+			Claimed: &pathbendv1.Claim{Subject: "s", Holder: holder, Fence: uint64(fence), Serial: uint64(10 + fence)},
 		}})
 	}
-	last, known := l.LastOrder("s", "a")
+	last, known := l.LastClaim("s", "a")
 	require.True(t, known)
-	require.Equal(t, Ordered{Holder: "a", Fence: 2, Serial: 12, ReadAt: start}, last)
-	require.Equal(t, last, l.NewestOrder())
-	require.Equal(t, start, l.LastOrderByOthers("s", "a"), "that of b")
-	require.Zero(t, l.LastOrderByOthers("other", "a"))
+	require.Equal(t, Claim{Holder: "a", Fence: 2, Serial: 12, ReadAt: start}, last)
+	require.Equal(t, last, l.NewestClaim())
+	require.Equal(t, start, l.LastClaimByOthers("s", "a"), "that of b")
+	require.Zero(t, l.LastClaimByOthers("other", "a"))
 	l.Expire(start.Add(time.Minute))
-	_, known = l.LastOrder("s", "a")
+	_, known = l.LastClaim("s", "a")
 	require.False(t, known)
-	require.Zero(t, l.LastOrderByOthers("s", "a"))
+	require.Zero(t, l.LastClaimByOthers("s", "a"))
 }
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -38,6 +38,9 @@
 	StoreForgets
 	NodeReplaced
 	KeysTaken
+	CloudDown
+	CloudSlow
+	CloudLost
 	faultKinds
 )
 
@@ -46,6 +49,7 @@
 	"store_down", "store_silent", "store_slow", "store_lost", "store_late", "store_rebalance",
 	"sampler_crash", "sampler_slow", "sampler_cut", "sampler_fail", "sampler_surplus", "sampler_replaced", "sampler_late_orders",
 	"config_change", "store_forgets", "node_replaced", "keys_taken",
+	"cloud_down", "cloud_slow", "cloud_lost",
 }
 
 // String implements fmt.Stringer.
@@ -130,6 +134,12 @@
 		w.troubleStore(fault, StoreFaults{Lose: 0.35})
 	case StoreLate:
 		w.troubleStore(fault, StoreFaults{Lose: 0.35, Late: true})
+	case CloudDown:
+		w.troubleCloud(fault, CloudFaults{Down: true})
+	case CloudSlow:
+		w.troubleCloud(fault, CloudFaults{Slow: 60})
+	case CloudLost:
+		w.troubleCloud(fault, CloudFaults{Lose: 0.5})
 	case SamplerCrash:
 		w.crashSampler(fault, machine)
 	case SamplerReplaced:
@@ -235,7 +245,7 @@
 }
 
 func (w *World) others(name string) []string {
-	others := []string{"store"}
+	others := []string{storeMachine, cloudMachine}
 	for _, machine := range w.present() {
 		if machine.name != name {
 			others = append(others, machine.name)
@@ -269,6 +279,12 @@
 	w.Truth.Disturb("", time.Now())
 }
 
+func (w *World) troubleCloud(fault Fault, faults CloudFaults) {
+	w.cloudFaults.Store(&faults)
+	time.Sleep(fault.For)
+	w.cloudFaults.Store(&CloudFaults{})
+}
+
 func (w *World) troubleSampler(fault Fault, machine *samplerMachine, faults SamplerFaults) {
 	machine.sampler.SetFaults(faults)
 	time.Sleep(fault.For)
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -28,10 +28,10 @@
 		mutation.Replace("internal/hosted/executor.go", "stopped := e.scheduler.DropJob(change.Job.ID, time.Now())", "var stopped []schedule.Key"),
 	}},
 	{Promise: "ONE: orders of two nodes lie apart", Edits: []mutation.Edit{
-		mutation.Replace("internal/hosted/weights.go", "waits = !last.IsZero() &&", "waits = false &&"),
+		mutation.Replace("internal/hosted/claims.go", "waits = !last.IsZero() &&", "waits = false &&"),
 	}},
 	{Promise: "ONE: a former holder finds the new one in the log", Test: "TestFormerHolderFindsTheNewOneInTheLog", Package: "./internal/hosted", Edits: []mutation.Edit{
-		mutation.Replace("internal/hosted/weights.go", "superseded = newest.Fence > fence &&", "superseded = false &&"),
+		mutation.Replace("internal/hosted/claims.go", "superseded = newest.Fence > fence &&", "superseded = false &&"),
 	}},
 	{Promise: "REFUSED: items without their job never run", Test: "TestRefusalBeforeTheJobIsKeptPromisesThatItNeverRuns", Package: "./internal/hosted", Edits: []mutation.Edit{
 		mutation.Replace("internal/hosted/batch.go", "if result.Is(err, result.LogUnknown) || result.Is(err, result.LogUnavailable) {", "if false {"),
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -286,6 +286,7 @@
 
 // answer serves a request of an application or a reward call.
 func (s *Sampler) answer(writer http.ResponseWriter, request *http.Request, id string, body []byte) {
+	s.truth.Began(id)
 	if !s.work(request) {
 		return
 	}
--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -75,6 +75,9 @@
 	require.GreaterOrEqual(t, counts["steps"], 30)
 	require.Equal(t, counts["steps"], counts["steps whole"], counts)
 	require.Positive(t, counts["orders"])
+	require.Positive(t, counts["windows reported"])
+	end := world.Truth.started.Add(settleTime + faultTime)
+	require.Empty(t, world.Truth.MissedUsage(world.Truth.started.Add(settleTime), end))
 }
 
 func TestSeeds(t *testing.T) {
--- a/internal/platformsim/store.go
+++ b/internal/platformsim/store.go
@@ -79,6 +79,12 @@
 	s.append(topic, 0, [][]byte{append(record, value...)})
 }
 
+func (s *Store) draw(share float64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.Float64() < share
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -49,6 +49,11 @@
 	counts        map[string]int
 	// tenants tells for whom a request or an item runs.
 	tenants map[string]string
+	cloud   cloudTruth
+	// nameless is set where nobody can tell from which node a call comes.
+	nameless bool
+	// started is when the world began.
+	started time.Time
 }
 
 // itemTruth is what samplers saw of an item.
@@ -90,7 +95,8 @@
 	return &Truth{
 		items: make(map[string]*itemTruth), jobs: make(map[string]*jobTruth), stamps: make(map[string]stampTruth),
 		orders: make(map[string]orderTruth), disturbed: make(map[string]time.Time), gone: make(map[string]time.Time),
-		counts: make(map[string]int), tenants: make(map[string]string),
+		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(),
+		started: time.Now(),
 	}
 }
 
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -63,6 +64,8 @@
 	tenants      *tenantBook
 	servers      []*http.Server
 	storeAddress string
+	cloudAddress string
+	cloudFaults  atomic.Pointer[CloudFaults]
 	config       uint64
 
 	mutex    sync.Mutex
@@ -107,6 +110,10 @@
 	listener, address := w.listen(storeMachine, zones[0], storePort)
 	w.storeAddress = address
 	w.serve(listener, w.Store)
+	w.cloudFaults.Store(&CloudFaults{})
+	w.Truth.nameless = options.Nameless
+	listener, w.cloudAddress = w.listen(cloudMachine, zones[0], cloudPort)
+	w.serve(listener, http.HandlerFunc(w.serveCloud))
 	for i := range options.Samplers {
 		w.addSampler(modelService, i, 8, 12*time.Millisecond)
 	}
@@ -175,6 +182,8 @@
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = w.storeAddress, 32<<10, 256<<10
 	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
+	settings.Bounds.ReportWindowS, settings.Bounds.UsageLateS = reportWindow.Seconds(), usageLate.Seconds()
+	settings.Cloud.Address, settings.Cloud.Duties = w.cloudAddress, []string{platform.DutyUsage}
 	return settings
 }
 
--- a/internal/result/definitions.go
+++ b/internal/result/definitions.go
@@ -41,6 +41,8 @@
 	{RecordMalformed, "record_malformed", http.StatusBadRequest, NotRun, "A log record could not be decoded; readers skip it.", "Find the writer of the record."},
 	{LeaseConflict, "lease_conflict", http.StatusConflict, NotRun, "Another claim on the lease came first in the log.", "None: the winner acts."},
 	{LogTruncated, "log_truncated", http.StatusGone, NotRun, "The records asked for are no longer kept.", "Read from the oldest record that is kept."},
+	{PlatformUnreached, "platform_unreached", http.StatusBadGateway, Unknown, "A call to the platform's API had no answer.", "None: the call is repeated; check the platform's API if it lasts."},
+	{PlatformRefused, "platform_refused", http.StatusServiceUnavailable, NotRun, "The platform's API refused a call.", "None: the call is repeated; check the platform's API if it lasts."},
 	{FrameTooLarge, "frame_too_large", http.StatusBadRequest, NotRun, "A peer frame is over the size limit; the connection is closed.", "Check what connects to the peer port."},
 	{FrameMalformed, "frame_malformed", http.StatusBadRequest, NotRun, "A peer frame could not be decoded; the connection is closed.", "Check what connects to the peer port."},
 	{PeerUnreached, "peer_unreached", http.StatusServiceUnavailable, NotRun, "The call was not sent to the peer.", "Repeat at another peer."},
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -70,6 +70,9 @@
 	RecordMalformed Code = 5005
 	LeaseConflict   Code = 5006
 	LogTruncated    Code = 5007
+	// PlatformUnreached and PlatformRefused are of calls that are a duty.
+	PlatformUnreached Code = 5008
+	PlatformRefused   Code = 5009
 
 	FrameTooLarge       Code = 6001
 	FrameMalformed      Code = 6002
