Order spot samplers so that each item of the largest step has a slot

Cause: the number of samplers was never ordered.

Ordinary samplers stay as the operator has them. Orders are the duty of the executor under the same claims as weight orders and usage.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -71,6 +71,21 @@
 	Slots int
 	// MaxConnections bounds the connections to one sampler from all callers.
 	MaxConnections int
+	// Scaling is nil where the number of samplers is not to be asked for.
+	Scaling *Scaling
+}
+
+// Scaling bounds the samplers that the platform may be asked for.
+type Scaling struct {
+	// Min and Max bound the samplers of both kinds in each zone.
+	Min, Max int
+	// Boot is how long a new sampler takes until it serves.
+	Boot time.Duration
+	// SpotPrice is the price of a spot sampler as a part of an ordinary one's, 0 where
+	// there are none.
+	SpotPrice float64
+	// ZonePrices are the prices of a second of an ordinary sampler, in any unit.
+	ZonePrices map[string]float64
 }
 
 // Limits bound what clients may send. Zero values mean no bound.
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -159,6 +159,17 @@
 	e.detectSplitBrain(now)
 }
 
+// peaks returns, by model, the most items that were wanted at once of late; false if
+// this node does not execute.
+func (e *executor) peaks(now time.Time) (map[string]int, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler == nil {
+		return nil, false
+	}
+	return e.scheduler.Demand(now), true
+}
+
 func (e *executor) executing() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -31,6 +31,8 @@
 	Control   Control
 	// Usage takes reports of usage; it may be nil where there are none.
 	Usage metering.Sender
+	// Scaler takes orders of samplers; it may be nil where there are none.
+	Scaler Scaler
 	// Score reads the proof of a reward call from its answer.
 	Score func(*dispatch.Answer) (Scored, error)
 }
@@ -50,6 +52,7 @@
 	executor   *executor
 	claims     *claims
 	usage      *usage
+	scaler     *scaler
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	samplers atomic.Pointer[[]schedule.Sampler]
@@ -90,6 +93,7 @@
 	n.executor = newExecutor(n)
 	n.claims = &claims{node: n}
 	n.usage = newUsage(n)
+	n.scaler = &scaler{node: n}
 	n.ownership = newOwnership(settings, ports.Group, n.directory, n.executor.flush, logger)
 	return n
 }
@@ -104,6 +108,7 @@
 	n.loops.Go(func() { n.announce(ctx) })
 	n.loops.Go(func() { n.executor.run(ctx) })
 	n.usage.start(ctx)
+	n.loops.Go(func() { n.scaler.run(ctx) })
 }
 
 // joinGroup takes part in the group once the node knows routes and samplers: a
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/duty"
 	"github.com/pathbend/pathbend/internal/schedule"
 )
 
@@ -83,6 +84,22 @@
 	Order(ctx context.Context, sampler schedule.Sampler, order VersionOrder) (OrderAnswer, error)
 }
 
+// SamplerOrder asks the platform for a number of samplers of one kind in a zone.
+type SamplerOrder struct {
+	Service string
+	Zone    string
+	Desired int
+	// Spot asks for samplers that may be taken away, all those of a zone together.
+	Spot bool
+}
+
+// Scaler orders samplers.
+type Scaler interface {
+	// OrderSamplers returns nil once the platform took the order. Giving the same again
+	// does no harm.
+	OrderSamplers(ctx context.Context, right duty.Right, order SamplerOrder) error
+}
+
 // Scored is the answer to a reward call.
 type Scored struct {
 	// Stamp proves the answer; it is the item's score.
@@ -117,6 +134,8 @@
 	// Millicores is the processor time a second that the node may use, 0 if that
 	// is not known.
 	Millicores uint64
+	// OrderSamplers is set where the number of samplers is this system's to order.
+	OrderSamplers bool
 	// UsageTopic is where nodes tell what tenants used, UsageWindow the length of a
 	// window of usage, 0 if nothing is to be reported, and UsageLate how long after its
 	// end the report of a window is due.
--- /dev/null
+++ b/internal/hosted/scaler.go
@@ -0,0 +1,129 @@
+package hosted
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/scaling"
+	"github.com/pathbend/pathbend/internal/wait"
+)
+
+const (
+	// scalerTick is how often the holder looks whether samplers are to be ordered.
+	scalerTick = 500 * time.Millisecond
+	// scaleTimeout bounds an order. It is below the time for which another holder waits
+	// after this one's claim.
+	scaleTimeout = 1800 * time.Millisecond
+)
+
+// scaler orders samplers while this node holds the duty.
+type scaler struct {
+	node *Node
+	// planners are those of the services, for the generation in which they began.
+	planners   map[string]*scaling.Planner
+	generation uint64
+}
+
+func (s *scaler) run(ctx context.Context) {
+	if !s.node.settings.OrderSamplers || s.node.ports.Scaler == nil {
+		return
+	}
+	for wait.For(ctx, scalerTick) {
+		if s.node.claims.MayAct(time.Now()) {
+			s.step(ctx)
+		}
+	}
+}
+
+func (s *scaler) step(ctx context.Context) {
+	if generation := s.node.ownership.current(); generation != s.generation {
+		s.generation, s.planners = generation, make(map[string]*scaling.Planner)
+	}
+	current := s.node.Catalog()
+	peaks, executing := s.node.executor.peaks(time.Now())
+	if current == nil || !executing {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(current.Services)) {
+		service := current.Services[name]
+		if service.Scaling != nil {
+			s.scale(ctx, service, peakOf(service, peaks))
+		}
+	}
+}
+
+// peakOf sums the work that a service's models were wanted for.
+func peakOf(service catalog.Service, peaks map[string]int) int {
+	peak := 0
+	for _, model := range service.Models {
+		peak += peaks[model]
+	}
+	return peak
+}
+
+func (s *scaler) scale(ctx context.Context, service catalog.Service, peak int) {
+	planner := s.planners[service.Name]
+	if planner == nil {
+		planner = scaling.NewPlanner(time.Now())
+		s.planners[service.Name] = planner
+	}
+	known := scaling.Service{
+		Zones: s.zones(service), Max: service.Scaling.Max, Slots: service.Slots,
+		SpotPrice: service.Scaling.SpotPrice, Boot: service.Scaling.Boot,
+	}
+	for _, order := range planner.Plan(time.Now(), known, peak) {
+		if s.order(ctx, service.Name, order, peak, planner.Reserve()) {
+			planner.Taken(order, time.Now())
+		} else {
+			planner.Refused(order, time.Now())
+		}
+	}
+}
+
+// zones counts a service's samplers by zone.
+func (s *scaler) zones(service catalog.Service) []scaling.Zone {
+	counted := make(map[string]*scaling.Zone)
+	for name, price := range service.Scaling.ZonePrices {
+		counted[name] = &scaling.Zone{Name: name, Price: price}
+	}
+	if listed := s.node.samplers.Load(); listed != nil {
+		for _, sampler := range *listed {
+			zone, known := counted[sampler.Zone]
+			switch {
+			case !known || sampler.Service != service.Name || sampler.Leaving:
+			case sampler.Spot:
+				zone.Spot++
+			default:
+				zone.Ordinary++
+			}
+		}
+	}
+	zones := make([]scaling.Zone, 0, len(counted))
+	for _, name := range slices.Sorted(maps.Keys(counted)) {
+		zones = append(zones, *counted[name])
+	}
+	return zones
+}
+
+// order gives an order and reports whether the platform took it.
+func (s *scaler) order(ctx context.Context, service string, order scaling.Order, peak, reserve int) bool {
+	right, ok := s.node.claims.Claim(ctx, "duty/scale/"+service+"/"+order.Zone)
+	if !ok {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, scaleTimeout)
+	defer cancel()
+	asked := SamplerOrder{Service: service, Zone: order.Zone, Desired: order.Desired, Spot: true}
+	if err := s.node.ports.Scaler.OrderSamplers(callCtx, right, asked); err != nil {
+		s.node.logger.Log(event.SamplersUnordered, "service", service, "zone", order.Zone, "desired", order.Desired,
+			"spot", true, "fence", right.Fence, "detail", err.Error())
+		return false
+	}
+	s.node.logger.Log(event.SamplersOrdered, "service", service, "zone", order.Zone, "desired", order.Desired,
+		"spot", true, "fence", right.Fence, "peak", peak, "reserve", reserve)
+	return true
+}
--- a/internal/platformsim/cloud.go
+++ b/internal/platformsim/cloud.go
@@ -18,6 +18,8 @@
 	cloudLatency = 4 * time.Millisecond
 	cloudMachine = "cloud"
 	cloudPort    = ":83"
+	// mostSamplers bounds the samplers that may be ordered in a zone.
+	mostSamplers = 12
 )
 
 // CloudFaults are the troubles of the platform's API. The zero value is none.
@@ -125,6 +127,35 @@
 	return missed
 }
 
+// takeDuty reads a call and judges it. It reports false for one that makes no sense.
+func (w *World) takeDuty(path, node string, call cloudCall, body []byte) bool {
+	switch path {
+	case platform.PathUsage:
+		var report platform.UsageDocument
+		if json.Unmarshal(body, &report) != nil {
+			return false
+		}
+		w.Truth.Reported(node, call, report)
+		return true
+	case platform.PathScale:
+		var order platform.ScaleDocument
+		if json.Unmarshal(body, &order) != nil || order.Desired > mostSamplers || order.Service != modelService {
+			return false
+		}
+		w.Truth.Scaled(node, call, order)
+		return true
+	}
+	return false
+}
+
+// Scaled judges an order of samplers. The world has as many as it began with.
+func (t *Truth) Scaled(node string, call cloudCall, order platform.ScaleDocument) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.judgeDuty("scale/"+order.Service+"/"+order.Zone, node, call)
+	t.counts["samplers ordered"] += order.Desired
+}
+
 // serveCloud takes the calls that are the duty of one node.
 func (w *World) serveCloud(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
@@ -139,12 +170,10 @@
 	}
 	fence, err := strconv.ParseUint(request.Header.Get(platform.HeaderFence), 10, 64)
 	call := cloudCall{holder: request.Header.Get(platform.HeaderHolder), fence: fence, at: time.Now()}
-	var report platform.UsageDocument
-	if err != nil || call.holder == "" || request.URL.Path != platform.PathUsage || json.Unmarshal(body, &report) != nil {
+	if err != nil || call.holder == "" || !w.takeDuty(request.URL.Path, hostOf(request.RemoteAddr), call, body) {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	w.Truth.Reported(hostOf(request.RemoteAddr), call, report)
 	if w.Store.draw(faults.Lose) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -76,6 +76,7 @@
 	require.Equal(t, counts["steps"], counts["steps whole"], counts)
 	require.Positive(t, counts["orders"])
 	require.Positive(t, counts["windows reported"])
+	require.Positive(t, counts["samplers ordered"])
 	end := world.Truth.started.Add(settleTime + faultTime)
 	require.Empty(t, world.Truth.MissedUsage(world.Truth.started.Add(settleTime), end))
 }
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -183,7 +183,7 @@
 	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
 	settings.Bounds.ReportWindowS, settings.Bounds.UsageLateS = reportWindow.Seconds(), usageLate.Seconds()
-	settings.Cloud.Address, settings.Cloud.Duties = w.cloudAddress, []string{platform.DutyUsage}
+	settings.Cloud.Address, settings.Cloud.Duties = w.cloudAddress, []string{platform.DutyUsage, platform.DutyScale}
 	return settings
 }
 
@@ -256,7 +256,7 @@
 	for i := range extraRoutes {
 		add(fmt.Sprint("extra", i), fmt.Sprintf("/extra%d/", i), platform.KindSafe, applicationName, 0)
 	}
-	document.Services = []platform.ServiceDocument{{Name: modelService}, {Name: applicationName}}
+	document.Services = []platform.ServiceDocument{w.modelServiceDocument(), {Name: applicationName}}
 	document.Tenants = w.tenants.documents()
 	content, err := json.Marshal(document)
 	if err != nil {
@@ -265,6 +265,21 @@
 	w.Store.Put(platform.TopicOperator, platform.KeyConfig, content)
 }
 
+// modelServiceDocument describes the model samplers, of which more may be ordered.
+func (w *World) modelServiceDocument() platform.ServiceDocument {
+	document := platform.ServiceDocument{Name: modelService, Scaling: &platform.ScalingDocument{
+		Min: 1, Max: mostSamplers, BootS: 4, SpotPrice: 0.2, ZonePrices: make(map[string]float64),
+	}}
+	for _, zone := range zones {
+		document.Scaling.ZonePrices[zone] = 1
+	}
+	document.Engine = &platform.EngineDocument{Slots: 2}
+	for _, model := range w.options.Models {
+		document.Engine.Models = append(document.Engine.Models, platform.ModelName{Name: model})
+	}
+	return document
+}
+
 // nameVersion writes a trainer's new version.
 func (w *World) nameVersion(model string, version uint64) {
 	content, err := json.Marshal(platform.VersionDocument{Model: model, Version: version})
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -12,6 +12,9 @@
 	Service string
 	// Slots is the number of items that it generates at once.
 	Slots int
+	// Spot is set for a sampler that may be taken away together with all others of its
+	// zone.
+	Spot bool
 	// Leaving is set once it must get no new work.
 	Leaving bool
 	// Versions maps a model to the weight version that it serves.
