Leave samplers alone that fail what they run

Trainers lose the samples.

Change: a failed run pauses its sampler as a refused one does; a moving share of failed runs makes it dearer and, from two in a row on, gives it one item at a time; an item goes to samplers that did not fail it; it is given up once as many samplers failed it as the route allows, or all that could run it, or after twice as many failures (the users' bound is three times).

--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -83,6 +83,8 @@
 	avoid    string
 	failures int
 	refusals int
+	// failedAt holds the samplers that ran the item and failed.
+	failedAt map[string]struct{}
 }
 
 // Milestones are the moments of an item's way to its result, as far as this
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -120,10 +120,7 @@
 		if state.room(s.fleetPace, now) == 0 || !s.serves(state, entry) {
 			continue
 		}
-		cost := state.cost(entry.spec.Group, s.fleetPace, now)
-		if state.ID == entry.avoid {
-			cost *= 2
-		}
+		cost := state.cost(entry.spec.Group, s.fleetPace, now) * entry.reluctance(state.ID)
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 		}
@@ -135,6 +132,24 @@
 	return best, candidates
 }
 
+const (
+	// avoidance is how much dearer the sampler of the last run is that did not end well,
+	// failedAvoidance one that ran the item and failed (chosen).
+	avoidance       = 2.0
+	failedAvoidance = 8.0
+)
+
+// reluctance is how much dearer a sampler is for an item than for others.
+func (i *item) reluctance(samplerID string) float64 {
+	if _, failed := i.failedAt[samplerID]; failed {
+		return failedAvoidance
+	}
+	if samplerID == i.avoid {
+		return avoidance
+	}
+	return 1
+}
+
 // serves reports whether a sampler's service and weights fit an item.
 func (s *Scheduler) serves(state *samplerState, entry *item) bool {
 	if !slices.Contains(entry.job.policy.Services, state.Service) {
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -136,6 +136,7 @@
 	entry.avoid = sampler.ID
 	switch ending {
 	case Complete:
+		sampler.completed()
 		if entry.events == 0 {
 			entry.notBefore = now.Add(itemPause)
 			return Verdict{}
@@ -150,7 +151,8 @@
 		entry.phase = settled
 		return Verdict{Dead: true}
 	case Failed:
-		return entry.failed(now)
+		sampler.failed(now)
+		return s.failed(entry, sampler.ID, now)
 	case WrongSampler:
 		sampler.Leaving = true
 	case Refused, Broken:
@@ -160,14 +162,39 @@
 	return Verdict{}
 }
 
-func (i *item) failed(now time.Time) Verdict {
-	i.failures++
-	if i.failures >= i.job.policy.MaxFailures {
-		i.phase = settled
-		return Verdict{Dead: true, Failures: i.failures}
+// failed records that a sampler ran an item and failed.
+func (s *Scheduler) failed(entry *item, samplerID string, now time.Time) Verdict {
+	entry.failures++
+	if entry.failedAt == nil {
+		entry.failedAt = make(map[string]struct{})
 	}
-	i.rest(now)
-	return Verdict{Failures: i.failures}
+	entry.failedAt[samplerID] = struct{}{}
+	if s.hopeless(entry) {
+		entry.phase = settled
+		return Verdict{Dead: true, Failures: entry.failures}
+	}
+	entry.rest(now)
+	return Verdict{Failures: entry.failures}
+}
+
+// doubtfulFailures is how many times the operator's number of failures an item may have
+// while the fault may be that of its samplers (chosen; the users' bound is three).
+const doubtfulFailures = 2
+
+// hopeless reports whether an item failed often enough to be given up: at as many
+// samplers as it may fail, at all that could run it, or too often all the same.
+func (s *Scheduler) hopeless(entry *item) bool {
+	most := entry.job.policy.MaxFailures
+	switch {
+	case entry.failures < most:
+		return false
+	case len(entry.failedAt) >= most || entry.failures >= most*doubtfulFailures:
+		return true
+	}
+	return !slices.ContainsFunc(s.ordered, func(state *samplerState) bool {
+		_, failed := entry.failedAt[state.ID]
+		return !failed && !state.Leaving && s.serves(state, entry)
+	})
 }
 
 func (i *item) rest(now time.Time) {
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -36,6 +36,8 @@
 	// failure; failures counts those in a row.
 	notBefore time.Time
 	failures  int
+	// failing is a moving average of the share of runs that it failed itself.
+	failing float64
 	// groups remembers when a group's prompt was last read here.
 	groups map[string]time.Time
 }
@@ -54,6 +56,14 @@
 	loadSlowdown = 0.033
 	// affinityGain is the advantage of a sampler that has read the prompt.
 	affinityGain = 0.9
+	// failingWeight is the share of a new run in the average of failed ones.
+	failingWeight = 0.2
+	// failingShare is the average from which on a sampler gets one item at a time: two
+	// failures in a row, which an item that fails everywhere rarely makes.
+	failingShare = 0.3
+	// failingCost is how much dearer than others a sampler is that fails all its runs:
+	// one that fails at once has room always, and would get the most (chosen).
+	failingCost = 4.0
 	// defaultSlots is assumed of a sampler that names none.
 	defaultSlots = 4
 	// groupMemory is how long a sampler is taken to keep a prompt.
@@ -81,7 +91,7 @@
 	if s.Leaving || now.Before(s.notBefore) {
 		return 0
 	}
-	if s.slow(fleet) {
+	if s.slow(fleet) || s.failing > failingShare {
 		return max(1-s.running, 0)
 	}
 	return max(s.slots()-s.running, 0)
@@ -90,6 +100,7 @@
 // cost estimates the relative time that a new item would take.
 func (s *samplerState) cost(group string, fleet time.Duration, now time.Time) float64 {
 	estimated := float64(s.expectedPace(fleet)) * (1 + loadSlowdown*float64(s.running))
+	estimated *= 1 + failingCost*s.failing
 	if readAt, read := s.groups[group]; read && group != "" && now.Sub(readAt) < groupMemory {
 		estimated *= affinityGain
 	}
@@ -124,6 +135,15 @@
 	return s.observed && float64(s.pace) > slowRatio*float64(fleet)
 }
 
+// failed records a run that the sampler failed itself.
+func (s *samplerState) failed(now time.Time) {
+	s.failing += failingWeight * (1 - s.failing)
+	s.pause(now)
+}
+
+// completed records a run that ended well.
+func (s *samplerState) completed() { s.failing -= failingWeight * s.failing }
+
 // pause keeps work away after a failure.
 func (s *samplerState) pause(now time.Time) {
 	s.notBefore = now.Add(min(basePause<<min(s.failures, 6), maxPause))
