Renew a share by further calls while one has no answer

Ways weighed: a longer share (a killed holder is replaced later, 3 s in place of 1.5); shorter renewals one after the other (2.5 calls a share become 5); further calls beside the one without an answer (10 calls a share, four at once). Chosen: the last. A renewal that is answered stays one call.

--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -24,6 +24,11 @@
 	awaitPause = 100 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = 600 * time.Millisecond
+	// renewHedge is when a further call of the same renewal goes out beside those that
+	// have no answer, up to mostRenewals: the log service answers in some 5 ms, and a
+	// share lapses when the answers of a few renewals in a row are lost.
+	renewHedge   = 120 * time.Millisecond
+	mostRenewals = 4
 	// orderMargin is kept between the last order and the end of the share.
 	orderMargin = 200 * time.Millisecond
 	// isolatedLimit is how long a node that cannot renew its share goes on with
@@ -83,7 +88,7 @@
 			continue
 		}
 		next := began.Add(o.settings.shareTTL() / renewalsPerTTL)
-		if o.renew(ctx, began) {
+		if o.renew(ctx) {
 			// A partition that is to move passes on only once its holder has
 			// answered with the new generation.
 			next = began.Add(confirmPause)
@@ -203,13 +208,13 @@
 
 // renew makes one join. It reports whether the generation is new, so that it is
 // confirmed at once.
-func (o *ownership) renew(ctx context.Context, began time.Time) (changed bool) {
+func (o *ownership) renew(ctx context.Context) (changed bool) {
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	o.mutex.Lock()
 	generation := o.generation
 	o.mutex.Unlock()
-	share, err := o.group.Join(callCtx, jobGroup, o.settings.Name, jobTopic, o.settings.shareTTL(), generation)
+	share, began, err := o.join(callCtx, generation)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if o.left || ctx.Err() != nil {
@@ -230,6 +235,44 @@
 	return share.Generation != generation
 }
 
+// joined is how one call of a renewal ended.
+type joined struct {
+	share sharedlog.Share
+	// began is when it was sent: the share lasts from then on.
+	began time.Time
+	err   error
+}
+
+// join makes one renewal, of several calls if they are not answered. It returns the first
+// share and when its call was sent.
+func (o *ownership) join(ctx context.Context, generation uint64) (sharedlog.Share, time.Time, error) {
+	answers := make(chan joined, mostRenewals)
+	send := func() {
+		began := time.Now()
+		share, err := o.group.Join(ctx, jobGroup, o.settings.Name, jobTopic, o.settings.shareTTL(), generation)
+		answers <- joined{share: share, began: began, err: err}
+	}
+	go send()
+	sent, failed := 1, 0
+	hedge := time.NewTimer(renewHedge)
+	defer hedge.Stop()
+	for {
+		select {
+		case answer := <-answers:
+			if failed++; answer.err == nil || failed == sent {
+				return answer.share, answer.began, answer.err
+			}
+		case <-hedge.C:
+			if sent == mostRenewals || ctx.Err() != nil {
+				continue
+			}
+			go send()
+			sent++
+			hedge.Reset(renewHedge)
+		}
+	}
+}
+
 // take puts an answer in force.
 func (o *ownership) take(share sharedlog.Share, began time.Time) {
 	held := make(map[int]struct{}, len(share.Partitions))
