Tell a lost answer of the store from a slow store, and list results in rounds beside each other

Ruled out: that the store was down for our partition (appends of jobs and claims went through at 20.7, 22.2 and 23.3 s).

Rounds of results go on beside one without an answer; parts of texts come after the results, in an append of their own.

--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -23,6 +23,10 @@
 	// putTimeout bounds one append of blobs, getTimeout one read.
 	putTimeout = 600 * time.Millisecond
 	getTimeout = 800 * time.Millisecond
+	// putHedge is when the same append goes to the next partition too, if it is not known
+	// how soon the log answers; mostPuts bounds the appends of one attempt.
+	putHedge = 300 * time.Millisecond
+	mostPuts = 3
 	// retryPause is the pause between attempts.
 	retryPause = 40 * time.Millisecond
 	// retryHint is when to come back after a read that failed (chosen).
@@ -48,6 +52,7 @@
 	log        sharedlog.Log
 	limits     Limits
 	observe    func(err error, took time.Duration)
+	latency    sharedlog.Latency
 	preference atomic.Uint32
 }
 
@@ -140,14 +145,57 @@
 	return records
 }
 
+// appended is how one append ended.
+type appended struct {
+	partition int
+	offset    uint64
+	err       error
+}
+
+// append appends records to the preferred partition, and to the next ones too while
+// there is no answer: its answer may be lost. It returns the first that was kept.
 func (s *Store) append(ctx context.Context, kind Kind, records [][]byte) (partition int, offset uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
-	partition = (int(kind) + int(s.preference.Load())) % s.limits.Partitions
+	first := int(kind) + int(s.preference.Load())
+	ends := make(chan appended, mostPuts)
+	send := func(number int) { ends <- s.appendTo(ctx, (first+number)%s.limits.Partitions, records) }
+	go send(0)
+	sent, failed := 1, 0
+	hedge := time.NewTimer(s.hedgeAfter())
+	defer hedge.Stop()
+	for {
+		select {
+		case end := <-ends:
+			if failed++; end.err == nil || failed == sent {
+				return end.partition, end.offset, end.err
+			}
+		case <-hedge.C:
+			if sent < mostPuts && ctx.Err() == nil {
+				go send(sent)
+				sent++
+				hedge.Reset(s.hedgeAfter())
+			}
+		}
+	}
+}
+
+func (s *Store) hedgeAfter() time.Duration {
+	if overdue, known := s.latency.Overdue(); known {
+		return overdue
+	}
+	return putHedge
+}
+
+func (s *Store) appendTo(ctx context.Context, partition int, records [][]byte) appended {
 	began := time.Now()
-	offset, err = s.log.Append(ctx, sharedlog.Partition{Topic: topic, Number: partition}, records)
-	s.observe(err, time.Since(began))
-	return partition, offset, err
+	offset, err := s.log.Append(ctx, sharedlog.Partition{Topic: topic, Number: partition}, records)
+	took := time.Since(began)
+	if err == nil {
+		s.latency.Note(took)
+	}
+	s.observe(err, took)
+	return appended{partition: partition, offset: offset, err: err}
 }
 
 // Get returns the contents of blobs, in order. Blobs that lie near each other
--- a/internal/hosted/append_test.go
+++ b/internal/hosted/append_test.go
@@ -76,3 +76,39 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// losingLog answers all but the first of its appends.
+type losingLog struct {
+	sharedlog.Log
+
+	mutex   sync.Mutex
+	appends int
+	lost    int
+}
+
+func (l *losingLog) Append(ctx context.Context, _ sharedlog.Partition, _ [][]byte) (uint64, error) {
+	l.mutex.Lock()
+	l.appends++
+	lost := l.appends <= l.lost
+	l.mutex.Unlock()
+	if !lost {
+		return 0, nil
+	}
+	<-ctx.Done()
+	return 0, result.New(result.LogUnknown, "no answer")
+}
+
+// The store lost half of its answers for 5.4 s, and no result was listed for 6 s: two
+// appends without an answer were waited for, 1.5 s each time (scale-1).
+func TestAppendWhoseAnswersAreLostGoesOutAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &losingLog{lost: 4}
+		node := New(Settings{Name: "n"}, Ports{Network: network.TCP{}, Log: log}, event.Discard())
+		node.jobs.latency.Note(5 * time.Millisecond)
+		began := time.Now()
+		require.NoError(t, node.jobs.appendOne(t.Context(), nil, nil))
+		require.Less(t, time.Since(began), 2*appendHedge)
+		require.Equal(t, 5, log.appends)
+		synctest.Wait()
+	})
+}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -25,8 +25,9 @@
 	submitPatience = 2500 * time.Millisecond
 	// appendTimeout bounds one append; appendHedge is when a second one of the
 	// same records is sent beside it: repetitions are harmless. While the log is
-	// lost, which never answers what was sent before it is back, a further one is
-	// sent each time, up to mostAppends; a log that is merely slow would get slower.
+	// lost, which never answers what was sent before it is back, or answers others as
+	// usual, so that this answer is lost, a further one is sent each time, up to
+	// mostAppends; a log that is merely slow would get slower.
 	appendTimeout = 1500 * time.Millisecond
 	appendHedge   = 250 * time.Millisecond
 	mostAppends   = 6
@@ -48,6 +49,7 @@
 	follower *sharedlog.Follower
 	appender *sharedlog.Appender
 	contents *content.Store
+	latency  sharedlog.Latency
 	// followed is set once the node follows the log; before, it reads it on demand.
 	followed atomic.Bool
 
@@ -69,11 +71,29 @@
 		Observer: n, Apply: book.apply, Pause: n.jobsPause,
 	}
 	book.appender = &sharedlog.Appender{
-		Log: n.ports.Log, Partition: book.follower.Partition, MaxBytes: n.settings.MaxCallBytes, Observe: n.metrics.logAppend,
+		Log: n.ports.Log, Partition: book.follower.Partition, MaxBytes: n.settings.MaxCallBytes, Observe: book.noteAppend,
 	}
 	return book
 }
 
+// noteAppend records how an append of the ledger ended.
+func (b *jobBook) noteAppend(err error, took time.Duration) {
+	if err == nil {
+		b.latency.Note(took)
+	}
+	b.node.metrics.logAppend(err, took)
+}
+
+// hedgeAfter is how long an append is waited for before another one goes out beside
+// it, and whether the log answers others as usual meanwhile.
+func (b *jobBook) hedgeAfter() (pause time.Duration, answers bool) {
+	overdue, known := b.latency.Overdue()
+	if !known {
+		return appendHedge, false
+	}
+	return min(overdue, appendHedge), overdue <= appendHedge
+}
+
 // ReadFailed implements sharedlog.Observer.
 func (n *Node) ReadFailed(partition sharedlog.Partition, err error) {
 	n.logger.Log(event.LogReadFailed, "topic", partition.Topic, "partition", partition.Number, "detail", err.Error())
@@ -263,7 +283,7 @@
 }
 
 // appendOne appends records. A second append goes out if the first has no
-// answer in time, further ones only to a log that is lost.
+// answer in time, further ones only to a log that is lost or loses answers.
 func (b *jobBook) appendOne(ctx context.Context, records [][]byte, kept func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
@@ -272,7 +292,8 @@
 	go send()
 	sent, failed := 1, 0
 	var unknown error
-	hedge := time.NewTimer(appendHedge)
+	pause, _ := b.hedgeAfter()
+	hedge := time.NewTimer(pause)
 	defer hedge.Stop()
 	for {
 		changed, seen := b.seen(kept)
@@ -291,12 +312,13 @@
 				return cmp.Or(unknown, err)
 			}
 		case <-hedge.C:
-			if sent == 1 || b.follower.Health.Lost() {
+			pause, answers := b.hedgeAfter()
+			if sent == 1 || answers || b.follower.Health.Lost() {
 				go send()
 				sent++
 			}
 			if sent < mostAppends {
-				hedge.Reset(appendHedge)
+				hedge.Reset(pause)
 			}
 		case <-changed:
 		}
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -7,8 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/content"
+	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -19,6 +22,12 @@
 	listLinger = 20 * time.Millisecond
 	// listPatience bounds one round of appends; what is left is tried again.
 	listPatience = 5 * time.Second
+	// listHold is how long a round is waited for before the next begins beside it: its
+	// answers may be lost. roundsTogether bounds the rounds under way.
+	listHold       = 200 * time.Millisecond
+	roundsTogether = 4
+	// progressPatience bounds the appends of partial texts: newer ones follow soon.
+	progressPatience = time.Second
 )
 
 // pendingResult is a result that waits for its place in the log.
@@ -38,8 +47,8 @@
 type lister struct {
 	node  *Node
 	woken chan struct{}
-	// writing holds a token during a round of appends.
-	writing chan struct{}
+	// rounds holds a token for each round of appends under way.
+	rounds chan struct{}
 
 	mutex    sync.Mutex
 	results  resultsByJob
@@ -48,7 +57,7 @@
 
 func newLister(n *Node) *lister {
 	return &lister{
-		node: n, woken: make(chan struct{}, 1), writing: make(chan struct{}, 1),
+		node: n, woken: make(chan struct{}, 1), rounds: make(chan struct{}, roundsTogether),
 		results:  make(resultsByJob),
 		progress: make(partsByJob),
 	}
@@ -80,7 +89,10 @@
 	}
 }
 
+// run makes rounds of appends until ctx ends.
 func (l *lister) run(ctx context.Context) {
+	var rounds conc.WaitGroup
+	defer rounds.Wait()
 	for {
 		select {
 		case <-l.woken:
@@ -88,42 +100,90 @@
 			return
 		}
 		wait.For(ctx, listLinger)
-		l.flush(ctx)
+		if !l.enter(ctx) {
+			return
+		}
+		ended := make(chan struct{})
+		rounds.Go(func() {
+			defer close(ended)
+			defer l.leave(1)
+			l.round(ctx)
+		})
+		hold := time.NewTimer(listHold)
+		select {
+		case <-ended:
+		case <-hold.C:
+		}
+		hold.Stop()
 	}
 }
 
-// flush appends all that waits, until it is kept, not wanted any more, or ctx
-// ends.
+// flush appends all that waits and waits for the rounds under way, until all is kept,
+// not wanted any more, or ctx ends.
 func (l *lister) flush(ctx context.Context) {
-	// A round may last as long as the log is down; a caller whose time is over
-	// must not wait for it.
+	if l.enter(ctx) {
+		l.round(ctx)
+		l.leave(1)
+	}
+	for taken := range roundsTogether {
+		if !l.enter(ctx) {
+			l.leave(taken)
+			return
+		}
+	}
+	l.leave(roundsTogether)
+}
+
+func (l *lister) enter(ctx context.Context) bool {
 	select {
-	case l.writing <- struct{}{}:
+	case l.rounds <- struct{}{}:
+		return true
 	case <-ctx.Done():
-		return
+		return false
 	}
-	defer func() { <-l.writing }()
+}
+
+func (l *lister) leave(count int) {
+	for range count {
+		<-l.rounds
+	}
+}
+
+// round appends what waits, until it is kept, not wanted any more, or ctx ends. A round
+// may last as long as the log is down.
+func (l *lister) round(ctx context.Context) {
 	results, progress := l.take()
 	for ctx.Err() == nil {
 		results = l.unlisted(results)
-		if len(results)+len(progress) == 0 || l.append(ctx, results, progress) == nil {
-			return
+		if len(results) == 0 || l.appendResults(ctx, results) == nil {
+			break
 		}
-		// Progress that could not be saved in time is not worth more tries.
-		progress = nil
+	}
+	if len(progress) > 0 && ctx.Err() == nil {
+		l.appendProgress(ctx, progress)
 	}
 }
 
-// append keeps the texts, then the entries that name them.
-func (l *lister) append(ctx context.Context, results resultsByJob, progress partsByJob) error {
+// appendResults keeps the texts, then the entries that name them. That these were read
+// back proves that they are kept, whatever became of the answer.
+func (l *lister) appendResults(ctx context.Context, results resultsByJob) error {
 	if err := l.keepTexts(ctx, results); err != nil {
 		return err
 	}
-	if err := l.keepParts(ctx, progress); err != nil {
-		return err
+	kept := func() bool { return l.allListed(results) }
+	return l.node.jobs.record(ctx, listPatience, kept, resultEntries(results)...)
+}
+
+// appendProgress keeps parts of texts. What cannot be saved in time is not worth more
+// tries.
+func (l *lister) appendProgress(ctx context.Context, progress partsByJob) {
+	err := l.keepParts(ctx, progress)
+	if err == nil {
+		err = l.node.jobs.record(ctx, progressPatience, nil, progressEntries(progress)...)
+	}
+	if err != nil {
+		l.node.logger.Log(event.LogAppendRetried, "jobs", len(progress), "detail", err.Error())
 	}
-	kept := func() bool { return l.allListed(results, progress) }
-	return l.node.jobs.record(ctx, listPatience, kept, entriesOf(results, progress)...)
 }
 
 func (l *lister) keepTexts(ctx context.Context, results resultsByJob) error {
@@ -188,11 +248,8 @@
 }
 
 // allListed reports whether all results were read back. It is called under the
-// ledger's lock. Progress leaves no trace to look for.
-func (l *lister) allListed(results resultsByJob, progress partsByJob) bool {
-	if len(progress) > 0 {
-		return false
-	}
+// ledger's lock.
+func (l *lister) allListed(results resultsByJob) bool {
 	for jobID, listed := range results {
 		job := l.node.jobs.ledger.Job(jobID)
 		if job == nil || job.Ended {
@@ -206,7 +263,7 @@
 	return true
 }
 
-func entriesOf(results resultsByJob, progress partsByJob) []*pathbendv1.LedgerEntry {
+func resultEntries(results resultsByJob) []*pathbendv1.LedgerEntry {
 	var entries []*pathbendv1.LedgerEntry
 	for _, jobID := range slices.Sorted(maps.Keys(results)) {
 		listed := &pathbendv1.BatchResults{}
@@ -215,6 +272,11 @@
 		}
 		entries = append(entries, &pathbendv1.LedgerEntry{JobId: jobID, Fact: &pathbendv1.LedgerEntry_Listed{Listed: listed}})
 	}
+	return entries
+}
+
+func progressEntries(progress partsByJob) []*pathbendv1.LedgerEntry {
+	var entries []*pathbendv1.LedgerEntry
 	for _, jobID := range slices.Sorted(maps.Keys(progress)) {
 		made := &pathbendv1.BatchProgress{}
 		for _, part := range progress[jobID] {
