Send a request that may run twice to a second back end after half its objective

Ways weighed: a shorter attempt time (cuts work that is nearly done, and each cut costs the back end what it did); latency as a scorer (a node needs some requests at each back end to learn from); a second attempt beside the first. Chosen: the last, after half of the objective, for routes that may run twice and allow as many back ends, within the node's budget of retries (a fifth of its requests). The first answer is passed on; the other attempt runs to its end, so no work is cut; both stop if the caller leaves. Reward calls go as before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,6 +39,9 @@
 	// AttemptTimeout bounds every attempt but the last of a request that may
 	// run again; 0 for no bound.
 	AttemptTimeout time.Duration
+	// HedgeAfter is when a second attempt goes to another back end beside the first, if
+	// that has no answer yet; 0 for never.
+	HedgeAfter time.Duration
 	// AnyZone leaves the zones of the back ends out of the choice.
 	AnyZone bool
 	// Excluded are back ends that must not get the request.
@@ -123,38 +126,55 @@
 	// ran is the outcome of an attempt that ran or may have: from then on no
 	// later refusal may claim that the request was not run.
 	var ran incoming
+	var refusal error
 	for {
 		route.Now = time.Now()
 		endpoint := d.balancer.Pick(route)
 		if endpoint == nil {
 			return d.giveUp(request, ran, noBackEnd(request.Pool), plan.Attempts())
 		}
-		outcome := d.attempt(ctx, request, endpoint, plan.Attempts()+1 >= request.MaxAttempts)
-		request.noteBegan(&outcome)
-		if outcome.answer != nil {
-			outcome.answer.Attempts = plan.Attempts() + 1
-			outcome.answer.BackEnd = endpoint.ID
+		ended := d.race(ctx, request, route, endpoint, plan)
+		if answered := ended[0]; answered.outcome.ending == Answered {
+			return d.served(request, plan, answered, received), nil
 		}
-		if outcome.ending == Answered {
-			d.logger.Log(event.RequestServed, "request_id", request.ID, "pool", request.Pool, "back_end", endpoint.ID,
-				"status", outcome.answer.Status, "attempts", outcome.answer.Attempts, "took_ms", time.Since(received).Milliseconds())
-			return outcome.answer, nil
+		if answered := ended[len(ended)-1]; answered.outcome.ending == Answered {
+			return d.served(request, plan, answered, received), nil
 		}
-		d.logAttempt(request, endpoint, &outcome, plan.Attempts()+1, time.Since(route.Now))
-		if outcome.ending == Lost || outcome.ending == FailedByBackEnd {
-			ran = outcome
+		step, pause := TryAnother, time.Duration(0)
+		for _, failed := range ended {
+			d.logAttempt(request, failed, plan.Attempts()+1)
+			if outcome := failed.outcome; outcome.ending == Lost || outcome.ending == FailedByBackEnd {
+				ran = failed.named(plan.Attempts() + 1)
+			}
+			refusal = failed.outcome.err
+			step, pause = plan.Next(time.Now(), failed.outcome.ending, failed.outcome.bodyRead)
+			route.Excluded = append(route.Excluded, failed.endpoint.ID)
 		}
-		step, pause := plan.Next(time.Now(), outcome.ending, outcome.bodyRead)
 		if step == Stop || !d.spend() || !wait.For(ctx, pause) {
-			return d.giveUp(request, ran, outcome.err, plan.Attempts())
+			return d.giveUp(request, ran, refusal, plan.Attempts())
 		}
 		if err := request.permitted(); err != nil {
 			return d.giveUp(request, ran, err, plan.Attempts())
 		}
-		route.Excluded = append(route.Excluded, endpoint.ID)
 	}
 }
 
+// named returns an attempt's outcome whose answer, if there is one, tells the number of
+// attempts and the back end.
+func (t tried) named(attempts int) incoming {
+	if t.outcome.answer != nil {
+		t.outcome.answer.Attempts, t.outcome.answer.BackEnd = attempts, t.endpoint.ID
+	}
+	return t.outcome
+}
+
+func (d *Dispatcher) served(request *Request, plan *Plan, answered tried, received time.Time) *Answer {
+	answer := answered.named(plan.Attempts() + 1).answer
+	d.logger.Log(event.RequestServed, "request_id", request.ID, "pool", request.Pool, "back_end", answer.BackEnd,
+		"status", answer.Status, "attempts", answer.Attempts, "took_ms", time.Since(received).Milliseconds())
+	return answer
+}
+
 // giveUp returns what the caller gets after the last attempt: the failure that a
 // back end answered, the error of an attempt that may have run, or the refusal.
 func (d *Dispatcher) giveUp(request *Request, ran incoming, refusal error, attempts int) (*Answer, error) {
@@ -171,16 +191,16 @@
 	return nil, err
 }
 
-func (d *Dispatcher) logAttempt(request *Request, endpoint *routing.Endpoint, outcome *incoming, attempt int, took time.Duration) {
-	detail := ""
+func (d *Dispatcher) logAttempt(request *Request, failed tried, attempt int) {
+	outcome, detail := failed.outcome, ""
 	if outcome.err != nil {
 		detail = outcome.err.Error()
 	}
 	if outcome.answer != nil {
 		detail = "status " + strconv.Itoa(outcome.answer.Status)
 	}
-	d.logger.Log(event.AttemptFailed, "request_id", request.ID, "back_end", endpoint.ID, "attempt", attempt,
-		"ending", outcome.ending.String(), "took_ms", took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
+	d.logger.Log(event.AttemptFailed, "request_id", request.ID, "back_end", failed.endpoint.ID, "attempt", attempt,
+		"ending", outcome.ending.String(), "took_ms", failed.took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
 }
 
 func noBackEnd(pool string) error {
--- /dev/null
+++ b/internal/dispatch/hedge_test.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/result"
+)
+
+// heldBackEnd answers once released, and tells how its request ended.
+func heldBackEnd(t *testing.T, release <-chan struct{}) (address string, ended chan bool) {
+	t.Helper()
+	ended = make(chan bool, 4)
+	address, _ = backEnd(t, func(_ http.ResponseWriter, request *http.Request) {
+		// The server notices that its caller left only once the body is read.
+		_, _ = io.Copy(io.Discard, request.Body)
+		select {
+		case <-release:
+			ended <- true
+		case <-request.Context().Done():
+			ended <- false
+		}
+	})
+	return address, ended
+}
+
+// Of 35 authorisations in two seconds 8 were late while one of three back ends was seven
+// times slower than usual: each waited for it alone.
+func TestRequestAtASlowBackEndGoesToASecondToo(t *testing.T) {
+	release := make(chan struct{})
+	slow, ended := heldBackEnd(t, release)
+	quick, quickRuns := backEnd(t, func(http.ResponseWriter, *http.Request) {})
+	request := requestOf(false)
+	request.HedgeAfter = 20 * time.Millisecond
+	ctx, leave := context.WithCancel(t.Context())
+	answer, err := dispatcherOver(t, balancerOf(slow, quick)).Do(ctx, request)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.Status)
+	require.EqualValues(t, 1, quickRuns.Load())
+	leave()
+	close(release)
+	require.True(t, <-ended, "the other attempt runs to its end")
+}
+
+func TestRequestThatMayNotRunTwiceIsNotHedged(t *testing.T) {
+	release := make(chan struct{})
+	slow, _ := heldBackEnd(t, release)
+	quick, quickRuns := backEnd(t, func(http.ResponseWriter, *http.Request) {})
+	request := requestOf(true)
+	request.HedgeAfter = time.Millisecond
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	_, err := do(t, balancerOf(slow, quick), request)
+	require.NoError(t, err)
+	require.Zero(t, quickRuns.Load())
+}
+
+func TestBothAttemptsOfACallerThatLeftAreStopped(t *testing.T) {
+	release := make(chan struct{})
+	first, firstEnded := heldBackEnd(t, release)
+	second, secondEnded := heldBackEnd(t, release)
+	t.Cleanup(func() { close(release) })
+	request := requestOf(false)
+	request.HedgeAfter = 10 * time.Millisecond
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, leave)
+	_, err := dispatcherOver(t, balancerOf(first, second)).Do(ctx, request)
+	require.True(t, result.Is(err, result.CallerGone))
+	for _, ended := range []chan bool{firstEnded, secondEnded} {
+		select {
+		case whole := <-ended:
+			require.False(t, whole)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "an attempt goes on after its caller left")
+		}
+	}
+}
+
+func TestBothAttemptsFailAndTheRequestGoesOn(t *testing.T) {
+	failing := func(writer http.ResponseWriter, _ *http.Request) {
+		time.Sleep(30 * time.Millisecond)
+		writer.WriteHeader(http.StatusInternalServerError)
+	}
+	first, _ := backEnd(t, failing)
+	second, _ := backEnd(t, failing)
+	third, thirdRuns := backEnd(t, func(http.ResponseWriter, *http.Request) {})
+	request := requestOf(false)
+	request.HedgeAfter, request.MaxAttempts = 5*time.Millisecond, 3
+	answer, err := doFailing(t, balancerOf(first, second, third), request)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.Status)
+	require.Equal(t, 3, answer.Attempts)
+	require.EqualValues(t, 1, thirdRuns.Load())
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	RequestRefused       Number = 508
 	RequestServed        Number = 509
 	EndpointsAdded       Number = 510
+	AttemptHedged        Number = 511
 	LeaseTaken           Number = 601
 	LeaseLost            Number = 602
 	WeightsOrdered       Number = 603
@@ -135,6 +136,7 @@
 	{RequestRefused, "request_refused", slog.LevelWarn, "A request was refused before any attempt; the line tells why and when to come back.", "See the result code."},
 	{RequestServed, "request_served", slog.LevelInfo, "A request got a back end's answer; the line tells which, after how many attempts and how long.", "None."},
 	{EndpointsAdded, "endpoints_added", slog.LevelInfo, "Many engines or back ends appeared in the list at once, as after a start; the line tells how many.", "None."},
+	{AttemptHedged, "attempt_hedged", slog.LevelInfo, "A request without an answer for half its objective goes to a second back end beside the first; the line tells both.", "Frequent for one back end: it is slow."},
 	{LeaseTaken, "lease_taken", slog.LevelInfo, "This node holds a lease.", "None."},
 	{LeaseLost, "lease_lost", slog.LevelInfo, "Another node's claim replaced this node's lease.", "None."},
 	{WeightsOrdered, "weights_ordered", slog.LevelInfo, "An engine was ordered to load or switch to a weight version.", "None."},
--- a/internal/hosted/forward.go
+++ b/internal/hosted/forward.go
@@ -34,6 +34,10 @@
 	// attemptObjectives is how many objectives an attempt may take before
 	// another sampler is tried.
 	attemptObjectives = 2
+	// hedgePart is the part of the objective after which a request goes to a second back
+	// end too: what is left of it is enough there (chosen; at half of 150 ms some 1 % of
+	// requests of 25 ms have no answer).
+	hedgePart = 2
 	// minAttemptTimeout bounds that from below.
 	minAttemptTimeout = 200 * time.Millisecond
 )
@@ -99,6 +103,7 @@
 		MaxAttempts:    route.MaxAttempts,
 		Deadline:       deadline,
 		ID:             in.ID,
+		HedgeAfter:     route.Objective / hedgePart,
 		AttemptTimeout: max(attemptObjectives*route.Objective, minAttemptTimeout),
 	}
 }
