Show usage reports and the reserve of samplers in the metrics; mutants of the new promises

Four metrics for operators (reports taken and their age, orders of samplers, the reserve), and five mutants: any key admitted, a key asked about at the first attempt only, runs ahead without their tenant, counts repeated, a later decision taken. Found on looking what an operator would ask of a report that is missing or a fleet that does not grow.

--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -28,6 +28,10 @@
 	started     prometheus.Counter
 	moved       prometheus.Counter
 	executing   prometheus.Gauge
+	reports     *prometheus.CounterVec
+	reportAge   prometheus.Histogram
+	orders      *prometheus.CounterVec
+	reserve     *prometheus.GaugeVec
 }
 
 func newMetrics(n *Node) *Metrics {
@@ -48,6 +52,16 @@
 		moved:       prometheus.NewCounter(prometheus.CounterOpts{Name: "pathbend_item_moves_total", Help: "Runs that were stopped to go on at another sampler."}),
 		executing:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_executing", Help: "1 while this node runs the batch jobs."}),
 	}
+	m.reports = counters("pathbend_usage_reports_total", "Reports of usage, by whether the platform took them.", "taken")
+	m.reportAge = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "pathbend_usage_report_age_seconds", Help: "Time from the end of a window until the platform took its report.",
+		Buckets: prometheus.LinearBuckets(1, 1, 15),
+	})
+	m.orders = counters("pathbend_sampler_orders_total", "Orders of spot samplers, by zone and whether the platform took them.", "zone", "taken")
+	m.reserve = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pathbend_sampler_reserve", Help: "Spot samplers wanted in all zones, while this node holds the duty.",
+	}, []string{"service"})
+	m.registry.MustRegister(m.reports, m.reportAge, m.orders, m.reserve)
 	m.registry.MustRegister(m.requests, m.duration, m.submissions, m.submitting, m.appends, m.appending, m.runEnds,
 		m.moves, m.moving, m.started, m.moved, m.executing)
 	m.gauge("pathbend_catalog_version", "Version of the routes and services in force.", func() float64 {
@@ -120,6 +134,19 @@
 	m.appending.Observe(took.Seconds())
 }
 
+// usageReport records a report of usage that the platform took, or did not, so long
+// after the end of its window.
+func (m *Metrics) usageReport(taken bool, age time.Duration) {
+	m.reports.WithLabelValues(strconv.FormatBool(taken)).Inc()
+	if taken {
+		m.reportAge.Observe(age.Seconds())
+	}
+}
+
+func (m *Metrics) samplerOrder(zone string, taken bool) {
+	m.orders.WithLabelValues(zone, strconv.FormatBool(taken)).Inc()
+}
+
 func (m *Metrics) runEnded(ending schedule.Ending) {
 	m.runEnds.WithLabelValues(ending.String()).Inc()
 }
--- a/internal/hosted/scaler.go
+++ b/internal/hosted/scaler.go
@@ -75,8 +75,12 @@
 		Zones: s.zones(service), Max: service.Scaling.Max, Slots: service.Slots,
 		SpotPrice: service.Scaling.SpotPrice, Boot: service.Scaling.Boot,
 	}
-	for _, order := range planner.Plan(time.Now(), known, peak) {
-		if s.order(ctx, service.Name, order, peak, planner.Reserve()) {
+	orders := planner.Plan(time.Now(), known, peak)
+	s.node.metrics.reserve.WithLabelValues(service.Name).Set(float64(planner.Reserve()))
+	for _, order := range orders {
+		taken := s.order(ctx, service.Name, order, peak, planner.Reserve())
+		s.node.metrics.samplerOrder(order.Zone, taken)
+		if taken {
 			planner.Taken(order, time.Now())
 		} else {
 			planner.Refused(order, time.Now())
--- a/internal/hosted/usage.go
+++ b/internal/hosted/usage.go
@@ -47,6 +47,7 @@
 	u.reporter = &metering.Reporter{
 		Log: n.ports.Log, Partition: partition, Observer: n, Holder: n.claims, Sender: n.ports.Usage,
 		Clock: clock, Logger: n.logger, Length: length, Late: n.settings.UsageLate, Gather: u.gather,
+		Observe: n.metrics.usageReport,
 	}
 	return u
 }
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -55,6 +55,9 @@
 	Length, Late time.Duration
 	// Gather is how long counts are gathered before they are written.
 	Gather func() time.Duration
+	// Observe is told of each report, whether the platform took it and how long after the
+	// end of its window; it may be nil.
+	Observe func(taken bool, age time.Duration)
 
 	follower *sharedlog.Follower
 	mutex    sync.Mutex
@@ -164,12 +167,16 @@
 	callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	err := r.Sender.ReportUsage(callCtx, right, report)
+	age := r.Clock.Read().Sub(Window(report.Window).End(r.Length))
+	if r.Observe != nil {
+		r.Observe(err == nil, age)
+	}
 	if err != nil {
 		r.Logger.Log(event.UsageUnsent, "window", report.Window, "fence", right.Fence, "detail", err.Error())
 		return false
 	}
 	r.Logger.Log(event.UsageReported, "window", report.Window, "fence", right.Fence, "tenants", len(report.Counts),
-		"requests", total(report), "age_ms", r.Clock.Read().Sub(Window(report.Window).End(r.Length)).Milliseconds())
+		"requests", total(report), "age_ms", age.Milliseconds())
 	accepted := &pathbendv1.UsageAccepted{Window: report.Window}
 	entry := &pathbendv1.UsageEntry{Fact: &pathbendv1.UsageEntry_Accepted{Accepted: accepted}}
 	if err := appendEntries(ctx, r.Log, r.Partition, []*pathbendv1.UsageEntry{entry}); err != nil {
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -49,6 +49,21 @@
 		mutation.Replace("internal/routing/not_leaving.go", "return !endpoint.Leaving", "return true"),
 		mutation.Replace("internal/schedule/sampler.go", "if s.Leaving || now.Before(s.notBefore) {", "if now.Before(s.notBefore) {"),
 	}},
+	{Promise: "ROUTE: only keys of tenants are admitted", Test: "TestOnlyKeysOfTenantsAreAdmitted", Package: "./internal/catalog", Edits: []mutation.Edit{
+		mutation.Replace("internal/catalog/admission.go", "if err != nil && route.Public {", "if err != nil {"),
+	}},
+	{Promise: "CONFIG: a key is asked about before every attempt", Test: "TestKeyThatWasTakenAwayIsDeniedBeforeTheNextAttempt", Package: "./internal/hosted", Edits: []mutation.Edit{
+		mutation.Replace("internal/hosted/admission.go", "tenant, err := current.Admit(admitted.Route, key)\n\t\tif err != nil {\n\t\t\treturn n.deny(err)", "tenant, err := current.Admit(admitted.Route, key)\n\t\tif err != nil {\n\t\t\treturn nil"),
+	}},
+	{Promise: "UNASKED: a run ahead is its tenant's", Edits: []mutation.Edit{
+		mutation.Replace("internal/schedule/ahead.go", "\t\tTenant: i.job.spec.Tenant,\n", ""),
+	}},
+	{Promise: "Duty: a request counts once", Test: "TestSumIsThatOfTheNewestEntriesWhateverIsRepeated", Package: "./internal/metering", Edits: []mutation.Edit{
+		mutation.Replace("internal/metering/book.go", "if known == nil || known.Sequence < counts.Sequence {", "if true {"),
+	}},
+	{Promise: "ONE: the first decision of a window stands", Test: "TestFirstDecisionOfAWindowStands", Package: "./internal/metering", Edits: []mutation.Edit{
+		mutation.Replace("internal/metering/book.go", "if state.decided == nil {", "if true {"),
+	}},
 	{Promise: "MIXED: a cut event is no event", Edits: []mutation.Edit{
 		mutation.Replace("platform/events.go", "return 0, nil, io.ErrUnexpectedEOF", "return len(data), data, nil"),
 		mutation.Replace("platform/events.go", "	if err := r.scanner.Err(); err != nil {\n\t\treturn made, err\n\t}\n\tif started {\n\t\treturn made, io.ErrUnexpectedEOF\n\t}\n", "	if started {\n\t\treturn r.finish(made, hasData)\n\t}\n"),
