One way to make a call again while its answer is outstanding: package hedge

Found by duplicates: the renewal of a share and the appends of contents had the same loop (send, wait, send beside it, first answer or all failed).

--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/hedge"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -83,7 +84,7 @@
 		if err != nil {
 			return named, err
 		}
-		partition, offset, err := s.append(ctx, kind, call.records)
+		kept, err := s.append(ctx, kind, call.records)
 		if err != nil {
 			s.preference.Add(1)
 			if !wait.For(ctx, retryPause) {
@@ -92,8 +93,8 @@
 			continue
 		}
 		for _, blob := range call.blobs {
-			blob.Partition = uint32(partition)
-			blob.Offset += offset
+			blob.Partition = uint32(kept.partition)
+			blob.Offset += kept.offset
 			named = append(named, blob)
 		}
 	}
@@ -145,39 +146,21 @@
 	return records
 }
 
-// appended is how one append ended.
+// appended is where an append was kept.
 type appended struct {
 	partition int
 	offset    uint64
-	err       error
 }
 
 // append appends records to the preferred partition, and to the next ones too while
 // there is no answer: its answer may be lost. It returns the first that was kept.
-func (s *Store) append(ctx context.Context, kind Kind, records [][]byte) (partition int, offset uint64, err error) {
+func (s *Store) append(ctx context.Context, kind Kind, records [][]byte) (appended, error) {
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
 	first := int(kind) + int(s.preference.Load())
-	ends := make(chan appended, mostPuts)
-	send := func(number int) { ends <- s.appendTo(ctx, (first+number)%s.limits.Partitions, records) }
-	go send(0)
-	sent, failed := 1, 0
-	hedge := time.NewTimer(s.hedgeAfter())
-	defer hedge.Stop()
-	for {
-		select {
-		case end := <-ends:
-			if failed++; end.err == nil || failed == sent {
-				return end.partition, end.offset, end.err
-			}
-		case <-hedge.C:
-			if sent < mostPuts && ctx.Err() == nil {
-				go send(sent)
-				sent++
-				hedge.Reset(s.hedgeAfter())
-			}
-		}
-	}
+	return hedge.First(ctx, hedge.Call{Most: mostPuts, After: s.hedgeAfter}, func(number int) (appended, error) {
+		return s.appendTo(ctx, (first+number)%s.limits.Partitions, records)
+	})
 }
 
 func (s *Store) hedgeAfter() time.Duration {
@@ -187,7 +170,7 @@
 	return putHedge
 }
 
-func (s *Store) appendTo(ctx context.Context, partition int, records [][]byte) appended {
+func (s *Store) appendTo(ctx context.Context, partition int, records [][]byte) (appended, error) {
 	began := time.Now()
 	offset, err := s.log.Append(ctx, sharedlog.Partition{Topic: topic, Number: partition}, records)
 	took := time.Since(began)
@@ -195,7 +178,7 @@
 		s.latency.Note(took)
 	}
 	s.observe(err, took)
-	return appended{partition: partition, offset: offset, err: err}
+	return appended{partition: partition, offset: offset}, err
 }
 
 // Get returns the contents of blobs, in order. Blobs that lie near each other
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -134,11 +135,8 @@
 			return d.giveUp(request, ran, noBackEnd(request.Pool), plan.Attempts())
 		}
 		ended := d.race(ctx, request, route, endpoint, plan)
-		if answered := ended[0]; answered.outcome.ending == Answered {
-			return d.served(request, plan, answered, received), nil
-		}
-		if answered := ended[len(ended)-1]; answered.outcome.ending == Answered {
-			return d.served(request, plan, answered, received), nil
+		if i := slices.IndexFunc(ended, tried.answered); i >= 0 {
+			return d.served(request, plan, ended[i], received), nil
 		}
 		step, pause := TryAnother, time.Duration(0)
 		for _, failed := range ended {
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -15,6 +15,8 @@
 	took     time.Duration
 }
 
+func (t tried) answered() bool { return t.outcome.ending == Answered }
+
 // hedges reports whether a second attempt may go out beside the next one: the request
 // may run twice, and its route allows as many back ends.
 func (r *Request) hedges(plan *Plan) bool {
@@ -48,7 +50,7 @@
 		"after_ms", request.HedgeAfter.Milliseconds())
 	second := d.begin(ctx, request, other, ends)
 	end := <-ends
-	if end.outcome.ending != Answered {
+	if !end.answered() {
 		return []tried{end, <-ends}
 	}
 	first.release()
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -8,6 +8,7 @@
 
 	"github.com/pathbend/pathbend/internal/election"
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/hedge"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/wait"
 )
@@ -214,7 +215,7 @@
 	o.mutex.Lock()
 	generation := o.generation
 	o.mutex.Unlock()
-	share, began, err := o.join(callCtx, generation)
+	answer, err := o.join(callCtx, generation)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if o.left || ctx.Err() != nil {
@@ -228,49 +229,28 @@
 		return false
 	}
 	if o.lost {
-		o.logger.Log(event.GroupContactRegained, "generation", share.Generation, "after_ms", began.Sub(o.renewedAt).Milliseconds())
+		o.logger.Log(event.GroupContactRegained, "generation", answer.share.Generation, "after_ms", answer.began.Sub(o.renewedAt).Milliseconds())
 	}
 	o.lost = false
-	o.take(share, began)
-	return share.Generation != generation
+	o.take(answer.share, answer.began)
+	return answer.share.Generation != generation
 }
 
-// joined is how one call of a renewal ended.
+// joined is the answer to one call of a renewal.
 type joined struct {
 	share sharedlog.Share
 	// began is when it was sent: the share lasts from then on.
 	began time.Time
-	err   error
 }
 
-// join makes one renewal, of several calls if they are not answered. It returns the first
-// share and when its call was sent.
-func (o *ownership) join(ctx context.Context, generation uint64) (sharedlog.Share, time.Time, error) {
-	answers := make(chan joined, mostRenewals)
-	send := func() {
+// join makes one renewal, of several calls if they are not answered.
+func (o *ownership) join(ctx context.Context, generation uint64) (joined, error) {
+	bounds := hedge.Call{Most: mostRenewals, After: func() time.Duration { return renewHedge }}
+	return hedge.First(ctx, bounds, func(int) (joined, error) {
 		began := time.Now()
 		share, err := o.group.Join(ctx, jobGroup, o.settings.Name, jobTopic, o.settings.shareTTL(), generation)
-		answers <- joined{share: share, began: began, err: err}
-	}
-	go send()
-	sent, failed := 1, 0
-	hedge := time.NewTimer(renewHedge)
-	defer hedge.Stop()
-	for {
-		select {
-		case answer := <-answers:
-			if failed++; answer.err == nil || failed == sent {
-				return answer.share, answer.began, answer.err
-			}
-		case <-hedge.C:
-			if sent == mostRenewals || ctx.Err() != nil {
-				continue
-			}
-			go send()
-			sent++
-			hedge.Reset(renewHedge)
-		}
-	}
+		return joined{share: share, began: began}, err
+	})
 }
 
 // take puts an answer in force.
