--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -134,7 +134,7 @@
 		if endpoint == nil {
 			return d.giveUp(request, ran, noBackEnd(request.Pool), plan.Attempts())
 		}
-		ended := d.race(ctx, request, route, endpoint, plan)
+		ended := d.tryHedged(ctx, request, route, endpoint, plan)
 		if i := slices.IndexFunc(ended, tried.answered); i >= 0 {
 			return d.served(request, plan, ended[i], received), nil
 		}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -23,11 +23,11 @@
 	return r.HedgeAfter > 0 && !r.AtMostOnce && plan.Replayable && plan.Attempts()+2 <= r.MaxAttempts
 }
 
-// race makes an attempt, and a second one at another back end if the first has no answer
+// tryHedged makes an attempt, and a second one at another back end if the first has no answer
 // in time. It returns the answer that came first, or all attempts if none was answered.
 // The other attempt of an answered request runs to its end: cutting it would waste what
 // its back end has done, and its end tells how the back end fares.
-func (d *Dispatcher) race(ctx context.Context, request *Request, route *routing.Request, endpoint *routing.Endpoint, plan *Plan) []tried {
+func (d *Dispatcher) tryHedged(ctx context.Context, request *Request, route *routing.Request, endpoint *routing.Endpoint, plan *Plan) []tried {
 	last := plan.Attempts()+1 >= request.MaxAttempts
 	if !request.hedges(plan) {
 		return []tried{d.try(ctx, request, endpoint, last)}
@@ -83,15 +83,15 @@
 	return other
 }
 
-// running is an attempt under way beside another one.
-type running struct {
+// detachable is an attempt under way that ends with its request until it is released.
+type detachable struct {
 	// release lets it run to its end whatever becomes of the request.
 	release func() bool
 }
 
 // begin makes an attempt in a goroutine. It ends with the request unless it is released,
 // and at the request's deadline in any case.
-func (d *Dispatcher) begin(ctx context.Context, request *Request, endpoint *routing.Endpoint, ends chan<- tried) running {
+func (d *Dispatcher) begin(ctx context.Context, request *Request, endpoint *routing.Endpoint, ends chan<- tried) detachable {
 	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
 	release := context.AfterFunc(ctx, cancel)
 	go func() {
@@ -103,7 +103,7 @@
 		}
 		ends <- end
 	}()
-	return running{release: release}
+	return detachable{release: release}
 }
 
 // try makes one attempt.
--- a/internal/metering/reporter_test.go
+++ b/internal/metering/reporter_test.go
@@ -116,14 +116,14 @@
 
 const late = 10 * time.Second
 
-// rig is a platform with nodes that share a log.
-type rig struct {
+// cluster is a platform with nodes that share a log.
+type cluster struct {
 	log      *memoryLog
 	platform *platformStub
 }
 
 // node starts a node that counts, and reports while its holder may act.
-func (g *rig) node(ctx context.Context, name string, fence uint64) (*Recorder, *holding) {
+func (g *cluster) node(ctx context.Context, name string, fence uint64) (*Recorder, *holding) {
 	gather := func() time.Duration { return 300 * time.Millisecond }
 	clock := &Clock{Now: time.Now}
 	recorder := NewRecorder(NewCounter(name, fence, length, clock.Read()))
@@ -138,13 +138,13 @@
 	return recorder, holder
 }
 
-func withRig(t *testing.T, play func(ctx context.Context, g *rig)) {
+func withCluster(t *testing.T, play func(ctx context.Context, g *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
-		play(ctx, &rig{log: &memoryLog{}, platform: &platformStub{}})
+		play(ctx, &cluster{log: &memoryLog{}, platform: &platformStub{}})
 	})
 }
 
@@ -165,7 +165,7 @@
 }
 
 func TestWindowIsReportedSoonAfterAllNodesClosedIt(t *testing.T) {
-	withRig(t, func(ctx context.Context, g *rig) {
+	withCluster(t, func(ctx context.Context, g *cluster) {
 		one, holder := g.node(ctx, "one", 1)
 		two, _ := g.node(ctx, "two", 2)
 		holder.set(true)
@@ -184,7 +184,7 @@
 
 // A node that cannot write delays the report of its window, but not past its time.
 func TestReportWaitsForANodeOutOfTouchWithinItsTime(t *testing.T) {
-	withRig(t, func(ctx context.Context, g *rig) {
+	withCluster(t, func(ctx context.Context, g *cluster) {
 		_, holder := g.node(ctx, "one", 1)
 		leaving, stop := context.WithCancel(ctx)
 		g.node(leaving, "two", 2)
@@ -201,7 +201,7 @@
 
 // Two holders at once, of whom each knows other counts, report the same of a window.
 func TestReportsOfAWindowNeverDiffer(t *testing.T) {
-	withRig(t, func(ctx context.Context, g *rig) {
+	withCluster(t, func(ctx context.Context, g *cluster) {
 		one, first := g.node(ctx, "one", 1)
 		_, second := g.node(ctx, "two", 2)
 		first.set(true)
@@ -224,7 +224,7 @@
 }
 
 func TestWindowsOfAnOutageAreSentWhenItEndsOldestFirst(t *testing.T) {
-	withRig(t, func(ctx context.Context, g *rig) {
+	withCluster(t, func(ctx context.Context, g *cluster) {
 		one, holder := g.node(ctx, "one", 1)
 		holder.set(true)
 		number := intoWindow(time.Second)
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -334,16 +334,16 @@
 	}
 }
 
-// runTrespasser shows keys that no tenant holds any more, and reads jobs of others.
-func (c *caller) runTrespasser(ctx context.Context) {
+// runIntruder shows keys that no tenant holds any more, and reads jobs of others.
+func (c *caller) runIntruder(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, time.Second)
 		key, id := c.world.tenants.takenKey(), fmt.Sprintf("x%x", c.random.Uint64())
 		header := http.Header{
 			platform.HeaderRequestID: {id}, platform.HeaderDeadline: {"1500"}, platform.HeaderAuthorization: {authorization(key)},
 		}
-		if got, err := c.call(ctx, http.MethodPost, applicationPrefix+"trespass", header, []byte("x")); err == nil {
-			c.world.Truth.judgeTrespass(got, id, key)
+		if got, err := c.call(ctx, http.MethodPost, applicationPrefix+"intrude", header, []byte("x")); err == nil {
+			c.world.Truth.judgeIntrusion(got, id, key)
 		}
 		job := c.world.Truth.anyJob(c.random)
 		if job == nil {
--- a/internal/platformsim/tenants.go
+++ b/internal/platformsim/tenants.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// judgeTrespass rules on the answer to a key that no tenant holds any more.
-func (t *Truth) judgeTrespass(got answered, id, key string) {
+// judgeIntrusion rules on the answer to a key that no tenant holds any more.
+func (t *Truth) judgeIntrusion(got answered, id, key string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if got.status < http.StatusMultipleChoices && (key == neverAKey || t.inTouch(got.node, got.began)) {
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -318,8 +318,8 @@
 		callers.Go(func() { client.runClient(ctx, 250*time.Millisecond) })
 		looker := w.newCaller("looker-"+zone, zone, host, w.options.Seed+uint64(i)*23+7)
 		callers.Go(func() { looker.runLooker(ctx) })
-		trespasser := w.newCaller("trespasser-"+zone, zone, host, w.options.Seed+uint64(i)*29+9)
-		callers.Go(func() { trespasser.runTrespasser(ctx) })
+		intruder := w.newCaller("intruder-"+zone, zone, host, w.options.Seed+uint64(i)*29+9)
+		callers.Go(func() { intruder.runIntruder(ctx) })
 	}
 	callers.Wait()
 }
