--- a/internal/hosted/admission_test.go
+++ b/internal/hosted/admission_test.go
@@ -90,3 +90,17 @@
 	require.True(t, result.Is(err, result.JobConflict), "an id is its first tenant's")
 	require.NoError(t, node.Submit(t.Context(), "job-of-t", &pathbendv1.BatchJob{Tenant: "T"}, nil))
 }
+
+func TestRouteRanksAfterItsTenant(t *testing.T) {
+	node := newTestNode()
+	built := catalogOf(t, 1)
+	built.Keys = credential.NewKeyring([]credential.Grant{
+		{Tenant: credential.Tenant{Name: "first"}}, {Tenant: credential.Tenant{Name: "second", Priority: 1}},
+	})
+	node.TakeCatalog(built)
+	last, foremost := &catalog.Route{Priority: 2}, &catalog.Route{}
+	require.Less(t, node.rankOf("first", last), node.rankOf("second", foremost))
+	require.Less(t, node.rankOf("first", foremost), node.rankOf("first", last))
+	node.TakeCatalog(catalogOf(t, 2))
+	require.Equal(t, 2, node.rankOf("first", last), "without tenants the route's alone counts")
+}
--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -166,13 +166,28 @@
 	policy.Services = servicesOf(route)
 	policy.MaxFailures = route.MaxAttempts
 	policy.SingleVersion = route.SingleVersion
-	policy.Priority = route.Priority
+	policy.Priority = e.node.rankOf(job.Spec.Tenant, route)
 	if route.Due > 0 {
 		policy.Due = job.ReceivedAt.Add(route.Due)
 	}
 	return policy
 }
 
+// routeRanks is the number of ranks that routes have within one rank of tenants: the
+// users' sheets use 0 to 2.
+const routeRanks = 3
+
+// rankOf ranks a tenant's work on a route, 0 first: the route's priority comes after the
+// tenant's.
+func (n *Node) rankOf(tenantName string, route *catalog.Route) int {
+	rank := min(max(route.Priority, 0), routeRanks-1)
+	if current := n.Catalog(); current != nil {
+		tenant, _ := current.Keys.Tenant(tenantName)
+		rank += tenant.Priority * routeRanks
+	}
+	return rank
+}
+
 func (e *executor) routeOf(spec *pathbendv1.BatchJob) *catalog.Route {
 	current := e.node.Catalog()
 	if current == nil {
