Revert "Try: learn how many samplers may load together"

What is left there: new samplers come with the newest weights, so replacing some by need may be the way; open.

--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -20,13 +20,9 @@
 	firstLook      = 900 * time.Millisecond
 	lookInterval   = 60 * time.Millisecond
 	looksPerSecond = 1000
-	// loadPatience is how long an order may take before the sampler is judged anew,
-	// longestLoad while it says that the order is under way.
+	// loadPatience is how long an order may take before the sampler is judged
+	// anew.
 	loadPatience = 4 * time.Second
-	longestLoad  = 30 * time.Second
-	// slowLoad is when a load that still goes on tells that too many are under way: it
-	// takes some 1 s where few are (0.9 s on the users' sheets; chosen).
-	slowLoad = 3 * time.Second
 )
 
 // orderWeights begins the orders that are due. It is called under the lock.
@@ -102,14 +98,7 @@
 	e.node.logger.Log(event.WeightsOrdered, "sampler", sampler.ID, "model", step.Model, "version", step.Version,
 		"fence", fence, "after_orders", report.Orders, "answer", int(answer), "detail", detail)
 	switch answer {
-	case OrderTaken:
-		began := time.Now()
-		reached := e.awaitVersion(ctx, scheduler, sampler, step)
-		if reached {
-			e.noteLoad(func() { e.roll.Loaded(began, time.Now()) })
-		}
-		return reached
-	case OrderUnknown, OrderConflict:
+	case OrderTaken, OrderUnknown, OrderConflict:
 		return e.awaitVersion(ctx, scheduler, sampler, step)
 	case OrderHolds:
 		e.noteVersions(scheduler, sampler.ID, map[string]uint64{step.Model: step.Version})
@@ -119,27 +108,15 @@
 	}
 }
 
-// noteLoad records something of a load.
-func (e *executor) noteLoad(note func()) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	note()
-}
-
 // awaitVersion asks a sampler until it serves a version.
 func (e *executor) awaitVersion(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
 	e.setLoading(scheduler, step)
 	began := time.Now()
 	wait.For(ctx, firstLook)
-	idle, patience, slow := 0, loadPatience, false
-	for ctx.Err() == nil && time.Since(began) < patience {
+	idle := 0
+	for ctx.Err() == nil && time.Since(began) < loadPatience {
 		report, err := e.report(ctx, sampler)
 		if err == nil {
-			patience = patienceWith(report)
-			if !slow && report.Busy && time.Since(began) > slowLoad {
-				slow = true
-				e.noteLoad(func() { e.roll.Slow(began, time.Now()) })
-			}
 			e.noteVersions(scheduler, sampler.ID, report.Versions)
 			if report.Versions[step.Model] >= step.Version && !report.Busy {
 				return true
@@ -153,14 +130,6 @@
 	return false
 }
 
-// patienceWith is how long an order may take as far as a sampler's report tells.
-func patienceWith(report SamplerReport) time.Duration {
-	if report.Busy {
-		return longestLoad
-	}
-	return loadPatience
-}
-
 // lookPause is the pause between two looks at a sampler that loads.
 func (e *executor) lookPause() time.Duration {
 	e.mutex.Lock()
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -53,7 +53,6 @@
 	moving    map[string]Step
 	notBefore map[string]time.Time
 	failures  map[string]int
-	loads     concurrency
 }
 
 const (
@@ -78,13 +77,13 @@
 // NewRoll returns a roll that changes up to least samplers at once, or a part of
 // the fleet if that is more.
 func NewRoll(least int) *Roll {
-	roll := &Roll{Least: least, loads: newConcurrency()}
+	roll := &Roll{Least: least}
 	roll.Forget()
 	return roll
 }
 
-// togetherPart is the part of a fleet that may change at once at most; how many of these
-// do not slow each other down is learned.
+// togetherPart is the part of a fleet that may change at once: weights come from
+// a store whose rate grows with the fleet.
 const togetherPart = 5
 
 // together bounds the changes under way.
@@ -95,7 +94,7 @@
 			able++
 		}
 	}
-	return r.loads.bound(max(able/togetherPart, r.Least))
+	return max(able/togetherPart, r.Least)
 }
 
 // Next returns the orders to give now, towards the newest version of each
@@ -332,13 +331,6 @@
 	r.notBefore[samplerID] = now.Add(pause)
 }
 
-// Loaded records when a sampler began to load a version and when it had it. What was
-// learned of loads outlasts Forget.
-func (r *Roll) Loaded(began, ended time.Time) { r.loads.loaded(began, ended, r.Least) }
-
-// Slow records that a load which began at a time still goes on long after.
-func (r *Roll) Slow(began, now time.Time) { r.loads.reduce(began, now, r.Least) }
-
 // Moving returns the number of orders under way.
 func (r *Roll) Moving() int { return len(r.moving) }
 
