--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -55,11 +55,11 @@
 	{Promise: "CONFIG: a key is asked about before every attempt", Test: "TestKeyThatWasTakenAwayIsDeniedBeforeTheNextAttempt", Package: "./internal/hosted", Edits: []mutation.Edit{
 		mutation.Replace("internal/hosted/admission.go", "tenant, err := current.Admit(admitted.Route, key)\n\t\tif err != nil {\n\t\t\treturn n.deny(err)", "tenant, err := current.Admit(admitted.Route, key)\n\t\tif err != nil {\n\t\t\treturn nil"),
 	}},
-	{Promise: "UNASKED: a run ahead is its tenant's", Edits: []mutation.Edit{
+	{Promise: "UNASKED: a run ahead is its tenant's", Test: "TestLongItemRunsAheadAndGoesOnInTheJobThatBringsIt", Package: "./internal/schedule", Edits: []mutation.Edit{
 		mutation.Replace("internal/schedule/ahead.go", "\t\tTenant: i.job.spec.Tenant,\n", ""),
 	}},
 	{Promise: "Duty: a request counts once", Test: "TestSumIsThatOfTheNewestEntriesWhateverIsRepeated", Package: "./internal/metering", Edits: []mutation.Edit{
-		mutation.Replace("internal/metering/book.go", "if known == nil || known.Sequence < counts.Sequence {", "if true {"),
+		mutation.Replace("internal/metering/book.go", "known.Sequence < counts.Sequence {", "known.Sequence > 0 {"),
 	}},
 	{Promise: "ONE: the first decision of a window stands", Test: "TestFirstDecisionOfAWindowStands", Package: "./internal/metering", Edits: []mutation.Edit{
 		mutation.Replace("internal/metering/book.go", "if state.decided == nil {", "if true {"),
