Bound the last append of counts by what a planned stop leaves

Found on reading the diff: a process that stops while the store is silent waited 1.5 s for its counts, of the 1.2 s that its drain keeps free before it is killed. 0.5 s now. Test: TestProcessThatStopsDoesNotWaitLongForTheLog (1.5 s before).

--- a/internal/metering/recorder.go
+++ b/internal/metering/recorder.go
@@ -13,8 +13,13 @@
 	"github.com/pathbend/pathbend/internal/wait"
 )
 
-// saveTimeout bounds one append of counts. What was not answered is appended again.
-const saveTimeout = 1500 * time.Millisecond
+const (
+	// saveTimeout bounds one append of counts. What was not answered is appended again.
+	saveTimeout = 1500 * time.Millisecond
+	// lastSaveTimeout bounds the last append of a process that stops: it must end within
+	// the second that a planned stop leaves it.
+	lastSaveTimeout = 500 * time.Millisecond
+)
 
 // Recorder writes a process's counts into the log. It is safe for concurrent use.
 type Recorder struct {
@@ -45,17 +50,17 @@
 // Run writes counts until ctx ends, and once more then.
 func (r *Recorder) Run(ctx context.Context) {
 	for wait.For(ctx, r.Pause()) {
-		r.save(ctx)
+		r.save(ctx, saveTimeout)
 	}
-	r.save(context.WithoutCancel(ctx))
+	r.save(context.WithoutCancel(ctx), lastSaveTimeout)
 }
 
-func (r *Recorder) save(ctx context.Context) {
+func (r *Recorder) save(ctx context.Context, timeout time.Duration) {
 	entries := r.unsaved()
 	if len(entries) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := appendEntries(ctx, r.Log, r.Partition, countedEntries(entries)); err != nil {
 		r.noteFailure(err)
--- a/internal/metering/reporter_test.go
+++ b/internal/metering/reporter_test.go
@@ -241,3 +241,26 @@
 		require.Equal(t, map[string]uint64{"a": 1}, countsOf(reportOf(reports, number)))
 	})
 }
+
+// silentLog never answers an append.
+type silentLog struct{ sharedlog.Log }
+
+func (silentLog) Append(ctx context.Context, _ sharedlog.Partition, _ [][]byte) (uint64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func TestProcessThatStopsDoesNotWaitLongForTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &Clock{Now: time.Now}
+		recorder := NewRecorder(NewCounter("n", 1, length, clock.Read()))
+		recorder.Log, recorder.Clock, recorder.Logger = silentLog{}, clock, event.Discard()
+		recorder.Pause = func() time.Duration { return time.Minute }
+		recorder.Count("a", time.Now())
+		ctx, stop := context.WithCancel(t.Context())
+		stop()
+		began := time.Now()
+		recorder.Run(ctx)
+		require.Equal(t, lastSaveTimeout, time.Since(began))
+	})
+}
