Close the windows that the former process of a node may have left open

Change: a process closes the two windows before its start too; what its former one had not written is lost either way.

--- a/internal/metering/counter.go
+++ b/internal/metering/counter.go
@@ -15,6 +15,9 @@
 	// keepWindows is how many windows a process keeps counts of: those of an outage of
 	// the log, and some more.
 	keepWindows = 64
+	// formerWindows is how many windows before its start a process closes: those that the
+	// former process of its node may have left open when it ended.
+	formerWindows = 2
 )
 
 // Counter counts the requests of one process. It is not safe for concurrent use.
@@ -44,7 +47,7 @@
 func NewCounter(node string, process uint64, length time.Duration, began time.Time) *Counter {
 	return &Counter{
 		node: node, process: process, length: length, windows: make(map[Window]*tally),
-		closed: WindowAt(began, length) - 1,
+		closed: WindowAt(began, length) - 1 - formerWindows,
 	}
 }
 
