--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -77,8 +77,8 @@
 
 // Scaling bounds the samplers that the platform may be asked for.
 type Scaling struct {
-	// Min and Max bound the samplers of both kinds in each zone.
-	Min, Max int
+	// Max bounds the samplers of both kinds in each zone.
+	Max int
 	// Boot is how long a new sampler takes until it serves.
 	Boot time.Duration
 	// SpotPrice is the price of a spot sampler as a part of an ordinary one's, 0 where
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -34,7 +34,7 @@
 	}
 	const most = 2
 	ends := make(chan tried, most)
-	first := d.begin(ctx, request, endpoint, ends)
+	releaseFirst := d.begin(ctx, request, endpoint, ends)
 	timer := time.NewTimer(request.HedgeAfter)
 	defer timer.Stop()
 	select {
@@ -48,13 +48,13 @@
 	}
 	d.logger.Log(event.AttemptHedged, "request_id", request.ID, "slow", endpoint.ID, "back_end", other.ID,
 		"after_ms", request.HedgeAfter.Milliseconds())
-	second := d.begin(ctx, request, other, ends)
+	releaseSecond := d.begin(ctx, request, other, ends)
 	end := <-ends
 	if !end.answered() {
 		return []tried{end, <-ends}
 	}
-	first.release()
-	second.release()
+	releaseFirst()
+	releaseSecond()
 	go discard(ends)
 	return []tried{end}
 }
@@ -83,17 +83,11 @@
 	return other
 }
 
-// detachable is an attempt under way that ends with its request until it is released.
-type detachable struct {
-	// release lets it run to its end whatever becomes of the request.
-	release func() bool
-}
-
-// begin makes an attempt in a goroutine. It ends with the request unless it is released,
-// and at the request's deadline in any case.
-func (d *Dispatcher) begin(ctx context.Context, request *Request, endpoint *routing.Endpoint, ends chan<- tried) detachable {
+// begin makes an attempt in a goroutine. It ends with the request unless it is released
+// to run to its end, and at the request's deadline in any case.
+func (d *Dispatcher) begin(ctx context.Context, request *Request, endpoint *routing.Endpoint, ends chan<- tried) (release func() bool) {
 	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
-	release := context.AfterFunc(ctx, cancel)
+	release = context.AfterFunc(ctx, cancel)
 	go func() {
 		end := d.try(own, request, endpoint, false)
 		if answer := end.outcome.answer; answer != nil && answer.Buffered == nil {
@@ -103,7 +97,7 @@
 		}
 		ends <- end
 	}()
-	return detachable{release: release}
+	return release
 }
 
 // try makes one attempt.
--- a/internal/hosted/claims.go
+++ b/internal/hosted/claims.go
@@ -36,17 +36,10 @@
 
 // Claim implements duty.Holder.
 func (c *claims) Claim(ctx context.Context, subject string) (duty.Right, bool) {
-	fence, ok := c.take(ctx, subject)
-	return duty.Right{Holder: c.node.settings.Name, Fence: fence}, ok
-}
-
-// take claims a subject for one call, which must follow at once. It returns the fence,
-// and false if this node may not make the call after all.
-func (c *claims) take(ctx context.Context, subject string) (fence uint64, ok bool) {
 	holder := c.node.settings.Name
-	fence, ok = c.node.ownership.mayOrder(jobPartition, time.Now())
+	fence, ok := c.node.ownership.mayOrder(jobPartition, time.Now())
 	if !ok {
-		return 0, false
+		return duty.Right{}, false
 	}
 	began := time.Now()
 	serial := rand.Uint64()
@@ -58,16 +51,17 @@
 		return known && last.Serial == serial
 	}
 	if err := c.node.jobs.record(ctx, claimPatience, readBack, entry); err != nil {
-		return 0, false
+		return duty.Right{}, false
 	}
 	if !c.node.jobs.awaitReadBack(ctx, claimPatience, readBack) || time.Since(began) > claimLimit {
-		return 0, false
+		return duty.Right{}, false
 	}
 	if c.superseded(fence) || c.recent(subject, time.Now()) {
-		return 0, false
+		return duty.Right{}, false
 	}
 	// The share may have ended while the log was slow.
-	return c.node.ownership.mayOrder(jobPartition, time.Now())
+	fence, ok = c.node.ownership.mayOrder(jobPartition, time.Now())
+	return duty.Right{Holder: holder, Fence: fence}, ok
 }
 
 // superseded reports whether another node made a claim under a higher fence.
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -80,14 +80,14 @@
 	if report.Busy {
 		return e.awaitVersion(ctx, scheduler, sampler, step)
 	}
-	fence, ok := e.node.claims.take(ctx, sampler.ID)
+	right, ok := e.node.claims.Claim(ctx, sampler.ID)
 	if !ok || ctx.Err() != nil {
 		return false
 	}
 	e.setLoading(scheduler, step)
 	callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
 	answer, err := e.node.ports.Control.Order(callCtx, sampler, VersionOrder{
-		Model: step.Model, Version: step.Version, Holder: e.node.settings.Name, Fence: fence,
+		Model: step.Model, Version: step.Version, Holder: right.Holder, Fence: right.Fence,
 		FinishRuns: e.singleVersion(scheduler, step.Model), AfterOrders: report.Orders,
 	})
 	cancel()
@@ -96,7 +96,7 @@
 		detail = err.Error()
 	}
 	e.node.logger.Log(event.WeightsOrdered, "sampler", sampler.ID, "model", step.Model, "version", step.Version,
-		"fence", fence, "after_orders", report.Orders, "answer", int(answer), "detail", detail)
+		"fence", right.Fence, "after_orders", report.Orders, "answer", int(answer), "detail", detail)
 	switch answer {
 	case OrderTaken, OrderUnknown, OrderConflict:
 		return e.awaitVersion(ctx, scheduler, sampler, step)
--- a/internal/hosted/weights_test.go
+++ b/internal/hosted/weights_test.go
@@ -57,9 +57,9 @@
 
 func announces(t *testing.T, e *executor, samplerID string) bool {
 	t.Helper()
-	fence, ok := e.node.claims.take(t.Context(), samplerID)
+	right, ok := e.node.claims.Claim(t.Context(), samplerID)
 	if ok {
-		require.Equal(t, e.node.ownership.current(), fence)
+		require.Equal(t, e.node.ownership.current(), right.Fence)
 	}
 	return ok
 }
