Decode zones, regions, evacuations and cold samplers into product types

Cause: the new customers name regions on routes and tenants, evacuated zones in the operator's topic, and cold samplers in the list; nothing in the code read them, so no part could act on them. Ruled out: reading the wire names where each part decides; three parts would decode the same documents. Change: package locality (topology, sets of regions, both bind), fields of routes, tenants, services, samplers and settings, Node.TakeEvacuations and Admitted.Regions. Nothing acts on them yet.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pathbend/pathbend/internal/credential"
+	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
@@ -58,6 +59,8 @@
 	// submission; GiveUp when items may be given up.
 	Due    time.Duration
 	GiveUp time.Duration
+	// Regions are those in which the route's work may be served.
+	Regions locality.Regions
 	// Shares has one entry or more.
 	Shares []Share
 }
@@ -71,6 +74,10 @@
 	Slots int
 	// MaxConnections bounds the connections to one sampler from all callers.
 	MaxConnections int
+	// ColdStart is how long a sampler is cold after its start, ColdPerSecond how many
+	// requests a second it bears meanwhile; 0 where its samplers are never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Scaling is nil where the number of samplers is not to be asked for.
 	Scaling *Scaling
 }
--- a/internal/credential/keyring.go
+++ b/internal/credential/keyring.go
@@ -1,12 +1,18 @@
 package credential
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+
+	"github.com/pathbend/pathbend/internal/locality"
+)
 
 // Tenant is who a caller calls for.
 type Tenant struct {
 	Name string
 	// Priority ranks the tenant's work before the priority of a route, 0 first.
 	Priority int
+	// Regions are those in which the tenant's work may be served.
+	Regions locality.Regions
 }
 
 // Grant is a tenant with the keys that it holds.
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -7,6 +7,7 @@
 	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/credential"
 	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
@@ -15,6 +16,9 @@
 	Route *catalog.Route
 	// Tenant is who the caller calls for, the zero tenant if the route asks for none.
 	Tenant credential.Tenant
+	// Regions are those in which the request may be served: both the route's and the
+	// tenant's bind.
+	Regions locality.Regions
 }
 
 // Admit finds the route of a host and path and the tenant that holds the caller's
@@ -32,7 +36,7 @@
 	if err != nil {
 		return Admitted{}, n.deny(err)
 	}
-	return Admitted{Route: route, Tenant: tenant}, nil
+	return Admitted{Route: route, Tenant: tenant, Regions: route.Regions.And(tenant.Regions)}, nil
 }
 
 // Caller returns the tenant that holds a key, for calls about batch jobs, which name
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,8 @@
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	samplers atomic.Pointer[[]schedule.Sampler]
+	// evacuated holds the zones whose samplers get nothing new, ordered.
+	evacuated atomic.Pointer[[]string]
 
 	mutex    sync.Mutex
 	versions map[string]uint64
@@ -271,6 +274,14 @@
 	n.executor.wake()
 }
 
+// TakeEvacuations applies the entire list of evacuated zones, ordered.
+func (n *Node) TakeEvacuations(zones []string) {
+	if before := n.evacuated.Swap(&zones); before != nil && slices.Equal(*before, zones) {
+		return
+	}
+	n.executor.wake()
+}
+
 func (n *Node) awaitInformed(ctx context.Context) {
 	select {
 	case <-n.informed:
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -6,6 +6,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/duty"
+	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/schedule"
 )
 
@@ -112,6 +113,20 @@
 	// with it what the group dealt out to the machine.
 	Name string
 	Zone string
+	// Topology tells the region of each zone.
+	Topology locality.Topology
+	// EvacuateWithin is how soon after its acknowledgement an evacuation must be in force;
+	// 0 where zones are not evacuated.
+	EvacuateWithin time.Duration
+	// A cold sampler may get ColdOver times what its service says that it bears a second,
+	// and ColdSlack requests more, in any second and from all nodes together; both are 0
+	// where there is no such bound.
+	ColdOver  float64
+	ColdSlack float64
+	// PeerPorts are the ports, from the first to the second, on which nodes may listen to
+	// each other, 0 where there are none; IP is the address of the machine.
+	PeerPorts [2]int
+	IP        string
 	// NodesTopic is a keyed topic in which nodes tell of their machines.
 	NodesTopic string
 	// MaxRecordBytes bounds a record of the log, MaxCallBytes one append.
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -17,6 +17,9 @@
 	Spot bool
 	// Leaving is set once it must get no new work.
 	Leaving bool
+	// ColdFor is how much longer the sampler was cold when it wrote its entry, 0 if it was
+	// not. The entry is some seconds old.
+	ColdFor time.Duration
 	// Versions maps a model to the weight version that it serves.
 	Versions map[string]uint64
 }
