Bound what the executor sends to a sampler that is cold, or may be

Ruled out: going by the entries alone. They lag by a second or two and a sampler that lost its zone keeps its old one, so what does not answer, and what is new in the list, counts as cold too. Change: internal/warmup keeps a sliding second of sends for each sampler. Warm samplers come first, no item moves to a cold one, each send counts whatever becomes of it; reports and orders do not count (no request).

--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -256,7 +256,8 @@
 		return
 	}
 	e.listed, e.listedAt = listed, now
-	e.scheduler.Samplers(*listed)
+	e.scheduler.SetLimits(e.node.coldLimits())
+	e.scheduler.Samplers(*listed, now)
 }
 
 func (e *executor) applyChange(change ledger.Change) {
--- a/internal/schedule/ahead_test.go
+++ b/internal/schedule/ahead_test.go
@@ -38,7 +38,7 @@
 	b := carrying(t, 4, sampler("old", 4, 1))
 	longAt(b, 10)
 	require.Empty(t, b.starts(), "no sampler has a version that the later job accepts")
-	b.s.Samplers([]Sampler{sampler("old", 8, 1), sampler("new", 8, 3)})
+	b.s.Samplers([]Sampler{sampler("old", 8, 1), sampler("new", 8, 3)}, b.now)
 	ahead := b.starts()
 	require.Len(t, ahead, 1)
 	require.True(t, ahead[0].Key.Ahead)
@@ -83,7 +83,7 @@
 	again := b.jobOf("l", 4, "g:1")
 	again.items[0].Id = "k-0"
 	b.addJob(again, policy(9*time.Second), kept{})
-	b.s.Samplers([]Sampler{sampler("new", 8, 4)})
+	b.s.Samplers([]Sampler{sampler("new", 8, 4)}, b.now)
 	starts := b.starts()
 	require.Len(t, starts, 1)
 	require.Zero(t, starts[0].AfterEvent)
--- a/internal/schedule/length_test.go
+++ b/internal/schedule/length_test.go
@@ -44,7 +44,7 @@
 		require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: id, Version: 1, Data: []byte("x")}, b.now))
 	}
 	b.s.fleetPace = initialPace
-	b.s.Samplers([]Sampler{sampler("slow", 1, 1), sampler("fit", 1, 1)})
+	b.s.Samplers([]Sampler{sampler("slow", 1, 1), sampler("fit", 1, 1)}, b.now)
 	moves := b.s.Moves(b.now)
 	require.Len(t, moves, 1)
 	require.Equal(t, "slow", moves[0].Reason)
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -91,7 +91,7 @@
 
 // worthMove reports whether an item on a slow sampler gains by another one.
 func (s *Scheduler) worthMove(entry *item, best *samplerState, brisk time.Duration, now time.Time) bool {
-	if best == nil || best == entry.sampler || best.slow(s.fleetPace) || now.Sub(entry.startedAt) < moveAfter {
+	if best == nil || best == entry.sampler || best.slow(s.fleetPace) || best.budget.Cold(now) || now.Sub(entry.startedAt) < moveAfter {
 		return false
 	}
 	there := max(best.expectedPace(s.fleetPace), brisk)
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -175,6 +175,7 @@
 		AfterEvent: entry.events, Candidates: candidates, Running: chosen.running, Pace: chosen.pace,
 	}
 	chosen.running++
+	chosen.budget.Sent(now)
 	chosen.groups[entry.spec.Group] = now
 	return started
 }
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/pathbend/pathbend/internal/warmup"
 )
 
 // Sampler is a sampler as service discovery and load reports describe it.
@@ -41,6 +43,8 @@
 	failures  int
 	// failing is a moving average of the share of runs that it failed itself.
 	failing float64
+	// budget bounds what it gets while it is cold, or may be.
+	budget warmup.Budget
 	// groups remembers when a group's prompt was last read here.
 	groups map[string]time.Time
 }
@@ -71,6 +75,9 @@
 	defaultSlots = 4
 	// groupMemory is how long a sampler is taken to keep a prompt.
 	groupMemory = 20 * time.Second
+	// coldCost is how much dearer a cold sampler is: more than a full one of the same pace
+	// (1.3 at eight slots), so that work goes to warm ones first (chosen).
+	coldCost = 2.0
 	// maxPause bounds the pause of a sampler that keeps failing.
 	maxPause = 2 * time.Second
 	// basePause is the pause after the first failure; it doubles.
@@ -94,6 +101,11 @@
 	if s.Leaving || now.Before(s.notBefore) {
 		return 0
 	}
+	return min(s.freeSlots(fleet), s.budget.Room(now))
+}
+
+// freeSlots is the number of items that the sampler has slots for.
+func (s *samplerState) freeSlots(fleet time.Duration) int {
 	if s.slow(fleet) || s.failing > failingShare {
 		return max(1-s.running, 0)
 	}
@@ -104,6 +116,9 @@
 func (s *samplerState) cost(group string, fleet time.Duration, now time.Time) float64 {
 	estimated := float64(s.expectedPace(fleet)) * (1 + loadSlowdown*float64(s.running))
 	estimated *= 1 + failingCost*s.failing
+	if s.budget.Cold(now) {
+		estimated *= coldCost
+	}
 	if readAt, read := s.groups[group]; read && group != "" && now.Sub(readAt) < groupMemory {
 		estimated *= affinityGain
 	}
@@ -147,8 +162,9 @@
 // completed records a run that ended well.
 func (s *samplerState) completed() { s.failing -= failingWeight * s.failing }
 
-// pause keeps work away after a failure.
+// pause keeps work away after a failure. What did not answer may have started anew.
 func (s *samplerState) pause(now time.Time) {
+	s.budget.Doubt(now)
 	s.notBefore = now.Add(min(basePause<<min(s.failures, 6), maxPause))
 	s.failures++
 }
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -5,10 +5,24 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/pathbend/pathbend/internal/warmup"
 )
 
-// Samplers applies the list of samplers. What is known of each is kept.
-func (s *Scheduler) Samplers(listed []Sampler) {
+// SetLimits applies what cold samplers bear, by service. Services that it does not name
+// have no such bound.
+func (s *Scheduler) SetLimits(limits map[string]warmup.Limits) {
+	s.limits = limits
+	for _, state := range s.samplers {
+		state.budget.SetLimits(limits[state.Service])
+	}
+}
+
+// Samplers applies the list of samplers. What is known of each is kept. One that is new
+// since the first list may have just started, whatever its entry says, which is some
+// seconds old.
+func (s *Scheduler) Samplers(listed []Sampler, now time.Time) {
+	first := len(s.samplers) == 0
 	present := make(map[string]struct{}, len(listed))
 	for _, sampler := range listed {
 		present[sampler.ID] = struct{}{}
@@ -19,6 +33,11 @@
 		}
 		known := state.Versions
 		state.Sampler = sampler
+		state.budget.SetLimits(s.limits[sampler.Service])
+		state.budget.Told(sampler.ColdFor, now)
+		if !ok && !first {
+			state.budget.Doubt(now)
+		}
 		state.Versions = newest(known, sampler.Versions)
 	}
 	for id, state := range s.samplers {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -8,6 +8,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/warmup"
 )
 
 // Scheduler holds the open jobs and the samplers. It is not safe for
@@ -16,6 +17,8 @@
 	jobs     map[string]*job
 	items    map[Key]*item
 	samplers map[string]*samplerState
+	// limits are what cold samplers bear, by service.
+	limits map[string]warmup.Limits
 	// ordered lists the samplers by id. The next choice among more than it compares
 	// begins at lookFrom.
 	ordered  []*samplerState
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -39,7 +39,7 @@
 func newBench(t *testing.T, samplers ...Sampler) *bench {
 	b := &bench{t: t, now: began}
 	b.s = New(func() uint64 { b.ids++; return b.ids })
-	b.s.Samplers(samplers)
+	b.s.Samplers(samplers, b.now)
 	return b
 }
 
@@ -120,7 +120,7 @@
 
 func TestGroupsThatCameBeforeStandFirst(t *testing.T) {
 	b := newBench(t, sampler("s", 0, 1))
-	b.s.Samplers([]Sampler{sampler("s", 10, 1)})
+	b.s.Samplers([]Sampler{sampler("s", 10, 1)}, b.now)
 	b.addJob(b.jobOf("a", 1, "old:5"), policy(time.Second), kept{})
 	b.s.DropJob("a", b.now)
 	b.addJob(b.jobOf("b", 1, "new:500", "old:5"), policy(time.Second), kept{})
@@ -211,7 +211,7 @@
 	b := newBench(t, sampler("dark", 1, 1))
 	b.addJob(b.jobOf("j", 1, "g:100"), policy(time.Second), kept{})
 	start := b.starts()[0]
-	b.s.Samplers([]Sampler{sampler("dark", 1, 1), sampler("fit", 1, 1)})
+	b.s.Samplers([]Sampler{sampler("dark", 1, 1), sampler("fit", 1, 1)}, b.now)
 	b.now = b.now.Add(silenceLimit)
 	require.Empty(t, b.s.Moves(b.now))
 	b.now = b.now.Add(time.Millisecond)
@@ -231,7 +231,7 @@
 		require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: id, Version: 1, Data: []byte("x")}, b.now))
 	}
 	require.Empty(t, b.s.Moves(b.now), "there is no other sampler")
-	b.s.Samplers([]Sampler{sampler("slow", 1, 1), sampler("fit", 1, 1)})
+	b.s.Samplers([]Sampler{sampler("slow", 1, 1), sampler("fit", 1, 1)}, b.now)
 	moves := b.s.Moves(b.now)
 	require.Len(t, moves, 1)
 	require.Equal(t, "slow", moves[0].Reason)
@@ -307,10 +307,10 @@
 	b := newBench(t, sampler("s", 1, 1))
 	b.addJob(b.jobOf("j", 1, "g:1"), policy(time.Second), kept{})
 	start := b.starts()[0]
-	b.s.Samplers(nil)
+	b.s.Samplers(nil, b.now)
 	require.Len(t, b.s.Loads(), 1)
 	b.s.RunEnded(start.Key, start.Run, Broken, b.now)
-	b.s.Samplers(nil)
+	b.s.Samplers(nil, b.now)
 	require.Empty(t, b.s.Loads())
 }
 
@@ -353,7 +353,7 @@
 	for range 30 {
 		b.s.samplers["known"].observe(70*time.Millisecond, b.s.fleetPace)
 	}
-	b.s.Samplers([]Sampler{sampler("known", 8, 1), sampler("unknown", 8, 1)})
+	b.s.Samplers([]Sampler{sampler("known", 8, 1), sampler("unknown", 8, 1)}, b.now)
 	for _, start := range starts {
 		require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: 1, Version: 1, Data: []byte("x")}, b.now.Add(time.Second)))
 	}
