Read the scattered texts of a page together, and end the page where time is over

No bound of a call was too small: no read of a blob timed out. The texts of a job lie among those of others in the log, and content.Store.Get read each stretch of neighbours in turn, one round trip (94 ms) each. Callers in the region without the store wait 1.5 s beyond their hold and left before the last stretch (290 batch_read_refused with "context canceled", all of them in the far region; none in the near one). It never recovered: what was read was thrown away, and the next node began at the first text.

Change: up to 8 stretches are read at once, and a page whose texts were not all read within 750 ms ends before the first that is missing (event 810 page_cut), which the callers' protocol allows; they read on from there. Get is unchanged for others.

--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
 	"google.golang.org/protobuf/proto"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
@@ -34,6 +35,10 @@
 	retryHint = 200 * time.Millisecond
 	// readBytes bounds one read.
 	readBytes = 512 << 10
+	// readsTogether is how many reads of one Get are under way at once. The texts of a job
+	// lie among those of others, in some 20 to 40 places: one after the other, each costs
+	// the way to the log and back (chosen: as many as connections to it are kept).
+	readsTogether = 8
 )
 
 // Kind is what a blob holds. Each kind begins in a partition of its own, so
@@ -182,43 +187,92 @@
 }
 
 // Get returns the contents of blobs, in order. Blobs that lie near each other
-// are read together.
+// are read in one call, others at the same time.
 func (s *Store) Get(ctx context.Context, wanted []*pathbendv1.Blob) ([][]byte, error) {
+	contents, err := s.GetFirst(ctx, wanted)
+	if err != nil {
+		return nil, err
+	}
+	return contents, nil
+}
+
+// GetFirst is Get that also returns, with an error, the contents that lie before the
+// first that could not be read.
+func (s *Store) GetFirst(ctx context.Context, wanted []*pathbendv1.Blob) ([][]byte, error) {
+	runs := runsOf(wanted)
+	reads := make([]runRead, len(runs))
+	var failed atomic.Bool
+	readers := pool.New().WithMaxGoroutines(readsTogether)
+	for i, run := range runs {
+		readers.Go(func() {
+			if failed.Load() {
+				reads[i].err = result.New(result.LogUnavailable, "not read after a failure").WithRetryAfter(retryHint)
+				return
+			}
+			reads[i] = s.readRun(ctx, run)
+			failed.CompareAndSwap(false, reads[i].err != nil)
+		})
+	}
+	readers.Wait()
 	contents := make([][]byte, 0, len(wanted))
-	for len(contents) < len(wanted) {
-		run := adjacent(wanted[len(contents):])
-		records, err := s.read(ctx, wanted[len(contents)], run.records, run.bytes)
-		if err != nil {
-			return nil, err
-		}
-		part := wanted[len(contents):][:run.blobs]
-		first := part[0].Offset
-		for _, blob := range part {
-			contents = append(contents, join(records[blob.Offset-first:][:blob.Records]))
+	for _, read := range reads {
+		if read.err != nil {
+			return contents, read.err
 		}
+		contents = append(contents, read.contents...)
 	}
 	return contents, nil
 }
 
+// runRead is what was read of one run.
+type runRead struct {
+	contents [][]byte
+	err      error
+}
+
+func (s *Store) readRun(ctx context.Context, run adjacentRun) runRead {
+	records, err := s.read(ctx, run.blobs[0], run.records, run.bytes)
+	if err != nil {
+		return runRead{err: err}
+	}
+	contents := make([][]byte, 0, len(run.blobs))
+	first := run.blobs[0].Offset
+	for _, blob := range run.blobs {
+		contents = append(contents, join(records[blob.Offset-first:][:blob.Records]))
+	}
+	return runRead{contents: contents}
+}
+
 // adjacentRun is a number of blobs that one read returns.
 type adjacentRun struct {
-	blobs   int
+	blobs   []*pathbendv1.Blob
 	records int
 	bytes   int
 }
 
+// runsOf divides blobs into runs.
+func runsOf(wanted []*pathbendv1.Blob) []adjacentRun {
+	var runs []adjacentRun
+	for len(wanted) > 0 {
+		run := adjacent(wanted)
+		runs = append(runs, run)
+		wanted = wanted[len(run.blobs):]
+	}
+	return runs
+}
+
 // adjacent returns the run that the blobs begin with: those that follow each
 // other in one partition.
 func adjacent(wanted []*pathbendv1.Blob) adjacentRun {
 	first := wanted[0]
 	run := adjacentRun{}
-	for _, blob := range wanted {
+	for i, blob := range wanted {
 		next := first.Offset + uint64(run.records)
 		bytes := run.bytes + int(blob.Bytes) + int(blob.Records)*sharedlog.RecordFraming
-		if blob.Partition != first.Partition || blob.Offset != next || run.blobs > 0 && bytes > readBytes {
+		if blob.Partition != first.Partition || blob.Offset != next || len(run.blobs) > 0 && bytes > readBytes {
 			break
 		}
-		run = adjacentRun{blobs: run.blobs + 1, records: run.records + int(blob.Records), bytes: bytes}
+		run = adjacentRun{blobs: wanted[:i+1], records: run.records + int(blob.Records), bytes: bytes}
 	}
 	return run
 }
--- a/internal/content/store_test.go
+++ b/internal/content/store_test.go
@@ -180,3 +180,71 @@
 	}
 	return ids
 }
+
+// farLog is a log so far away that each read takes a while.
+type farLog struct {
+	*blobLog
+
+	roundTrip time.Duration
+}
+
+func (l *farLog) ReadPart(ctx context.Context, partition sharedlog.Partition, from uint64, maxBytes int) (sharedlog.Batch, error) {
+	select {
+	case <-time.After(l.roundTrip):
+		return l.blobLog.ReadPart(ctx, partition, from, maxBytes)
+	case <-ctx.Done():
+		return sharedlog.Batch{}, result.New(result.LogUnavailable, "given up")
+	}
+}
+
+// scattered returns blobs of which no two lie near each other.
+func scattered(t *testing.T, store *Store, count int) []*pathbendv1.Blob {
+	t.Helper()
+	named, err := store.Put(t.Context(), Texts, time.Second, contentsOf(make([]int, 2*count)...))
+	require.NoError(t, err)
+	var apart []*pathbendv1.Blob
+	for i := range count {
+		apart = append(apart, named[2*i])
+	}
+	return apart
+}
+
+// Regions lay 45 ms apart. The texts of a finished job were read one after the other, and
+// whoever listed it from another region than the store's left before the last (quiet-1,
+// 290 reads, LOST 16).
+func TestScatteredBlobsOfAFarLogAreReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newTestStore(&farLog{blobLog: newBlobLog(), roundTrip: 94 * time.Millisecond})
+		apart := scattered(t, store, 32)
+		began := time.Now()
+		got, err := store.Get(t.Context(), apart)
+		require.NoError(t, err)
+		require.Len(t, got, 32)
+		require.LessOrEqual(t, time.Since(began), 4*94*time.Millisecond)
+	})
+}
+
+// What was read before the time was over is of use.
+func TestFirstBlobsAreReturnedWhenTheTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newTestStore(&farLog{blobLog: newBlobLog(), roundTrip: 244 * time.Millisecond})
+		apart := scattered(t, store, 64)
+		ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
+		defer cancel()
+		got, err := store.GetFirst(ctx, apart)
+		require.Error(t, err)
+		require.Len(t, got, 3*readsTogether)
+		synctest.Wait()
+	})
+}
+
+func TestBlobsAfterOneThatIsMissingAreNotReturned(t *testing.T) {
+	store := newTestStore(newBlobLog())
+	apart := scattered(t, store, 8)
+	apart[3] = &pathbendv1.Blob{Partition: 3, Records: 1, Bytes: 1}
+	got, err := store.GetFirst(t.Context(), apart)
+	require.True(t, result.Is(err, result.LogUnavailable))
+	require.Len(t, got, 3)
+	_, err = store.Get(t.Context(), apart)
+	require.True(t, result.Is(err, result.LogUnavailable))
+}
--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -181,7 +181,13 @@
 	return n.withTexts(ctx, id, page)
 }
 
-// withTexts reads the texts of a page.
+// textsPatience is how long the texts of a page are read before the page ends with those
+// that were: callers wait 1.5 s beyond the time for which they let an answer be held, and
+// of that the connection and the answer take their way too (the users' bound; chosen half).
+const textsPatience = 750 * time.Millisecond
+
+// withTexts reads the texts of a page. A page whose texts could not all be read in time
+// ends before the first of the others.
 func (n *Node) withTexts(ctx context.Context, id string, page Page) (Page, error) {
 	var wanted []*pathbendv1.Blob
 	for _, listed := range page.Results {
@@ -189,18 +195,40 @@
 			wanted = append(wanted, listed.Text)
 		}
 	}
-	texts, err := n.jobs.contents.Get(ctx, wanted)
-	if err != nil {
+	callCtx, cancel := context.WithTimeout(ctx, textsPatience)
+	defer cancel()
+	texts, err := n.jobs.contents.GetFirst(callCtx, wanted)
+	whole := page.fill(texts)
+	switch {
+	case err == nil:
+	case len(page.Results) == 0:
 		n.logger.Log(event.BatchReadRefused, "job_id", id, "texts", len(wanted), "detail", err.Error())
 		return Page{}, spread(err)
+	default:
+		n.logger.Log(event.PageCut, "job_id", id, "results", len(page.Results), "of", whole, "detail", err.Error())
 	}
-	page.Texts = make([][]byte, len(page.Results))
-	for i, listed := range page.Results {
+	return page, nil
+}
+
+// fill puts texts, those of the first results that have one, into the page and ends it
+// before a result whose text is not among them. It returns how many results the page had.
+func (p *Page) fill(texts [][]byte) (whole int) {
+	whole = len(p.Results)
+	p.Next -= whole
+	p.Texts = make([][]byte, 0, whole)
+	for _, listed := range p.Results {
+		var text []byte
 		if listed.Text != nil {
-			page.Texts[i], texts = texts[0], texts[1:]
+			if len(texts) == 0 {
+				break
+			}
+			text, texts = texts[0], texts[1:]
 		}
+		p.Texts = append(p.Texts, text)
 	}
-	return page, nil
+	p.Results = p.Results[:len(p.Texts)]
+	p.Next += len(p.Results)
+	return whole
 }
 
 // page reads a page. settled is set if no further result can come.
