Let time-outs towards the store follow its measured round trip

Cause: bounds of calls to the log service were constants chosen for one next door. At 120 ms one way (244 ms a call, 488 on a new connection) hedges go out before any answer can be there (renewHedge 120 ms, putHedge 300, appendHedge 250), and a follower that hears nothing counts as current for 1088 ms, where nodes may deny up to 800 ms.

Change: internal/roundtrip estimates round trips as RFC 6298 does (smoothed mean, mean deviation, four deviations above the mean, floor and ceiling, backing off by loss; calls lost together count once). sharedlog.Measured times what the log answers: the way by calls that are answered at once, appends apart, since a partition takes them in turn; held reads tell nothing. sharedlog.Latency is gone. A constant chosen for a log next door is lengthened by how much longer an answer may take than there (Beyond, 0 for a log within some 20 ms); long polls are shortened by as much. Losses lengthen the time-out of a hedge but not Beyond: a store that was down is no farther away when it is back. Metrics pathbend_log_round_trip_* and pathbend_log_append_round_trip_*, event 811.

--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -22,11 +22,11 @@
 const (
 	// topic holds what is too large for every node to read.
 	topic = "pathbend-blobs"
-	// putTimeout bounds one append of blobs, getTimeout one read.
+	// putTimeout bounds one append of blobs, getTimeout one read, at a log next door.
 	putTimeout = 600 * time.Millisecond
 	getTimeout = 800 * time.Millisecond
-	// putHedge is when the same append goes to the next partition too, if it is not known
-	// how soon the log answers; mostPuts bounds the appends of one attempt.
+	// putHedge is when the same append goes to the next partition too, at the latest, at a
+	// log next door; mostPuts bounds the appends of one attempt.
 	putHedge = 300 * time.Millisecond
 	mostPuts = 3
 	// retryPause is the pause between attempts.
@@ -55,13 +55,22 @@
 // Store keeps contents of any size in partitions of the log that nobody
 // follows. Who knows a blob's name reads it on demand.
 type Store struct {
-	log        sharedlog.Log
+	log        Log
 	limits     Limits
 	observe    func(err error, took time.Duration)
-	latency    sharedlog.Latency
 	preference atomic.Uint32
 }
 
+// Log is what a store needs of the log: its calls and how far away it is.
+type Log interface {
+	sharedlog.Log
+	// Beyond is how much longer an answer takes than that of a log next door.
+	Beyond() time.Duration
+	// OverdueAppend returns after how long an append counts as lost, at most a time
+	// chosen for a log next door, and whether the log answered of late.
+	OverdueAppend(most time.Duration) (after time.Duration, answers bool)
+}
+
 // Limits are what the log allows.
 type Limits struct {
 	// MaxRecordBytes bounds a record, MaxCallBytes one append.
@@ -72,7 +81,7 @@
 }
 
 // New returns a store. observe is told how each append ended.
-func New(log sharedlog.Log, limits Limits, observe func(err error, took time.Duration)) *Store {
+func New(log Log, limits Limits, observe func(err error, took time.Duration)) *Store {
 	return &Store{log: log, limits: limits, observe: observe}
 }
 
@@ -160,7 +169,7 @@
 // append appends records to the preferred partition, and to the next ones too while
 // there is no answer: its answer may be lost. It returns the first that was kept.
 func (s *Store) append(ctx context.Context, kind Kind, records [][]byte) (appended, error) {
-	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	ctx, cancel := context.WithTimeout(ctx, putTimeout+s.log.Beyond())
 	defer cancel()
 	first := int(kind) + int(s.preference.Load())
 	return hedge.First(ctx, hedge.Call{Most: mostPuts, After: s.hedgeAfter}, func(number int) (appended, error) {
@@ -169,20 +178,14 @@
 }
 
 func (s *Store) hedgeAfter() time.Duration {
-	if overdue, known := s.latency.Overdue(); known {
-		return overdue
-	}
-	return putHedge
+	after, _ := s.log.OverdueAppend(putHedge)
+	return after
 }
 
 func (s *Store) appendTo(ctx context.Context, partition int, records [][]byte) (appended, error) {
 	began := time.Now()
 	offset, err := s.log.Append(ctx, sharedlog.Partition{Topic: topic, Number: partition}, records)
-	took := time.Since(began)
-	if err == nil {
-		s.latency.Note(took)
-	}
-	s.observe(err, took)
+	s.observe(err, time.Since(began))
 	return appended{partition: partition, offset: offset}, err
 }
 
@@ -282,7 +285,7 @@
 	partition := sharedlog.Partition{Topic: topic, Number: int(blob.Partition)}
 	var records [][]byte
 	for len(records) < count {
-		callCtx, cancel := context.WithTimeout(ctx, getTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, getTimeout+s.log.Beyond())
 		batch, err := s.log.ReadPart(callCtx, partition, blob.Offset+uint64(len(records)), bytes)
 		cancel()
 		if err != nil {
--- a/internal/content/store_test.go
+++ b/internal/content/store_test.go
@@ -70,7 +70,7 @@
 
 func newTestStore(log sharedlog.Log) *Store {
 	limits := Limits{MaxRecordBytes: 128, MaxCallBytes: 1024, Partitions: testPartitions}
-	return New(log, limits, func(error, time.Duration) {})
+	return New(sharedlog.Measure(log, nil), limits, func(error, time.Duration) {})
 }
 
 func contentsOf(sizes ...int) [][]byte {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -96,6 +96,7 @@
 	LinesDropped         Number = 808
 	StandingChanged      Number = 809
 	PageCut              Number = 810
+	LogDistanceChanged   Number = 811
 	UsageUnsaved         Number = 901
 	UsageDecided         Number = 902
 	UsageReported        Number = 903
@@ -175,6 +176,7 @@
 	{LinesDropped, "lines_dropped", slog.LevelWarn, "Log lines were dropped because the output did not keep up.", "Check the reader of the output."},
 	{StandingChanged, "standing_changed", slog.LevelInfo, "A node with a small machine enters the group of executors as no larger one is in it, or leaves it again.", "None, unless small nodes execute for long: the large ones are gone."},
 	{PageCut, "page_cut", slog.LevelInfo, "The texts of a page of results could not all be read from the log in time; the page ends before the first that was not, and its caller reads on from there.", "Frequent: the log service is far away or slow."},
+	{LogDistanceChanged, "log_distance_changed", slog.LevelInfo, "The log service answers much sooner or later than this node last told; the line tells the smoothed round trip, its deviation and the time-out, in ms.", "Check the way to the log service if it is not far away."},
 	{UsageUnsaved, "usage_unsaved", slog.LevelWarn, "Counts of tenants' requests could not be written to the log; they are kept and written later.", "Check the log service; counts that a killed process held are lost."},
 	{UsageDecided, "usage_decided", slog.LevelInfo, "The holder of the duty sums a window's requests; the line tells whether all nodes had closed it.", "Not complete again and again: look for a node that cannot write to the log."},
 	{UsageReported, "usage_reported", slog.LevelInfo, "The platform took the report of a window; the line tells how long after its end.", "None."},
--- a/internal/hosted/claims.go
+++ b/internal/hosted/claims.go
@@ -50,10 +50,11 @@
 		last, known := c.node.jobs.ledger.LastClaim(subject, holder)
 		return known && last.Serial == serial
 	}
-	if err := c.node.jobs.record(ctx, claimPatience, readBack, entry); err != nil {
+	patience := claimPatience + c.node.log.Beyond()
+	if err := c.node.jobs.record(ctx, patience, readBack, entry); err != nil {
 		return duty.Right{}, false
 	}
-	if !c.node.jobs.awaitReadBack(ctx, claimPatience, readBack) || time.Since(began) > claimLimit {
+	if !c.node.jobs.awaitReadBack(ctx, patience, readBack) || time.Since(began) > claimLimit {
 		return duty.Right{}, false
 	}
 	if c.superseded(fence) || c.recent(subject, time.Now()) {
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -49,11 +49,11 @@
 	readAt time.Time
 }
 
-func newDirectory(log sharedlog.Log, topic string, observer sharedlog.Observer, logger *event.Logger) *directory {
+func newDirectory(log *sharedlog.Measured, topic string, observer sharedlog.Observer, logger *event.Logger) *directory {
 	d := &directory{logger: logger, nodes: make(map[string]announcedNode)}
 	d.follower = &sharedlog.KeyedFollower{
 		Log: log, Partition: sharedlog.Partition{Topic: topic}, Observer: observer,
-		Reset: d.apply, Apply: d.apply, Pause: func() time.Duration { return directoryPause },
+		Reset: d.apply, Apply: d.apply, Pause: func() time.Duration { return directoryPause }, Beyond: log.Beyond,
 	}
 	return d
 }
@@ -135,5 +135,5 @@
 	ctx, cancel := context.WithTimeout(ctx, announceAttempt)
 	defer cancel()
 	record := sharedlog.KeyedRecord{Key: n.settings.Name, Value: value}
-	return n.ports.Log.AppendKeyed(ctx, n.directory.follower.Partition, []sharedlog.KeyedRecord{record})
+	return n.log.AppendKeyed(ctx, n.directory.follower.Partition, []sharedlog.KeyedRecord{record})
 }
--- a/internal/hosted/directory_test.go
+++ b/internal/hosted/directory_test.go
@@ -48,7 +48,7 @@
 
 func TestAnnouncedCapacitiesAreKnownUntilTheyAreOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDirectory(emptyLog{}, "nodes", nil, event.Discard())
+		d := newDirectory(sharedlog.Measure(emptyLog{}, nil), "nodes", nil, event.Discard())
 		_, ok := d.Announced()
 		require.False(t, ok, "the topic was not read yet")
 		d.follower.Health = sharedlog.Health{}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -23,8 +23,8 @@
 	jobPartition = 0
 	// submitPatience is how long a submission is tried before it is refused.
 	submitPatience = 2500 * time.Millisecond
-	// appendTimeout bounds one append; appendHedge is when a second one of the
-	// same records is sent beside it: repetitions are harmless. While the log is
+	// appendTimeout bounds one append at a log next door; appendHedge is when, at the latest
+	// there, a second one of the same records is sent beside it: repetitions are harmless. While the log is
 	// lost, which never answers what was sent before it is back, or answers others as
 	// usual, so that this answer is lost, a further one is sent each time, up to
 	// mostAppends; a log that is merely slow would get slower.
@@ -49,7 +49,6 @@
 	follower *sharedlog.Follower
 	appender *sharedlog.Appender
 	contents *content.Store
-	latency  sharedlog.Latency
 	// followed is set once the node follows the log; before, it reads it on demand.
 	followed atomic.Bool
 
@@ -62,36 +61,25 @@
 func newJobBook(n *Node) *jobBook {
 	book := &jobBook{
 		node: n, ledger: ledger.New(), changed: make(chan struct{}),
-		contents: content.New(n.ports.Log, content.Limits{
+		contents: content.New(n.log, content.Limits{
 			MaxRecordBytes: n.settings.MaxRecordBytes, MaxCallBytes: n.settings.MaxCallBytes, Partitions: n.settings.Partitions,
 		}, n.metrics.logAppend),
 	}
 	book.follower = &sharedlog.Follower{
-		Log: n.ports.Log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
-		Observer: n, Apply: book.apply, Pause: n.jobsPause,
+		Log: n.log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
+		Observer: n, Apply: book.apply, Pause: n.jobsPause, Beyond: n.log.Beyond,
 	}
 	book.appender = &sharedlog.Appender{
-		Log: n.ports.Log, Partition: book.follower.Partition, MaxBytes: n.settings.MaxCallBytes, Observe: book.noteAppend,
+		Log: n.log, Partition: book.follower.Partition, MaxBytes: n.settings.MaxCallBytes,
+		Observe: n.metrics.logAppend, Beyond: n.log.Appends().Beyond,
 	}
 	return book
 }
 
-// noteAppend records how an append of the ledger ended.
-func (b *jobBook) noteAppend(err error, took time.Duration) {
-	if err == nil {
-		b.latency.Note(took)
-	}
-	b.node.metrics.logAppend(err, took)
-}
-
 // hedgeAfter is how long an append is waited for before another one goes out beside
 // it, and whether the log answers others as usual meanwhile.
 func (b *jobBook) hedgeAfter() (pause time.Duration, answers bool) {
-	overdue, known := b.latency.Overdue()
-	if !known {
-		return appendHedge, false
-	}
-	return min(overdue, appendHedge), overdue <= appendHedge
+	return b.node.log.OverdueAppend(appendHedge)
 }
 
 // ReadFailed implements sharedlog.Observer.
@@ -285,7 +273,7 @@
 // appendOne appends records. A second append goes out if the first has no
 // answer in time, further ones only to a log that is lost or loses answers.
 func (b *jobBook) appendOne(ctx context.Context, records [][]byte, kept func() bool) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout+b.node.log.Appends().Beyond())
 	defer cancel()
 	answers := make(chan error, mostAppends)
 	send := func() { answers <- b.appender.Append(ctx, records) }
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -109,7 +109,7 @@
 			defer l.leave(1)
 			l.round(ctx)
 		})
-		hold := time.NewTimer(listHold)
+		hold := time.NewTimer(listHold + l.node.log.Appends().Beyond())
 		select {
 		case <-ended:
 		case <-hold.C:
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/pathbend/pathbend/internal/dispatch"
 	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/roundtrip"
 	"github.com/pathbend/pathbend/internal/schedule"
 )
 
@@ -83,9 +84,22 @@
 		}
 		return 0
 	})
+	m.roundTrip("pathbend_log_round_trip", "calls that the log answers at once", n.log.Way())
+	m.roundTrip("pathbend_log_append_round_trip", "appends to the log", n.log.Appends())
 	return m
 }
 
+// roundTrip registers what is known of calls of one kind.
+func (m *Metrics) roundTrip(name, calls string, estimator *roundtrip.Estimator) {
+	m.gauge(name+"_seconds", "Smoothed round trip of "+calls+".", func() float64 { return estimator.Read().Smoothed.Seconds() })
+	m.gauge(name+"_deviation_seconds", "Mean deviation of the round trip of "+calls+".", func() float64 {
+		return estimator.Read().Deviation.Seconds()
+	})
+	m.gauge(name+"_timeout_seconds", "Time after which an answer counts as lost, of "+calls+".", func() float64 {
+		return estimator.Read().Timeout.Seconds()
+	})
+}
+
 func latencyBuckets() []float64 {
 	const first, factor, count = 0.001, 2, 15
 	return prometheus.ExponentialBuckets(first, factor, count)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -42,6 +42,7 @@
 type Node struct {
 	settings   Settings
 	ports      Ports
+	log        *sharedlog.Measured
 	logger     *event.Logger
 	metrics    *Metrics
 	fleet      *fleet.Fleet
@@ -81,7 +82,7 @@
 // New returns a node that does nothing until Start.
 func New(settings Settings, ports Ports, logger *event.Logger) *Node {
 	n := &Node{
-		settings: settings, ports: ports, logger: logger,
+		settings: settings, ports: ports, logger: logger, log: sharedlog.Measure(ports.Log, ports.Group),
 		fleet:     fleet.NewHosted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), settings.Name, logger),
 		exchanger: dispatch.NewExchanger(ports.Network),
 		versions:  make(map[string]uint64),
@@ -91,13 +92,13 @@
 	}
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
-	n.directory = newDirectory(ports.Log, settings.NodesTopic, n, logger)
+	n.directory = newDirectory(n.log, settings.NodesTopic, n, logger)
 	n.jobs = newJobBook(n)
 	n.executor = newExecutor(n)
 	n.claims = &claims{node: n}
 	n.usage = newUsage(n)
 	n.scaler = &scaler{node: n}
-	n.ownership = newOwnership(settings, ports.Group, n.directory, n.executor.flush, logger)
+	n.ownership = newOwnership(settings, n.log, n.directory, n.executor.flush, logger)
 	return n
 }
 
@@ -107,6 +108,7 @@
 	n.loops.Go(func() { n.directory.follower.Run(ctx) })
 	n.loops.Go(func() { n.followJobs(ctx) })
 	n.loops.Go(func() { n.jobs.expire(ctx) })
+	n.loops.Go(func() { n.tellDistance(ctx) })
 	n.loops.Go(func() { n.joinGroup(ctx) })
 	n.loops.Go(func() { n.announce(ctx) })
 	n.loops.Go(func() { n.executor.run(ctx) })
@@ -193,6 +195,9 @@
 // Draining reports whether the node is about to stop.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
+// Log returns the node's log service, whose answers are timed.
+func (n *Node) Log() *sharedlog.Measured { return n.log }
+
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *Metrics { return n.metrics }
 
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -53,10 +53,17 @@
 	of      func(node string) uint64
 }
 
+// group deals the partitions out, and tells how much longer its answers take than those of
+// a service next door.
+type group interface {
+	sharedlog.Group
+	Beyond() time.Duration
+}
+
 // ownership keeps this node's share of the job partitions.
 type ownership struct {
 	settings   Settings
-	group      sharedlog.Group
+	group      group
 	capacities capacities
 	// handOver saves what this node executes before it leaves the group.
 	handOver func(ctx context.Context)
@@ -74,7 +81,7 @@
 	left       bool
 }
 
-func newOwnership(settings Settings, group sharedlog.Group, known capacities, handOver func(context.Context), logger *event.Logger) *ownership {
+func newOwnership(settings Settings, group group, known capacities, handOver func(context.Context), logger *event.Logger) *ownership {
 	return &ownership{
 		settings: settings, group: group, capacities: known, handOver: handOver, logger: logger,
 		held: make(map[int]struct{}),
@@ -115,7 +122,7 @@
 		return o.standing.Joined()
 	}
 	o.lookAt = now.Add(spreadLook(lookEvery(announced.nodes, regular)))
-	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout+o.group.Beyond())
 	defer cancel()
 	owners, err := o.group.Owners(callCtx, jobGroup)
 	if err != nil {
@@ -210,7 +217,7 @@
 // renew makes one join. It reports whether the generation is new, so that it is
 // confirmed at once.
 func (o *ownership) renew(ctx context.Context) (changed bool) {
-	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout+o.group.Beyond())
 	defer cancel()
 	o.mutex.Lock()
 	generation := o.generation
@@ -245,7 +252,7 @@
 
 // join makes one renewal, of several calls if they are not answered.
 func (o *ownership) join(ctx context.Context, generation uint64) (joined, error) {
-	bounds := hedge.Call{Most: mostRenewals, After: func() time.Duration { return renewHedge }}
+	bounds := hedge.Call{Most: mostRenewals, After: func() time.Duration { return renewHedge + o.group.Beyond() }}
 	return hedge.First(ctx, bounds, func(int) (joined, error) {
 		began := time.Now()
 		share, err := o.group.Join(ctx, jobGroup, o.settings.Name, jobTopic, o.settings.shareTTL(), generation)
@@ -316,7 +323,7 @@
 // no longer held by then, so that nothing begins anew meanwhile.
 func (o *ownership) giveBack(ctx context.Context) {
 	o.handOver(ctx)
-	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout+o.group.Beyond())
 	defer cancel()
 	if err := o.group.Leave(callCtx, jobGroup, o.settings.Name); err != nil {
 		o.logger.Log(event.GroupContactLost, "generation", o.current(), "detail", err.Error())
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -267,3 +267,6 @@
 		})
 	})
 }
+
+// Beyond implements group: the service is next door.
+func (g *scriptedGroup) Beyond() time.Duration { return 0 }
--- a/internal/hosted/usage.go
+++ b/internal/hosted/usage.go
@@ -42,10 +42,10 @@
 	clock := &metering.Clock{Now: time.Now}
 	partition := sharedlog.Partition{Topic: n.settings.UsageTopic}
 	u.recorder = metering.NewRecorder(metering.NewCounter(n.settings.Name, rand.Uint64(), length, clock.Read()))
-	u.recorder.Log, u.recorder.Partition, u.recorder.Clock = n.ports.Log, partition, clock
+	u.recorder.Log, u.recorder.Partition, u.recorder.Clock = n.log, partition, clock
 	u.recorder.Pause, u.recorder.Logger = u.gather, n.logger
 	u.reporter = &metering.Reporter{
-		Log: n.ports.Log, Partition: partition, Observer: n, Holder: n.claims, Sender: n.ports.Usage,
+		Log: n.log, Partition: partition, Observer: n, Holder: n.claims, Sender: n.ports.Usage,
 		Clock: clock, Logger: n.logger, Length: length, Late: n.settings.UsageLate, Gather: u.gather,
 		Observe: n.metrics.usageReport,
 	}
--- a/internal/sharedlog/appender.go
+++ b/internal/sharedlog/appender.go
@@ -35,6 +35,8 @@
 	MaxBytes int
 	// Observe is told how each call ended; it may be nil.
 	Observe func(err error, took time.Duration)
+	// Beyond is that of Follower, for appends.
+	Beyond func() time.Duration
 
 	mutex   sync.Mutex
 	waiting []*pendingAppend
@@ -109,7 +111,7 @@
 			defer close(ended)
 			a.call(batch)
 		}()
-		hold := time.NewTimer(callHold)
+		hold := time.NewTimer(lengthened(callHold, a.Beyond))
 		select {
 		case <-ended:
 		case <-hold.C:
@@ -137,7 +139,7 @@
 }
 
 func (a *Appender) call(batch []*pendingAppend) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), lengthened(callTimeout, a.Beyond))
 	defer cancel()
 	defer cancelWithAll(batch, cancel)()
 	var records [][]byte
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -13,6 +13,8 @@
 	// pollWait is how long one read waits at the service for a record. It also
 	// bounds how long a follower that hears nothing counts as current.
 	pollWait = 600 * time.Millisecond
+	// leastPollWait bounds it below: more reads would cost more than they tell (chosen).
+	leastPollWait = 200 * time.Millisecond
 	// readTimeout is added to pollWait to bound an entire read.
 	readTimeout = 700 * time.Millisecond
 	// bulkTimeout bounds a read of records that are there already.
@@ -96,7 +98,10 @@
 	Apply func(offset uint64, records [][]byte)
 	// Pause is waited after a read that returned records, so that several join
 	// one read; none if it is nil.
-	Pause  func() time.Duration
+	Pause func() time.Duration
+	// Beyond tells how much longer the log's answers take than those of one next door,
+	// for which the constants were chosen; nil if they do not.
+	Beyond func() time.Duration
 	Health Health
 
 	reading sync.Mutex
@@ -113,7 +118,7 @@
 		wait.For(ctx, retryPause)
 	}
 	for ctx.Err() == nil {
-		caughtUp, err := f.step(ctx, pollWait)
+		caughtUp, err := f.step(ctx, pollFor(f.Beyond))
 		switch {
 		case err != nil:
 			wait.For(ctx, retryPause)
@@ -193,6 +198,7 @@
 	if poll > 0 && f.Health.probes() {
 		poll, timeout = 0, probeTimeout
 	}
+	timeout = lengthened(timeout, f.Beyond)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	batch, err := f.Log.Read(callCtx, f.Partition, from, poll)
@@ -230,6 +236,25 @@
 	return bulkTimeout
 }
 
+// lengthened returns a time-out that was chosen for a log next door, for one that is as far
+// away as beyond tells.
+func lengthened(timeout time.Duration, beyond func() time.Duration) time.Duration {
+	if beyond == nil {
+		return timeout
+	}
+	return timeout + beyond()
+}
+
+// pollFor returns how long a read may wait at a service that is as far away as beyond
+// tells: what the way takes is not waited, so that a follower that hears nothing counts as
+// current for as long as one next door.
+func pollFor(beyond func() time.Duration) time.Duration {
+	if beyond == nil {
+		return pollWait
+	}
+	return max(pollWait-beyond(), leastPollWait)
+}
+
 // apply hands over the records that were not handed over yet: two reads may
 // run at once and return the same ones.
 func (f *Follower) apply(from uint64, records [][]byte) {
--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -26,9 +26,11 @@
 	Observer  Observer
 	// Reset applies the newest record of every key; keys that are missing are
 	// dropped. Apply applies later records in order.
-	Reset  func(records []KeyedRecord)
-	Apply  func(records []KeyedRecord)
-	Pause  func() time.Duration
+	Reset func(records []KeyedRecord)
+	Apply func(records []KeyedRecord)
+	Pause func() time.Duration
+	// Beyond is that of Follower.
+	Beyond func() time.Duration
 	Health Health
 
 	gathering gathering
@@ -84,11 +86,12 @@
 	if !known {
 		return f.gather(ctx)
 	}
-	poll, timeout := pollWait, pollWait+readTimeout
+	poll := pollFor(f.Beyond)
+	timeout := poll + readTimeout
 	if f.Health.probes() {
 		poll, timeout = 0, probeTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, lengthened(timeout, f.Beyond))
 	defer cancel()
 	return f.Log.ReadKeyed(ctx, f.Partition, next, poll)
 }
@@ -113,7 +116,7 @@
 // page reads the next page. An attempt that ran out of time lengthens the next.
 func (f *KeyedFollower) page(ctx context.Context) (KeyedPage, error) {
 	timeout := max(f.gathering.timeout, pageTimeout)
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, lengthened(timeout, f.Beyond))
 	defer cancel()
 	page, err := f.Log.Newest(callCtx, f.Partition, f.gathering.after)
 	if err != nil && callCtx.Err() != nil {
--- /dev/null
+++ b/internal/sharedlog/measured.go
@@ -0,0 +1,144 @@
+package sharedlog
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/roundtrip"
+)
+
+const (
+	// nextDoor is the time-out of a log service next door, which answers in some 5 ms on
+	// machines whose processor is shared out in slices of a tenth of a second. All
+	// constants that are bounds of calls to it were chosen for that distance.
+	nextDoor = 100 * time.Millisecond
+	// farthest bounds the time-out. A region on the other side of the earth is 300 ms
+	// away and back, a call on a new connection takes the way twice (chosen).
+	farthest = 800 * time.Millisecond
+)
+
+// Measured is a log service, and the time that it takes to answer. It implements Log and
+// Group. One of it serves a node, so that all that speaks to the service knows how far
+// away it is.
+type Measured struct {
+	log   Log
+	group Group
+	// way is estimated from calls that are answered at once, appends from those that
+	// take turns in a partition.
+	way     *roundtrip.Estimator
+	appends *roundtrip.Estimator
+}
+
+// Measure returns a log service whose answers are timed.
+func Measure(log Log, group Group) *Measured {
+	bounds := roundtrip.Bounds{Floor: nextDoor, Ceiling: farthest}
+	return &Measured{log: log, group: group, way: roundtrip.New(bounds), appends: roundtrip.New(bounds)}
+}
+
+// Way estimates how far away the service is.
+func (m *Measured) Way() *roundtrip.Estimator { return m.way }
+
+// Appends estimates how soon the service answers appends, of which a partition takes one
+// after the other.
+func (m *Measured) Appends() *roundtrip.Estimator { return m.appends }
+
+// observe tells an estimator how a call ended that began at a time. A call that its
+// caller did not want any more tells nothing.
+func observe(estimator *roundtrip.Estimator, began time.Time, err error) {
+	now := time.Now()
+	switch {
+	case err == nil:
+		estimator.Answered(now.Sub(began), now)
+	case errors.Is(err, context.DeadlineExceeded):
+		estimator.GivenUp(now.Sub(began), now)
+	}
+}
+
+// Beyond is how much longer the service's answers take than those of one next door.
+func (m *Measured) Beyond() time.Duration { return m.way.Beyond() }
+
+// appendMemory is how long an answered append tells that the service answers: it may have
+// gone since (chosen).
+const appendMemory = 3 * time.Second
+
+// OverdueAppend returns after how long an append counts as lost, at most a time that was
+// chosen for a service next door, lengthened by the distance; and whether the service
+// answered appends of late. If it did not, that time is all that is known.
+func (m *Measured) OverdueAppend(most time.Duration) (after time.Duration, answers bool) {
+	most += m.appends.Beyond()
+	if !m.appends.AnsweredSince(time.Now().Add(-appendMemory)) {
+		return most, false
+	}
+	return min(m.appends.Read().Timeout, most), true
+}
+
+// Append implements Log.
+func (m *Measured) Append(ctx context.Context, partition Partition, records [][]byte) (uint64, error) {
+	began := time.Now()
+	offset, err := m.log.Append(ctx, partition, records)
+	observe(m.appends, began, err)
+	return offset, err
+}
+
+// AppendKeyed implements Log.
+func (m *Measured) AppendKeyed(ctx context.Context, partition Partition, records []KeyedRecord) error {
+	began := time.Now()
+	err := m.log.AppendKeyed(ctx, partition, records)
+	observe(m.appends, began, err)
+	return err
+}
+
+// Read implements Log. One that the service may hold tells nothing of the way.
+func (m *Measured) Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (Batch, error) {
+	began := time.Now()
+	batch, err := m.log.Read(ctx, partition, from, wait)
+	if wait == 0 {
+		observe(m.way, began, err)
+	}
+	return batch, err
+}
+
+// ReadPart implements Log.
+func (m *Measured) ReadPart(ctx context.Context, partition Partition, from uint64, maxBytes int) (Batch, error) {
+	began := time.Now()
+	batch, err := m.log.ReadPart(ctx, partition, from, maxBytes)
+	observe(m.way, began, err)
+	return batch, err
+}
+
+// ReadKeyed implements Log. One that the service may hold tells nothing of the way.
+func (m *Measured) ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (KeyedBatch, error) {
+	began := time.Now()
+	batch, err := m.log.ReadKeyed(ctx, partition, from, wait)
+	if wait == 0 {
+		observe(m.way, began, err)
+	}
+	return batch, err
+}
+
+// Newest implements Log. A page is large: its time tells more of its transfer.
+func (m *Measured) Newest(ctx context.Context, partition Partition, after string) (KeyedPage, error) {
+	return m.log.Newest(ctx, partition, after)
+}
+
+// Join implements Group.
+func (m *Measured) Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation uint64) (Share, error) {
+	began := time.Now()
+	share, err := m.group.Join(ctx, group, member, topic, ttl, generation)
+	observe(m.way, began, err)
+	return share, err
+}
+
+// Leave implements Group.
+func (m *Measured) Leave(ctx context.Context, group, member string) error {
+	return m.group.Leave(ctx, group, member)
+}
+
+// Owners implements Group.
+func (m *Measured) Owners(ctx context.Context, group string) ([]Owner, error) {
+	began := time.Now()
+	owners, err := m.group.Owners(ctx, group)
+	observe(m.way, began, err)
+	return owners, err
+}
