Let nodes near the store execute first, and a new deployment wait for its announcements

Cause: the executor's results take the way to the log twice before they are listed (texts, then entries), and its reads once more. With regions 120 ms apart it came to stand in the far one: all nodes of a new deployment read an empty directory, took their own machine for the largest and entered the group at once; a machine of 192 thousandths got the jobs, and the far nodes, the last to look, found only that small owner and replaced it.

Change: election.View.Far; a node whose measured round trip to the log is above 45 ms lets one look more pass before it enters, whatever its size class. Nobody is replaced because a nearer node is there. A node that announces itself waits for the first entry of the directory, a second at most, and an empty directory is read again after 100 ms.

Ways weighed: (a) announce the round trip and rank owners by it, which replaces a far executor by a near one at the price of a handover and a field in the directory; (b) let far nodes wait for a look. Chosen: (b), which has no state and settles new shares only. Not built: (a).

--- a/internal/election/standing.go
+++ b/internal/election/standing.go
@@ -7,7 +7,9 @@
 // executor, and all others watch who holds what. The executor needs several times
 // the processor time of any other node: a node whose machine is about as large as
 // the largest enters as soon as nobody executes, a smaller one only if no larger
-// one does so by its second look.
+// one does so by its second look. Among machines of a size those near the log service go
+// first: each result that the executor lists takes the way to the log and back twice. A
+// node that executes is not replaced because a nearer one is there.
 //
 // The package is pure: callers bring what was read of the log and the group.
 package election
@@ -19,6 +21,8 @@
 	Largest uint64
 	// Owners are the members that hold partitions.
 	Owners []Owner
+	// Far is set if the log service is far away from this node.
+	Far bool
 }
 
 // Owner is a member that holds a partition.
@@ -37,9 +41,26 @@
 	return millicores == 0 || 2*millicores > v.Largest
 }
 
-// vacantLooks is how many looks in a row must find no executor before a small node
-// stands in: one may fall into a handover to a larger one.
-const vacantLooks = 2
+const (
+	// vacantLooks is how many looks in a row must find no executor before a small node
+	// stands in: one may fall into a handover to a larger one.
+	vacantLooks = 2
+	// farLooks is how many more a node waits that is far from the log service (chosen: a
+	// nearer one enters at its next look).
+	farLooks = 1
+)
+
+// looksNeeded is how many looks in a row must find no executor before a node enters.
+func (v View) looksNeeded(regular bool) int {
+	needed := 1
+	if !regular {
+		needed = vacantLooks
+	}
+	if v.Far {
+		needed += farLooks
+	}
+	return needed
+}
 
 // Standing is the state of one node's candidacy. The zero value stands out.
 type Standing struct {
@@ -71,7 +92,7 @@
 		return
 	}
 	s.vacant++
-	if regular || s.vacant >= vacantLooks {
+	if s.vacant >= view.looksNeeded(regular) {
 		s.joined = true
 	}
 }
--- a/internal/election/standing_test.go
+++ b/internal/election/standing_test.go
@@ -104,3 +104,33 @@
 		require.True(t, s.Joined())
 	}
 }
+
+func TestNodeFarFromTheLogLeavesTheJobsToANearerOne(t *testing.T) {
+	for _, one := range []struct {
+		name       string
+		millicores uint64
+		far        bool
+		looks      int
+	}{
+		{"large and near", large, false, 1}, {"large and far", large, true, 2},
+		{"small and near", small, false, 2}, {"small and far", small, true, 3},
+	} {
+		var s Standing
+		view := viewOf()
+		view.Far = one.far
+		for look := 1; look < one.looks; look++ {
+			s.Look(view, one.millicores)
+			require.False(t, s.Joined(), "%s after %d looks", one.name, look)
+		}
+		s.Look(view, one.millicores)
+		require.True(t, s.Joined(), one.name)
+	}
+}
+
+func TestFarExecutorIsNotReplacedByANearerNode(t *testing.T) {
+	var s Standing
+	for range 5 {
+		s.Look(viewOf(Owner{Millicores: large, Jobs: true}), large)
+		require.False(t, s.Joined())
+	}
+}
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -28,6 +28,13 @@
 	// directoryPause is the pause between two reads of the directory. A node that is
 	// missing for so long only counts less in shares of reads (chosen).
 	directoryPause = 5 * time.Second
+	// emptyPause is that pause while the directory is empty: all nodes of a new deployment
+	// announce themselves within a moment (chosen).
+	emptyPause = 100 * time.Millisecond
+	// emptyPatience is how long a node that announces itself waits for the first entry
+	// before it takes part in the group: what cannot be written must not stop the jobs
+	// (chosen).
+	emptyPatience = time.Second
 )
 
 // directory is what nodes announced of their machines: the newest entry of each, in
@@ -53,7 +60,7 @@
 	d := &directory{logger: logger, nodes: make(map[string]announcedNode)}
 	d.follower = &sharedlog.KeyedFollower{
 		Log: log, Partition: sharedlog.Partition{Topic: topic}, Observer: observer,
-		Reset: d.apply, Apply: d.apply, Pause: func() time.Duration { return directoryPause }, Beyond: log.Beyond,
+		Reset: d.apply, Apply: d.apply, Pause: d.pause, Beyond: log.Beyond,
 	}
 	return d
 }
@@ -93,6 +100,30 @@
 	return announced, true
 }
 
+// pause is the pause between two reads.
+func (d *directory) pause() time.Duration {
+	if announced, _ := d.Announced(); announced.nodes == 0 {
+		return emptyPause
+	}
+	return directoryPause
+}
+
+// awaitAnnouncements waits until any node's machine is known. The nodes of a new deployment
+// read an empty directory, and by that each of them would be as large as any.
+func (n *Node) awaitAnnouncements(ctx context.Context) {
+	if n.settings.Millicores == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, emptyPatience)
+	defer cancel()
+	for {
+		announced, _ := n.directory.Announced()
+		if announced.nodes > 0 || !wait.For(ctx, unreadPause) {
+			return
+		}
+	}
+}
+
 // millicores returns what a node announced, 0 if nothing is known of it.
 func (d *directory) millicores(node string) uint64 {
 	d.mutex.Lock()
--- a/internal/hosted/directory_test.go
+++ b/internal/hosted/directory_test.go
@@ -160,3 +160,83 @@
 		node.Stop()
 	})
 }
+
+// keptLog keeps what nodes announce.
+type keptLog struct {
+	emptyLog
+
+	mutex   sync.Mutex
+	entries []sharedlog.KeyedRecord
+}
+
+func (l *keptLog) AppendKeyed(_ context.Context, _ sharedlog.Partition, records []sharedlog.KeyedRecord) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.entries = append(l.entries, records...)
+	return nil
+}
+
+func (l *keptLog) count() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return uint64(len(l.entries))
+}
+
+func (l *keptLog) ReadKeyed(_ context.Context, _ sharedlog.Partition, from uint64, wait time.Duration) (sharedlog.KeyedBatch, error) {
+	for began := time.Now(); time.Since(began) < wait && l.count() <= from; {
+		time.Sleep(time.Millisecond)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	read := sharedlog.KeyedBatch{End: uint64(len(l.entries))}
+	for offset, entry := range l.entries[min(int(from), len(l.entries)):] {
+		entry.Offset = from + uint64(offset)
+		read.Records = append(read.Records, entry)
+	}
+	return read, nil
+}
+
+// A new deployment: 18 nodes read an empty directory, each took its machine for the
+// largest, and one with a quarter of the others' executed for 4.5 s (quiet-1).
+func TestSmallNodeOfANewDeploymentLeavesTheJobsToALargeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &keptLog{}
+		groups := map[uint64]*scriptedGroup{192: {share: holding(1)}, 800: {share: holding(1)}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var nodes []*Node
+		for millicores, group := range groups {
+			settings := Settings{Name: fmt.Sprint(millicores), Millicores: millicores, ShortestTTL: time.Second, OrderGrace: time.Second, KeepJobs: time.Minute}
+			node := New(settings, Ports{Network: network.TCP{}, Log: log, Group: group}, event.Discard())
+			node.Start(ctx)
+			node.TakeCatalog(catalogOf(t, 1))
+			node.TakeSamplers([]schedule.Sampler{})
+			nodes = append(nodes, node)
+		}
+		time.Sleep(shortestLook)
+		require.Positive(t, groups[800].joins())
+		require.Zero(t, groups[192].joins())
+		cancel()
+		for _, node := range nodes {
+			node.Stop()
+		}
+	})
+}
+
+func TestNodeThatCannotAnnounceItselfTakesPartAllTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := &scriptedGroup{share: holding(4, 0)}
+		settings := Settings{Name: "n", Millicores: 800, ShortestTTL: time.Second, OrderGrace: time.Second, KeepJobs: time.Minute}
+		log := &startLog{}
+		node := New(settings, Ports{Network: network.TCP{}, Log: log, Group: group}, event.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		node.Start(ctx)
+		node.TakeCatalog(catalogOf(t, 1))
+		node.TakeSamplers([]schedule.Sampler{})
+		time.Sleep(emptyPatience / 2)
+		require.Zero(t, group.joins())
+		time.Sleep(emptyPatience)
+		require.Positive(t, group.joins())
+		cancel()
+		node.Stop()
+	})
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -121,6 +121,7 @@
 func (n *Node) joinGroup(ctx context.Context) {
 	select {
 	case <-n.informed:
+		n.awaitAnnouncements(ctx)
 		n.ownership.run(ctx)
 	case <-ctx.Done():
 	}
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -30,6 +30,10 @@
 	// share lapses when the answers of a few renewals in a row are lost.
 	renewHedge   = 120 * time.Millisecond
 	mostRenewals = 4
+	// farAway is the round trip from which on a node leaves the jobs to nearer ones, if there
+	// are any: regions of one country are some 20 ms away and back, on a new connection
+	// twice that; those of a continent 50 to 100 ms (chosen between them).
+	farAway = 45 * time.Millisecond
 	// orderMargin is kept between the last order and the end of the share.
 	orderMargin = 200 * time.Millisecond
 	// isolatedLimit is how long a node that cannot renew its share goes on with
@@ -58,6 +62,8 @@
 type group interface {
 	sharedlog.Group
 	Beyond() time.Duration
+	// Away is the round trip to it.
+	Away() time.Duration
 }
 
 // ownership keeps this node's share of the job partitions.
@@ -129,7 +135,7 @@
 		return o.standing.Joined() && !stale
 	}
 	before := o.standing.Joined()
-	view.Owners = o.describe(owners, announced)
+	view.Owners, view.Far = o.describe(owners, announced), o.group.Away() > farAway
 	o.standing.Look(view, o.settings.Millicores)
 	if joined := o.standing.Joined(); joined != before {
 		o.logger.Log(event.StandingChanged, "joins", joined, "millicores", o.settings.Millicores, "largest", view.Largest,
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -24,6 +24,7 @@
 	joined int
 	heard  uint64
 	owners []sharedlog.Owner
+	away   time.Duration
 }
 
 func (g *scriptedGroup) set(change func()) {
@@ -270,3 +271,31 @@
 
 // Beyond implements group: the service is next door.
 func (g *scriptedGroup) Beyond() time.Duration { return 0 }
+
+// Away implements group.
+func (g *scriptedGroup) Away() time.Duration { return g.away }
+
+// The executor stood 120 ms from the store, one way, while nodes next to it were idle
+// (quiet-1): a node there lets a look pass before it enters.
+func TestFarNodeEntersAfterTheNearOnes(t *testing.T) {
+	enters := func(away time.Duration) time.Duration {
+		var took time.Duration
+		synctest.Test(t, func(t *testing.T) {
+			group := &scriptedGroup{share: holding(1, jobPartition), away: away}
+			o := newOwnership(Settings{Name: "n", ShortestTTL: time.Second, OrderGrace: 3 * time.Second}, group, announced{}, func(context.Context) {}, event.Discard())
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			began := time.Now()
+			go func() { defer close(done); o.run(ctx) }()
+			for !o.executes(jobPartition, time.Now()) {
+				time.Sleep(time.Millisecond)
+			}
+			took = time.Since(began)
+			cancel()
+			<-done
+		})
+		return took
+	}
+	require.Less(t, enters(16*time.Millisecond), shortestLook/2)
+	require.Greater(t, enters(94*time.Millisecond), shortestLook/2)
+}
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -58,6 +58,9 @@
 // Beyond is how much longer the service's answers take than those of one next door.
 func (m *Measured) Beyond() time.Duration { return m.way.Beyond() }
 
+// Away is the round trip to the service, 0 before its first answer.
+func (m *Measured) Away() time.Duration { return m.way.Read().Smoothed }
+
 // appendMemory is how long an answered append tells that the service answers: it may have
 // gone since (chosen).
 const appendMemory = 3 * time.Second
