Share what a cold back end bears among nodes, and judge cold samplers in the simulation

Cause: application samplers get requests from every node, so no budget of one node bounds what a cold one receives; and no simulated run knew cold samplers. Ruled out: a share for each node (a bound of 7 a second over 67 nodes is none for each); one owner for a sampler (3 of 67 nodes could serve while all of three samplers are cold); asking before each request. Change: the first nodes in a sampler's rendezvous order, as many as there are requests a second, have a part each (routing.ColdShare); warm samplers come first (NotCold), a spent share is never exceeded (WithinBudget); where nothing is left, 2012 samplers_cold at once with when there is room again. Cold model samplers are left to the executor. Events 520 and 521, three gauges, explain names the wait. The simulation has cold starts, zones that return cold, samplers that turn cold in the middle, that fall over, and a judge. What a held link delivers late is not judged.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -29,6 +29,8 @@
 	endpoints []*routing.Endpoint
 	leaving   []string
 	inFlight  atomic.Int64
+	// roomAgain is when cold endpoints have room, zero if none is cold.
+	roomAgain time.Time
 }
 
 func balancerOf(addresses ...string) *listBalancer {
@@ -47,6 +49,10 @@
 	return b.endpoints[len(request.Excluded)]
 }
 
+func (b *listBalancer) RoomAgain(*routing.Request) (time.Time, bool) {
+	return b.roomAgain, !b.roomAgain.IsZero()
+}
+
 func (b *listBalancer) Report(*routing.Endpoint, Report) { b.inFlight.Add(-1) }
 
 func (b *listBalancer) MarkLeaving(id string) {
@@ -207,6 +213,15 @@
 	require.Positive(t, result.From(err).RetryAfter)
 }
 
+func TestColdBackEndsAreRefusedAtOnceWithTheTimeOfTheirRoom(t *testing.T) {
+	balancer := balancerOf()
+	balancer.roomAgain = time.Now().Add(3 * time.Second)
+	_, err := do(t, balancer, requestOf(true))
+	require.True(t, result.Is(err, result.SamplersCold), "%v", err)
+	require.Equal(t, result.NotRun, result.From(err).Run())
+	require.InDelta(t, 3, result.From(err).RetryAfter.Seconds(), 0.5)
+}
+
 func TestRefusalAfterALostAnswerIsNotCalledNotRun(t *testing.T) {
 	broken, _ := backEnd(t, cutOff)
 	refusing, _ := backEnd(t, refuse)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -75,6 +75,9 @@
 type Balancer interface {
 	// Pick returns nil if no back end may serve the request.
 	Pick(request *routing.Request) *routing.Endpoint
+	// RoomAgain returns when a back end that is kept from a request because it is cold
+	// has room for one; false if none is kept for that.
+	RoomAgain(request *routing.Request) (at time.Time, cold bool)
 	Report(endpoint *routing.Endpoint, report Report)
 	MarkLeaving(endpointID string)
 }
@@ -132,7 +135,7 @@
 		route.Now = time.Now()
 		endpoint := d.balancer.Pick(route)
 		if endpoint == nil {
-			return d.giveUp(request, ran, noBackEnd(request.Pool), plan.Attempts())
+			return d.giveUp(request, ran, d.noBackEnd(route), plan.Attempts())
 		}
 		ended := d.tryHedged(ctx, request, route, endpoint, plan)
 		if i := slices.IndexFunc(ended, tried.answered); i >= 0 {
@@ -201,8 +204,13 @@
 		"ending", outcome.ending.String(), "took_ms", failed.took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
 }
 
-func noBackEnd(pool string) error {
-	return result.New(result.NoBackEnd, "no live back end in pool %q", pool).WithRetryAfter(retryHint)
+// noBackEnd says why no back end may serve a request, and when it is worth coming back.
+func (d *Dispatcher) noBackEnd(route *routing.Request) error {
+	if at, cold := d.balancer.RoomAgain(route); cold {
+		return result.New(result.SamplersCold, "the back ends of pool %q that live are cold and have their share", route.Pool).
+			WithRetryAfter(max(at.Sub(route.Now), retryHint))
+	}
+	return result.New(result.NoBackEnd, "no live back end in pool %q", route.Pool).WithRetryAfter(retryHint)
 }
 
 func (d *Dispatcher) earn() {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -116,6 +116,14 @@
 	require.Equal(t, RewardCall, l.tell(t, "w").Kind)
 }
 
+func TestItemThatWaitedForColdSamplersIsTold(t *testing.T) {
+	var l log
+	l.add(0, "a", event.ColdWorkWaits, `"waiting":12,"samplers":3,"cold":3`)
+	l.add(900, "a", event.ItemStarted, `"job_id":"j","item_id":"i","sampler":"s"`)
+	l.add(1900, "a", event.ItemListed, `"job_id":"j","item_id":"i"`)
+	require.Contains(t, l.tell(t, "i").Cause, "items waited in 1 second(s) for samplers that are cold")
+}
+
 func TestRequestOnALostProcessIsTold(t *testing.T) {
 	var l log
 	l.add(0, "a", event.AttemptFailed, `"request_id":"r","ending":"lost"`)
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -49,8 +49,9 @@
 // beliefs are the events that tell what a node holds to be true.
 var beliefs = []event.Number{
 	event.NodeStarting, event.NodeReady, event.NodeDraining, event.NodeStopped, event.LogReadFailed,
-	event.LogReadRecovered, event.ExecutorStarted, event.ExecutorStopped, event.GroupContactLost,
-	event.GroupContactRegained, event.CatalogApplied, event.CatalogRejected, event.LinesDropped, event.StandingChanged, event.PageCut, event.LogDistanceChanged,
+	event.LogReadRecovered, event.ExecutorStarted, event.ExecutorStopped, event.ColdWorkWaits, event.GroupContactLost,
+	event.GroupContactRegained, event.CatalogApplied, event.CatalogRejected, event.LinesDropped, event.StandingChanged,
+	event.PageCut, event.LogDistanceChanged,
 }
 
 const (
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -158,15 +158,13 @@
 	if refused, ok := final(story.Lines, event.BatchRefused); ok {
 		told = append(told, "a submission was refused: "+cmp.Or(outOfLog(refused, all), refused.Fields.Text("detail")))
 	}
-	executors := 0
-	for _, line := range story.Around {
-		if line.Number == event.ExecutorStarted {
-			executors++
-		}
-	}
+	executors, cold := count(story.Around, event.ExecutorStarted), count(story.Around, event.ColdWorkWaits)
 	if executors > 0 {
 		told = append(told, fmt.Sprintf("the jobs passed to another executor %d time(s)", executors))
 	}
+	if cold > 0 {
+		told = append(told, fmt.Sprintf("items waited in %d second(s) for samplers that are cold, or may be, and had all that they may get", cold))
+	}
 	for _, counted := range []struct {
 		number event.Number
 		text   string
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,11 +62,13 @@
 		}
 		listed = append(listed, routing.Machine{
 			ID: machine.ID, Pool: machine.Pool, Address: machine.Address, Zone: machine.Zone, Leaving: machine.Leaving, Capacity: machine.Capacity,
+			ColdFor: machine.ColdFor, Limits: machine.Limits,
 		})
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	changes := f.table.Update(listed)
+	f.table.NoteCold(listed, time.Now())
 	f.logAdded(changes.Added)
 	for _, endpoint := range changes.Leaving {
 		f.logger.Log(event.EndpointLeaving, "endpoint", endpoint.ID, "source", "list")
@@ -96,7 +98,18 @@
 func (f *Fleet) Pick(request *routing.Request) *routing.Endpoint {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return started(f.application.Pick(f.table, request))
+	endpoint := started(f.application.Pick(f.table, request))
+	if endpoint != nil {
+		endpoint.Warmup.Sent(request.Now)
+	}
+	return endpoint
+}
+
+// RoomAgain implements dispatch.Balancer.
+func (f *Fleet) RoomAgain(request *routing.Request) (at time.Time, cold bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.table.RoomAgain(request)
 }
 
 // PickEngine chooses an engine for a generation, which counts as started.
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/warmup"
 )
 
 // Role is the role of a machine in the platform's list.
@@ -33,6 +34,10 @@
 	Leaving bool   `json:"leaving,omitempty"`
 	// Capacity is the work that it takes at once; 0 if unknown.
 	Capacity int `json:"capacity,omitempty"`
+	// ColdFor is how much longer it said that it is cold, Limits what this node may send
+	// it meanwhile. The platform's list has neither.
+	ColdFor time.Duration `json:"-"`
+	Limits  warmup.Limits `json:"-"`
 }
 
 const (
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -124,6 +124,20 @@
 	}
 }
 
+// names returns the names of the nodes that announced themselves of late.
+func (d *directory) names() []string {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	names := make([]string, 0, len(d.nodes))
+	for name, node := range d.nodes {
+		if now.Sub(node.readAt) <= announcedFor {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // millicores returns what a node announced, 0 if nothing is known of it.
 func (d *directory) millicores(node string) uint64 {
 	d.mutex.Lock()
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -54,8 +54,12 @@
 	progressedAt time.Time
 	reviewedAt   time.Time
 	// listed is the list of samplers that the scheduler took in last, at listedAt.
-	listed     *[]schedule.Sampler
-	listedAt   time.Time
+	listed   *[]schedule.Sampler
+	listedAt time.Time
+	// coldBefore is the number of cold samplers that was told last, coldToldAt when work
+	// was told of that waits for them.
+	coldBefore int
+	coldToldAt time.Time
 	rewards    rewardSlots
 	splitBrain splitBrainDetector
 	work       conc.WaitGroup
@@ -155,6 +159,7 @@
 		e.progressedAt = now
 		e.saveProgress(progressEvents, now)
 	}
+	e.noteCold(now)
 	e.orderWeights(now)
 	e.detectSplitBrain(now)
 }
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -33,6 +33,9 @@
 	reportAge   prometheus.Histogram
 	orders      *prometheus.CounterVec
 	reserve     *prometheus.GaugeVec
+	coldCount   prometheus.Gauge
+	coldUsed    prometheus.Gauge
+	coldWaiting prometheus.Gauge
 }
 
 func newMetrics(n *Node) *Metrics {
@@ -62,6 +65,10 @@
 	m.reserve = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pathbend_sampler_reserve", Help: "Spot samplers wanted in all zones, while this node holds the duty.",
 	}, []string{"service"})
+	m.coldCount = prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_samplers_cold", Help: "Model samplers that are cold, or may be, while this node executes."})
+	m.coldUsed = prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_cold_requests_last_second", Help: "Items sent to cold samplers in the last second, while this node executes."})
+	m.coldWaiting = prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_items_waiting_for_warmth", Help: "Items that wait while samplers with free slots got all that they may get in a second, while this node executes."})
+	m.registry.MustRegister(m.coldCount, m.coldUsed, m.coldWaiting)
 	m.registry.MustRegister(m.reports, m.reportAge, m.orders, m.reserve)
 	m.registry.MustRegister(m.requests, m.duration, m.submissions, m.submitting, m.appends, m.appending, m.runEnds,
 		m.moves, m.moving, m.started, m.moved, m.executing)
@@ -161,6 +168,12 @@
 	m.orders.WithLabelValues(zone, strconv.FormatBool(taken)).Inc()
 }
 
+func (m *Metrics) cold(status schedule.Cold) {
+	m.coldCount.Set(float64(status.Cold))
+	m.coldUsed.Set(float64(status.Sent))
+	m.coldWaiting.Set(float64(status.Waiting))
+}
+
 func (m *Metrics) runEnded(ending schedule.Ending) {
 	m.runEnds.WithLabelValues(ending.String()).Inc()
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -218,6 +218,9 @@
 	if current == nil {
 		n.logger.Log(event.NodeReady, "version", taken.Version)
 	}
+	if listed := n.samplers.Load(); listed != nil {
+		n.updateFleet(*listed)
+	}
 	n.configuredOnce.Do(func() { close(n.configured) })
 	n.noteInformed()
 	n.executor.wake()
@@ -267,17 +270,30 @@
 
 // TakeSamplers applies the entire list of samplers.
 func (n *Node) TakeSamplers(listed []schedule.Sampler) {
+	n.updateFleet(listed)
+	n.samplers.Store(&listed)
+	n.noteInformed()
+	n.executor.wake()
+}
+
+// updateFleet tells the fleet of the samplers, and what this node may send to those that
+// are cold.
+func (n *Node) updateFleet(listed []schedule.Sampler) {
+	current := n.Catalog()
+	nodes := n.directory.names()
 	machines := make([]fleet.Machine, 0, len(listed))
 	for _, sampler := range listed {
-		machines = append(machines, fleet.Machine{
+		machine := fleet.Machine{
 			ID: sampler.ID, Role: fleet.RoleBackEnd, Pool: sampler.Service,
 			Address: sampler.Address, Zone: sampler.Zone, Leaving: sampler.Leaving, Capacity: sampler.Slots,
-		})
+			ColdFor: sampler.ColdFor,
+		}
+		if current != nil && sampler.ColdFor > 0 {
+			machine.Limits = n.requestLimits(current, sampler, nodes)
+		}
+		machines = append(machines, machine)
 	}
 	n.fleet.Update(machines)
-	n.samplers.Store(&listed)
-	n.noteInformed()
-	n.executor.wake()
 }
 
 // TakeEvacuations applies the entire list of evacuated zones, ordered.
--- /dev/null
+++ b/internal/platformsim/cold_test.go
@@ -0,0 +1,32 @@
+package platformsim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A fleet of one model sampler a zone, so that each gets more than a cold one bears. Zones
+// come back cold, all samplers turn cold at once, and executors are killed meanwhile.
+func TestColdSamplersAreSpared(t *testing.T) {
+	options := example(400, nil)
+	options.Samplers = 3
+	faults := []Fault{
+		{Kind: ColdReturn, At: 4 * time.Second, For: 2 * time.Second, Target: 0},
+		{Kind: SamplersTurnCold, At: 11 * time.Second},
+		{Kind: NodeReplaced, At: 12 * time.Second, For: 2 * time.Second},
+		{Kind: ColdReturn, At: 18 * time.Second, For: 5 * time.Second, Target: 1},
+		{Kind: ColdReturn, At: 25 * time.Second, For: time.Second, Target: 0},
+		{Kind: ColdReturn, At: 25 * time.Second, For: time.Second, Target: 1},
+		{Kind: ColdReturn, At: 25 * time.Second, For: time.Second, Target: 2},
+		{Kind: SamplersTurnCold, At: 30 * time.Second},
+		{Kind: SamplersTurnCold, At: 32 * time.Second},
+		{Kind: HerdKill, At: 33 * time.Second, For: time.Second},
+	}
+	world := play(t, options, faults)
+	require.Empty(t, world.Truth.Violations())
+	require.Positive(t, world.Truth.counts["requests to cold samplers"])
+	require.Positive(t, world.Truth.counts["steps whole"])
+	t.Log(world.Truth.counts)
+}
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -41,6 +41,8 @@
 	CloudDown
 	CloudSlow
 	CloudLost
+	ColdReturn
+	SamplersTurnCold
 	faultKinds
 )
 
@@ -50,6 +52,7 @@
 	"sampler_crash", "sampler_slow", "sampler_cut", "sampler_fail", "sampler_surplus", "sampler_replaced", "sampler_late_orders",
 	"config_change", "store_forgets", "node_replaced", "keys_taken",
 	"cloud_down", "cloud_slow", "cloud_lost",
+	"cold_return", "samplers_turn_cold",
 }
 
 // String implements fmt.Stringer.
@@ -101,6 +104,7 @@
 		time.Sleep(fault.For)
 		w.healed(node.name)
 		w.network.Resume(node.name)
+		w.Truth.Held(node.name)
 	case NodeCutFromStore:
 		w.cut(fault, node.name, []string{"store"})
 	case NodeCutFromAll:
@@ -140,6 +144,10 @@
 		w.troubleCloud(fault, CloudFaults{Slow: 60})
 	case CloudLost:
 		w.troubleCloud(fault, CloudFaults{Lose: 0.5})
+	case ColdReturn:
+		w.returnCold(fault, machine.spec.Zone)
+	case SamplersTurnCold:
+		w.turnCold()
 	case SamplerCrash:
 		w.crashSampler(fault, machine)
 	case SamplerReplaced:
@@ -268,6 +276,7 @@
 		w.network.Release(name, other)
 		w.network.Release(other, name)
 	}
+	w.Truth.Held(name)
 	w.healed(name)
 }
 
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -64,6 +64,15 @@
 	{Promise: "ONE: the first decision of a window stands", Test: "TestFirstDecisionOfAWindowStands", Package: "./internal/metering", Edits: []mutation.Edit{
 		mutation.Replace("internal/metering/book.go", "if state.decided == nil {", "if true {"),
 	}},
+	{Promise: "FAILBACK: a cold sampler gets its budget", Test: "TestColdSamplersAreSpared", Edits: []mutation.Edit{
+		mutation.Replace("internal/warmup/budget.go", "return max(b.limit(now)-len(b.sent), 0)", "return Unlimited"),
+	}},
+	{Promise: "FAILBACK: nodes share what a cold back end bears", Test: "TestNodesShareWhatAColdEndpointBears", Package: "./internal/routing", Edits: []mutation.Edit{
+		mutation.Replace("internal/routing/cold_share.go", "owners := min(len(nodes), requests)", "owners := min(1, requests)\n\tbefore = 0"),
+	}},
+	{Promise: "FAILBACK: a former executor's requests count", Test: "TestNoSecondIsOverTheBoundUnderATakeover", Package: "./internal/warmup", Edits: []mutation.Edit{
+		mutation.Replace("internal/warmup/budget.go", "senders = 2", "senders = 1"),
+	}},
 	{Promise: "MIXED: a cut event is no event", Edits: []mutation.Edit{
 		mutation.Replace("platform/events.go", "return 0, nil, io.ErrUnexpectedEOF", "return len(data), data, nil"),
 		mutation.Replace("platform/events.go", "	if err := r.scanner.Err(); err != nil {\n\t\treturn made, err\n\t}\n\tif started {\n\t\treturn made, io.ErrUnexpectedEOF\n\t}\n", "	if started {\n\t\treturn r.finish(made, hasData)\n\t}\n"),
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -62,12 +62,13 @@
 	leaving bool
 	stopped bool
 	freed   chan struct{}
+	cold    coldState
 }
 
-func newSampler(id string, spec SamplerSpec, models map[string]uint64, truth *Truth, store *Store, seed uint64) *Sampler {
+func newSampler(id string, spec SamplerSpec, models map[string]uint64, truth *Truth, store *Store, seed uint64, coldUntil time.Time) *Sampler {
 	sampler := &Sampler{
 		SamplerSpec: spec, ID: id, truth: truth, store: store, models: models,
-		random: rand.New(rand.NewPCG(seed, 7)), freed: make(chan struct{}),
+		random: rand.New(rand.NewPCG(seed, 7)), freed: make(chan struct{}), cold: coldState{until: coldUntil},
 	}
 	sampler.register()
 	return sampler
@@ -86,6 +87,7 @@
 		state = "draining"
 	}
 	document := platform.SamplerDocument{Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, State: state}
+	document.ColdLeftMS = float64(s.cold.left(time.Now()).Milliseconds())
 	for model, version := range s.models {
 		document.Models = append(document.Models, platform.ModelDocument{Name: model, Version: version})
 	}
@@ -162,6 +164,9 @@
 	s.truth.judgeTenant(id, request.Header)
 	writer.Header().Set(platform.HeaderRequestID, id)
 	model := request.Header.Get(platform.HeaderModel)
+	if s.takeCold(node) {
+		panic(http.ErrAbortHandler)
+	}
 	if !s.enter(request, model) {
 		writer.Header().Set(platform.HeaderNotRun, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -40,6 +40,8 @@
 	orders     map[string]orderTruth
 	// disturbed is when a machine was last in trouble; "" stands for the store.
 	disturbed map[string]time.Time
+	// held is when the links of a machine last held what it sent.
+	held map[string]time.Time
 	// gone is when a sampler was last acknowledged as draining or gone.
 	gone map[string]time.Time
 	// orderedBy is who gave the last order.
@@ -95,7 +97,7 @@
 	return &Truth{
 		items: make(map[string]*itemTruth), jobs: make(map[string]*jobTruth), stamps: make(map[string]stampTruth),
 		orders: make(map[string]orderTruth), disturbed: make(map[string]time.Time), gone: make(map[string]time.Time),
-		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(),
+		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(), held: make(map[string]time.Time),
 		started: time.Now(),
 	}
 }
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -168,7 +168,11 @@
 	id := fmt.Sprintf("i-%s-%d", machine.host, machine.starts)
 	listener, address := w.listen(machine.host, machine.spec.Zone, samplerPort)
 	machine.spec.Address = address
-	machine.sampler = newSampler(id, machine.spec, models, w.Truth, w.Store, w.options.Seed+uint64(machine.starts)*1000)
+	var coldUntil time.Time
+	if machine.starts > 1 {
+		coldUntil = time.Now().Add(coldTime)
+	}
+	machine.sampler = newSampler(id, machine.spec, models, w.Truth, w.Store, w.options.Seed+uint64(machine.starts)*1000, coldUntil)
 	machine.server = w.serve(listener, machine.sampler)
 	machine.down = false
 }
@@ -179,6 +183,8 @@
 	settings.Listen.Front, settings.Listen.Readiness = w.network.Front(machine.name), w.network.Readiness(machine.name)
 	settings.Bounds.GraceS, settings.Bounds.SettleMS, settings.Bounds.LeaseMS = graceS, 1000, 3000
 	settings.Bounds.StatusIntervalS = 120
+	settings.Limits.CPUShare, settings.Limits.Cores = 0.5, 1
+	settings.Bounds.ColdOver, settings.Bounds.ColdSlack = coldOver, coldSlack
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = w.storeAddress, 32<<10, 256<<10
 	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
@@ -256,7 +262,7 @@
 	for i := range extraRoutes {
 		add(fmt.Sprint("extra", i), fmt.Sprintf("/extra%d/", i), platform.KindSafe, applicationName, 0)
 	}
-	document.Services = []platform.ServiceDocument{w.modelServiceDocument(), {Name: applicationName}}
+	document.Services = []platform.ServiceDocument{withColdStart(w.modelServiceDocument()), withColdStart(platform.ServiceDocument{Name: applicationName})}
 	document.Tenants = w.tenants.documents()
 	content, err := json.Marshal(document)
 	if err != nil {
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/pathbend/pathbend/internal/warmup"
+)
 
 // Endpoint is one engine or back end.
 type Endpoint struct {
@@ -20,6 +24,8 @@
 	SentSinceReport int
 	// Latency is a moving average of the time to a complete answer.
 	Latency time.Duration
+	// Warmup bounds what this node sends while the endpoint is cold.
+	Warmup warmup.Budget
 
 	// seenVersions are the versions seen on streams, by model.
 	seenVersions map[string]seenVersion
--- a/internal/routing/profile.go
+++ b/internal/routing/profile.go
@@ -96,7 +96,7 @@
 // the number of connections small.
 func NewHostedProfile(random *rand.Rand, node string) *Profile {
 	return NewProfile(random, PreferredSubset{Node: node},
-		[]Filter{NotLeaving{}, NotExcluded{}, NotEjected{}},
+		[]Filter{NotLeaving{}, NotExcluded{}, WithinBudget{}, NotCold{}, NotEjected{}},
 		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, hostedZoneWeight}},
 		BestScore{})
 }
@@ -109,23 +109,28 @@
 		TwoChoices{})
 }
 
-// Pick chooses an endpoint, or returns nil if none may serve. If every
-// endpoint that may serve is ejected, ejection is ignored: a doubtful endpoint
-// is better than a certain refusal.
+// relaxation tells which filters a look at the endpoints leaves out.
+type relaxation struct{ cold, ejected bool }
+
+// relaxations are the looks in turn. If no endpoint is warm, a cold one that has budget
+// left serves; if every endpoint that may serve is ejected, ejection is ignored: a
+// doubtful endpoint is better than a certain refusal.
+var relaxations = []relaxation{{}, {cold: true}, {cold: true, ejected: true}}
+
+// Pick chooses an endpoint, or returns nil if none may serve.
 func (p *Profile) Pick(table *Table, request *Request) *Endpoint {
 	found, ok := table.pools[request.Pool]
 	if !ok {
 		return nil
 	}
 	p.subset = p.subsets.Choose(p.subset[:0], p.random, found, request)
-	p.filter(request, false)
+	p.filter(request, relaxation{})
 	if len(p.candidates) == 0 {
 		// The subset may have missed the few that serve; look at all.
 		p.subset = append(p.subset[:0], found.endpoints...)
-		p.filter(request, false)
 	}
-	if len(p.candidates) == 0 {
-		p.filter(request, true)
+	for i := 0; len(p.candidates) == 0 && i < len(relaxations); i++ {
+		p.filter(request, relaxations[i])
 	}
 	if len(p.candidates) == 0 {
 		return nil
@@ -136,10 +141,10 @@
 	return p.picker.Pick(p.random, p.candidates)
 }
 
-func (p *Profile) filter(request *Request, allowEjected bool) {
+func (p *Profile) filter(request *Request, relaxed relaxation) {
 	p.candidates = p.candidates[:0]
 	for i, endpoint := range p.subset {
-		if !p.keeps(request, endpoint, allowEjected) {
+		if !p.keeps(request, endpoint, relaxed) {
 			continue
 		}
 		rank := -1
@@ -150,9 +155,9 @@
 	}
 }
 
-func (p *Profile) keeps(request *Request, endpoint *Endpoint, allowEjected bool) bool {
+func (p *Profile) keeps(request *Request, endpoint *Endpoint, relaxed relaxation) bool {
 	for _, filter := range p.filters {
-		if _, isEjection := filter.(NotEjected); isEjection && allowEjected {
+		if relaxed.omits(filter) {
 			continue
 		}
 		if !filter.Keep(request, endpoint) {
@@ -162,6 +167,16 @@
 	return true
 }
 
+func (r relaxation) omits(filter Filter) bool {
+	switch filter.(type) {
+	case NotCold:
+		return r.cold
+	case NotEjected:
+		return r.ejected
+	}
+	return false
+}
+
 func (p *Profile) score(request *Request, candidate *Candidate) float64 {
 	sum := 0.0
 	for _, weighted := range p.scorers {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,8 +4,11 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pathbend/pathbend/internal/warmup"
 )
 
 // Machine is an engine or back end in the platform's machine list.
@@ -17,6 +20,10 @@
 	Leaving bool
 	// Capacity is the work that it takes at once; 0 if unknown.
 	Capacity int
+	// ColdFor is how much longer it said that it is cold, Limits what this node may send
+	// it meanwhile.
+	ColdFor time.Duration
+	Limits  warmup.Limits
 }
 
 // Table holds the endpoints by pool. It is not safe for concurrent use.
@@ -94,6 +101,29 @@
 	return changes
 }
 
+// NoteCold applies what the machine list says of cold endpoints.
+func (t *Table) NoteCold(machines []Machine, now time.Time) {
+	for _, machine := range machines {
+		endpoint := t.byID[machine.ID]
+		endpoint.Warmup.SetLimits(machine.Limits)
+		endpoint.Warmup.Told(machine.ColdFor, now)
+	}
+}
+
+// RoomAgain returns when an endpoint that a request may not go to because it is cold has
+// room again, the first of all; false if none is kept away for that.
+func (t *Table) RoomAgain(request *Request) (at time.Time, cold bool) {
+	for _, endpoint := range t.Pool(request.Pool) {
+		if endpoint.Leaving || slices.Contains(request.Excluded, endpoint.ID) || endpoint.Warmup.Room(request.Now) > 0 {
+			continue
+		}
+		if next := endpoint.Warmup.Next(request.Now); !cold || next.Before(at) {
+			at, cold = next, true
+		}
+	}
+	return at, cold
+}
+
 // MarkLeaving records that an endpoint takes no new work. It reports whether
 // that was news.
 func (t *Table) MarkLeaving(id string) bool {
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -92,6 +92,41 @@
 	return state.Sampler, true
 }
 
+// Cold tells how cold the samplers are.
+type Cold struct {
+	// Listed counts the samplers that take work, Cold those of them that are cold, or may
+	// be. Sent counts the requests that these got in the last second.
+	Listed, Cold, Sent int
+	// Kept counts the samplers with free slots that got all that they may get in a second,
+	// Waiting the items that could run meanwhile; 0 unless both are positive.
+	Kept, Waiting int
+}
+
+// Cold tells how cold the samplers are now.
+func (s *Scheduler) Cold(now time.Time) Cold {
+	var status Cold
+	for _, state := range s.ordered {
+		if state.Leaving {
+			continue
+		}
+		status.Listed++
+		if state.budget.Cold(now) {
+			status.Cold++
+			status.Sent += state.budget.Spent(now)
+		}
+		if !now.Before(state.notBefore) && state.freeSlots(s.fleetPace) > 0 && state.budget.Room(now) == 0 {
+			status.Kept++
+		}
+	}
+	if status.Kept == 0 {
+		return status
+	}
+	if status.Waiting = len(s.waiting(now)); status.Waiting == 0 {
+		status.Kept = 0
+	}
+	return status
+}
+
 // Load tells how loaded a sampler is.
 type Load struct {
 	ID      string
--- a/internal/warmup/budget.go
+++ b/internal/warmup/budget.go
@@ -22,7 +22,8 @@
 	// ColdFor is how long a sampler is cold from its start on.
 	ColdFor time.Duration
 	// Cold is the number of requests that one sender gives a cold sampler in any second,
-	// Warm the number that it gives any other, which may have become cold unnoticed.
+	// Warm the number that it gives any other, which may have become cold unnoticed. Either
+	// may be 0.
 	Cold int
 	Warm int
 }
@@ -41,7 +42,7 @@
 func atLeastOne(requests float64) int { return max(int(requests), 1) }
 
 // bounded reports whether there is anything to bound.
-func (l Limits) bounded() bool { return l.Cold > 0 }
+func (l Limits) bounded() bool { return l.ColdFor > 0 }
 
 // Budget counts what one sender sends to one sampler. The zero value is that of a
 // sampler that is not cold. It is not safe for concurrent use.
@@ -100,12 +101,22 @@
 	return max(b.limit(now)-len(b.sent), 0)
 }
 
+// Spent is the number of requests of the last second.
+func (b *Budget) Spent(now time.Time) int {
+	b.forget(now)
+	return len(b.sent)
+}
+
 // Next is when there is room again; now if there is.
 func (b *Budget) Next(now time.Time) time.Time {
 	if b.Room(now) > 0 {
 		return now
 	}
-	return b.sent[len(b.sent)-b.limit(now)].Add(window)
+	limit := b.limit(now)
+	if limit == 0 {
+		return b.coldUntil
+	}
+	return b.sent[len(b.sent)-limit].Add(window)
 }
 
 func (b *Budget) limit(now time.Time) int {
--- a/internal/warmup/budget_test.go
+++ b/internal/warmup/budget_test.go
@@ -10,6 +10,9 @@
 
 var began = time.Unix(1_000_000, 0)
 
+// executors may send without knowing of each other.
+const executors = 2
+
 // arrival is a request at a sampler, by the sampler's own time.
 type arrival struct {
 	at   time.Duration
@@ -41,12 +44,12 @@
 		over := rapid.Float64Range(1, 2).Draw(t, "over")
 		slack := rapid.Float64Range(1, 6).Draw(t, "slack")
 		limits := NewLimits(3*time.Second, perSecond, over, slack)
-		var budgets [senders]Budget
+		var budgets [executors]Budget
 		for i := range budgets {
 			budgets[i].SetLimits(limits)
 		}
-		starts := [senders]time.Duration{0, time.Duration(rapid.IntRange(0, 6000).Draw(t, "takeover")) * time.Millisecond}
-		offsets := [senders]time.Duration{0, time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "clock")) * time.Hour}
+		starts := [executors]time.Duration{0, time.Duration(rapid.IntRange(0, 6000).Draw(t, "takeover")) * time.Millisecond}
+		offsets := [executors]time.Duration{0, time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "clock")) * time.Hour}
 		var arrivals []arrival
 		var coldUntil time.Duration
 		at := time.Duration(0)
@@ -57,7 +60,7 @@
 				coldUntil = at + limits.ColdFor
 			case 1:
 				told := time.Duration(rapid.IntRange(0, 3000).Draw(t, "told")) * time.Millisecond
-				which := rapid.IntRange(0, senders-1).Draw(t, "told to")
+				which := rapid.IntRange(0, executors-1).Draw(t, "told to")
 				budgets[which].Told(told, began.Add(at+offsets[which]))
 			case 2:
 				budgets[0].Doubt(began.Add(at + offsets[0]))
