Send nothing to the samplers of evacuated zones

Cause: the operator's record op/evacuate/ZONE was read and stored, and nobody asked for it.

Change: internal/evacuation holds which zones are out, since when and by whose word. The filter NotEvacuated drops their endpoints in every pick, so first, further and hedged attempts and reward calls heed it. The scheduler gives their samplers no run; runs that they have finish. They are no replicas for weight orders, no witnesses for a holder out of touch, and nothing is ordered in their zones: ordinary samplers there are replaced by spot samplers elsewhere. A pool all of whose zones are out is refused with 2010 at once. Evacuations are taken before the routes of the same reading, and an empty list takes no zone back.

The DRAIN mutant edits the line that now also asks for evacuations; it removes the same condition as before. The test's balancer got the new method of its interface.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -25,6 +25,8 @@
 
 // listBalancer offers addresses in turn, each once per request.
 type listBalancer struct {
+	// evacuated is set where only evacuations keep back ends from work.
+	evacuated bool
 	mutex     sync.Mutex
 	endpoints []*routing.Endpoint
 	leaving   []string
@@ -61,6 +63,8 @@
 	b.leaving = append(b.leaving, id)
 }
 
+func (b *listBalancer) Evacuated(string) bool { return b.evacuated }
+
 func dispatcherOver(t *testing.T, balancer *listBalancer) *Dispatcher {
 	t.Helper()
 	exchanger := NewExchanger(network.TCP{})
@@ -363,3 +367,12 @@
 	require.NoError(t, err)
 	require.Equal(t, 2, answer.Attempts)
 }
+
+func TestRequestWhosePoolIsEvacuatedIsRefusedAtOnce(t *testing.T) {
+	balancer := balancerOf()
+	balancer.evacuated = true
+	_, err := do(t, balancer, requestOf(true))
+	require.True(t, result.Is(err, result.ZoneEvacuated))
+	require.Equal(t, result.NotRun, result.From(err).Run())
+	require.Equal(t, evacuationHint, result.From(err).RetryAfter)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -80,6 +80,9 @@
 	RoomAgain(request *routing.Request) (at time.Time, cold bool)
 	Report(endpoint *routing.Endpoint, report Report)
 	MarkLeaving(endpointID string)
+	// Evacuated reports whether a pool has no back end for new work only because the
+	// zones of all of them are evacuated.
+	Evacuated(pool string) bool
 }
 
 // Report tells the balancer how an attempt ended.
@@ -204,8 +207,16 @@
 		"ending", outcome.ending.String(), "took_ms", failed.took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
 }
 
+// evacuationHint is when to come back to a pool whose zones are all evacuated: an
+// evacuation lasts from seconds to hours, and a caller that comes back sooner costs more
+// than it gains (chosen).
+const evacuationHint = 5 * time.Second
+
 // noBackEnd says why no back end may serve a request, and when it is worth coming back.
 func (d *Dispatcher) noBackEnd(route *routing.Request) error {
+	if d.balancer.Evacuated(route.Pool) {
+		return result.New(result.ZoneEvacuated, "the zones of all back ends in pool %q are evacuated", route.Pool).WithRetryAfter(evacuationHint)
+	}
 	if at, cold := d.balancer.RoomAgain(route); cold {
 		return result.New(result.SamplersCold, "the back ends of pool %q that live are cold and have their share", route.Pool).
 			WithRetryAfter(max(at.Sub(route.Now), retryHint))
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,9 @@
 	RequestServed        Number = 509
 	EndpointsAdded       Number = 510
 	AttemptHedged        Number = 511
+	ZoneEvacuated        Number = 512
+	ZoneTakenBack        Number = 513
+	EvacuationUnknown    Number = 514
 	SamplersCold         Number = 520
 	ColdWorkWaits        Number = 521
 	LeaseTaken           Number = 601
@@ -141,6 +144,9 @@
 	{RequestServed, "request_served", slog.LevelInfo, "A request got a back end's answer; the line tells which, after how many attempts and how long.", "None."},
 	{EndpointsAdded, "endpoints_added", slog.LevelInfo, "Many engines or back ends appeared in the list at once, as after a start; the line tells how many.", "None."},
 	{AttemptHedged, "attempt_hedged", slog.LevelInfo, "A request without an answer for half its objective goes to a second back end beside the first; the line tells both.", "Frequent for one back end: it is slow."},
+	{ZoneEvacuated, "zone_evacuated", slog.LevelWarn, "A zone is evacuated: its samplers and back ends get nothing more from this node.", "None, if it was meant; what the other zones cannot carry is refused."},
+	{ZoneTakenBack, "zone_taken_back", slog.LevelInfo, "A zone is not evacuated any more; its samplers and back ends get work again.", "None."},
+	{EvacuationUnknown, "evacuation_unknown", slog.LevelWarn, "A zone is to be evacuated that the deployment does not have.", "Check the name; drop the record and write the right one."},
 	{SamplersCold, "samplers_cold", slog.LevelInfo, "The number of model samplers that are cold, or may be, changed; the line tells it of all that are listed.", "A zone that stays cold: see docs/OPERATIONS.md."},
 	{ColdWorkWaits, "cold_work_waits", slog.LevelInfo, "Items wait, at most once a second, though samplers have free slots: they got all that a sampler may get in a second that is cold or may be; the line tells how many of each.", "None while samplers are cold; else look for samplers that turn cold again and again."},
 	{LeaseTaken, "lease_taken", slog.LevelInfo, "This node holds a lease.", "None."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/pathbend/pathbend/internal/dispatch"
 	"github.com/pathbend/pathbend/internal/engine"
+	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/routing"
 )
@@ -157,6 +158,20 @@
 	}
 }
 
+// Evacuate applies the list of evacuated zones.
+func (f *Fleet) Evacuate(zones evacuation.Zones) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.table.Evacuate(zones)
+}
+
+// Evacuated implements dispatch.Balancer.
+func (f *Fleet) Evacuated(pool string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.table.Evacuated(pool)
+}
+
 // MarkLeaving implements dispatch.Balancer: the endpoint itself said so.
 func (f *Fleet) MarkLeaving(id string) { f.markLeaving(id, "endpoint") }
 
--- /dev/null
+++ b/internal/hosted/evacuation.go
@@ -0,0 +1,63 @@
+package hosted
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pathbend/pathbend/internal/evacuation"
+	"github.com/pathbend/pathbend/internal/event"
+)
+
+// TakeEvacuations puts the entire list of the zones in force that the operator wants
+// evacuated. A node takes it before the samplers of the same reading, so that none is
+// sent to before it is known.
+func (n *Node) TakeEvacuations(names []string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := time.Now()
+	next, changes := n.evacuated.Load().Take(evacuation.SourceOperator, names, now)
+	if len(changes.Evacuated)+len(changes.TakenBack) == 0 {
+		return
+	}
+	n.evacuated.Store(&next)
+	n.fleet.Evacuate(next)
+	for _, zone := range changes.Evacuated {
+		n.logEvacuated(zone)
+	}
+	for _, zone := range changes.TakenBack {
+		n.logger.Log(event.ZoneTakenBack, "zone", zone.Name, "source", string(zone.Source), "lasted_ms", now.Sub(zone.Since).Milliseconds())
+	}
+	n.executor.wake()
+}
+
+func (n *Node) logEvacuated(zone evacuation.Zone) {
+	known := n.settings.Topology.Zones()
+	if len(known) > 0 && !slices.Contains(known, zone.Name) {
+		n.logger.Log(event.EvacuationUnknown, "zone", zone.Name, "source", string(zone.Source))
+	}
+	n.logger.Log(event.ZoneEvacuated, "zone", zone.Name, "source", string(zone.Source), "samplers", n.samplersIn(zone.Name))
+}
+
+// samplersIn counts the listed samplers of a zone.
+func (n *Node) samplersIn(zone string) int {
+	listed := n.samplers.Load()
+	if listed == nil {
+		return 0
+	}
+	count := 0
+	for _, sampler := range *listed {
+		if sampler.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// takeEvacuations hands the evacuated zones to the scheduler. It is called under the
+// lock, before anything is placed.
+func (e *executor) takeEvacuations() {
+	if current := e.node.evacuated.Load(); current != e.evacuated {
+		e.evacuated = current
+		e.scheduler.Evacuate(*current)
+	}
+}
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/schedule"
@@ -60,6 +61,8 @@
 	// was told of that waits for them.
 	coldBefore int
 	coldToldAt time.Time
+	// evacuated is the list of evacuated zones that the scheduler took in last.
+	evacuated  *evacuation.Zones
 	rewards    rewardSlots
 	splitBrain splitBrainDetector
 	work       conc.WaitGroup
@@ -138,6 +141,7 @@
 	for _, change := range changes {
 		e.applyChange(change)
 	}
+	e.takeEvacuations()
 	review := now.Sub(e.reviewedAt) >= executorTick
 	if review {
 		e.reviewedAt = now
@@ -193,7 +197,8 @@
 	e.session, e.endSession = context.WithCancel(ctx)
 	e.roll.Forget()
 	e.takeVersions()
-	e.listed = nil
+	e.listed, e.evacuated = nil, nil
+	e.takeEvacuations()
 	e.takeSamplers(time.Now())
 	open := 0
 	for _, job := range e.node.jobs.open() {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -93,6 +93,9 @@
 	})
 	m.roundTrip("pathbend_log_round_trip", "calls that the log answers at once", n.log.Way())
 	m.roundTrip("pathbend_log_append_round_trip", "appends to the log", n.log.Appends())
+	m.gauge("pathbend_zones_evacuated", "Zones whose samplers get nothing new from this node.", func() float64 {
+		return float64(len(n.evacuated.Load().Names()))
+	})
 	return m
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/dispatch"
 	"github.com/pathbend/pathbend/internal/election"
+	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/fleet"
 	"github.com/pathbend/pathbend/internal/metering"
@@ -58,8 +58,8 @@
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	samplers atomic.Pointer[[]schedule.Sampler]
-	// evacuated holds the zones whose samplers get nothing new, ordered.
-	evacuated atomic.Pointer[[]string]
+	// evacuated holds the zones whose samplers get nothing new.
+	evacuated atomic.Pointer[evacuation.Zones]
 
 	mutex    sync.Mutex
 	versions map[string]uint64
@@ -90,6 +90,7 @@
 
 		configured: make(chan struct{}),
 	}
+	n.evacuated.Store(&evacuation.Zones{})
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
 	n.directory = newDirectory(n.log, settings.NodesTopic, n, logger)
@@ -296,14 +297,6 @@
 	n.fleet.Update(machines)
 }
 
-// TakeEvacuations applies the entire list of evacuated zones, ordered.
-func (n *Node) TakeEvacuations(zones []string) {
-	if before := n.evacuated.Swap(&zones); before != nil && slices.Equal(*before, zones) {
-		return
-	}
-	n.executor.wake()
-}
-
 func (n *Node) awaitInformed(ctx context.Context) {
 	select {
 	case <-n.informed:
--- a/internal/hosted/rewards.go
+++ b/internal/hosted/rewards.go
@@ -159,9 +159,9 @@
 	if listed == nil {
 		return minRewards
 	}
-	slots := 0
+	slots, evacuated := 0, e.node.evacuated.Load()
 	for _, sampler := range *listed {
-		if route.Allows(sampler.Service) && !sampler.Leaving {
+		if route.Allows(sampler.Service) && !sampler.Leaving && !evacuated.Has(sampler.Zone) {
 			slots += sampler.Slots
 		}
 	}
--- a/internal/hosted/scaler.go
+++ b/internal/hosted/scaler.go
@@ -71,8 +71,9 @@
 		planner = scaling.NewPlanner(time.Now())
 		s.planners[service.Name] = planner
 	}
+	zones, evacuated := s.zones(service)
 	known := scaling.Service{
-		Zones: s.zones(service), Max: service.Scaling.Max, Slots: service.Slots,
+		Zones: zones, Evacuated: evacuated, Max: service.Scaling.Max, Slots: service.Slots,
 		SpotPrice: service.Scaling.SpotPrice, Boot: service.Scaling.Boot,
 	}
 	orders := planner.Plan(time.Now(), known, peak)
@@ -88,8 +89,9 @@
 	}
 }
 
-// zones counts a service's samplers by zone.
-func (s *scaler) zones(service catalog.Service) []scaling.Zone {
+// zones counts a service's samplers by zone, and the ordinary ones of evacuated zones,
+// which are left out: nothing is ordered there, and what it has is kept for its return.
+func (s *scaler) zones(service catalog.Service) (zones []scaling.Zone, evacuated int) {
 	counted := make(map[string]*scaling.Zone)
 	for name, price := range service.Scaling.ZonePrices {
 		counted[name] = &scaling.Zone{Name: name, Price: price}
@@ -106,11 +108,15 @@
 			}
 		}
 	}
-	zones := make([]scaling.Zone, 0, len(counted))
+	out := s.node.evacuated.Load()
 	for _, name := range slices.Sorted(maps.Keys(counted)) {
+		if out.Has(name) {
+			evacuated += counted[name].Ordinary
+			continue
+		}
 		zones = append(zones, *counted[name])
 	}
-	return zones
+	return zones, evacuated
 }
 
 // order gives an order and reports whether the platform took it.
--- a/internal/hosted/split_brain.go
+++ b/internal/hosted/split_brain.go
@@ -49,7 +49,7 @@
 func (w *splitBrainDetector) choose(loads []schedule.Load) (schedule.Load, bool) {
 	for range loads {
 		w.next++
-		if load := loads[w.next%len(loads)]; !load.Leaving && len(load.Versions) > 0 {
+		if load := loads[w.next%len(loads)]; !load.Leaving && !load.Evacuated && len(load.Versions) > 0 {
 			return load, true
 		}
 	}
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -34,15 +34,8 @@
 	if len(targets) == 0 {
 		return
 	}
-	var members []weights.Member
-	for _, load := range e.scheduler.Loads() {
-		members = append(members, weights.Member{
-			ID: load.ID, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
-			Wait: e.node.claims.recent(load.ID, now),
-		})
-	}
 	e.roll.Want(e.scheduler.Demand(now))
-	for _, step := range e.roll.Next(now, members, targets) {
+	for _, step := range e.roll.Next(now, e.members(now), targets) {
 		sampler, ok := e.scheduler.Sampler(step.SamplerID)
 		if !ok {
 			e.roll.Done(step.SamplerID, false, now)
@@ -65,6 +58,22 @@
 	}
 }
 
+// members returns the samplers that may follow versions. The place of an evacuated one
+// goes to a sampler that gets work.
+func (e *executor) members(now time.Time) []weights.Member {
+	var members []weights.Member
+	for _, load := range e.scheduler.Loads() {
+		if load.Evacuated {
+			continue
+		}
+		members = append(members, weights.Member{
+			ID: load.ID, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
+			Wait: e.node.claims.recent(load.ID, now),
+		})
+	}
+	return members
+}
+
 // move brings one sampler to a version. It reports whether the sampler was seen
 // to serve it.
 func (e *executor) move(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
@@ -81,7 +90,7 @@
 		return e.awaitVersion(ctx, scheduler, sampler, step)
 	}
 	right, ok := e.node.claims.Claim(ctx, sampler.ID)
-	if !ok || ctx.Err() != nil {
+	if !ok || ctx.Err() != nil || e.node.evacuated.Load().Has(sampler.Zone) {
 		return false
 	}
 	e.setLoading(scheduler, step)
@@ -114,7 +123,7 @@
 	began := time.Now()
 	wait.For(ctx, firstLook)
 	idle := 0
-	for ctx.Err() == nil && time.Since(began) < loadPatience {
+	for ctx.Err() == nil && time.Since(began) < loadPatience && !e.node.evacuated.Load().Has(sampler.Zone) {
 		report, err := e.report(ctx, sampler)
 		if err == nil {
 			e.noteVersions(scheduler, sampler.ID, report.Versions)
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -43,6 +43,7 @@
 	CloudLost
 	ColdReturn
 	SamplersTurnCold
+	Evacuate
 	faultKinds
 )
 
@@ -52,7 +53,7 @@
 	"sampler_crash", "sampler_slow", "sampler_cut", "sampler_fail", "sampler_surplus", "sampler_replaced", "sampler_late_orders",
 	"config_change", "store_forgets", "node_replaced", "keys_taken",
 	"cloud_down", "cloud_slow", "cloud_lost",
-	"cold_return", "samplers_turn_cold",
+	"cold_return", "samplers_turn_cold", "evacuate",
 }
 
 // String implements fmt.Stringer.
@@ -118,6 +119,8 @@
 		w.Store.Rebalance()
 	case NodeReplaced:
 		w.replaceNode(fault, w.lastToOrder(node))
+	case Evacuate:
+		w.evacuate(fault)
 	case StoreForgets:
 		w.Store.Forget(platform.TopicOperator)
 		w.Store.Forget(platform.TopicSamplers)
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -47,7 +47,19 @@
 	}},
 	{Promise: "DRAIN: leaving samplers get nothing new", Edits: []mutation.Edit{
 		mutation.Replace("internal/routing/not_leaving.go", "return !endpoint.Leaving", "return true"),
-		mutation.Replace("internal/schedule/sampler.go", "if s.Leaving || now.Before(s.notBefore) {", "if now.Before(s.notBefore) {"),
+		mutation.Replace("internal/schedule/sampler.go", "if s.Leaving || s.evacuated || now.Before(s.notBefore) {", "if s.evacuated || now.Before(s.notBefore) {"),
+	}},
+	{Promise: "EVAC: further attempts ask too", Edits: []mutation.Edit{
+		mutation.Replace("internal/routing/not_evacuated.go", "Keep(_ *Request, endpoint *Endpoint) bool { return !endpoint.Evacuated }", "Keep(request *Request, endpoint *Endpoint) bool { return !endpoint.Evacuated || len(request.Excluded) > 0 }"),
+	}},
+	{Promise: "EVAC: evacuated samplers get no item", Edits: []mutation.Edit{
+		mutation.Replace("internal/schedule/sampler.go", "if s.Leaving || s.evacuated ||", "if s.Leaving ||"),
+	}},
+	{Promise: "EVAC: evacuated samplers get no order", Test: "TestEvacuatedSamplersAreNoReplicas", Package: "./internal/hosted", Edits: []mutation.Edit{
+		mutation.Replace("internal/hosted/weights.go", "if load.Evacuated {", "if false {"),
+	}},
+	{Promise: "EVAC: evacuations are known before routes", Test: "TestEvacuationsAreInForceBeforeTheRoutes", Package: "./platform", Edits: []mutation.Edit{
+		mutation.Replace("platform/follow.go", "\t\tnode.TakeEvacuations(evacuated.zones())\n\t\tfor _, record := range documents {\n\t\t\ttakeDocument(node, record)\n\t\t}\n", "\t\tfor _, record := range documents {\n\t\t\ttakeDocument(node, record)\n\t\t}\n\t\tnode.TakeEvacuations(evacuated.zones())\n"),
 	}},
 	{Promise: "ROUTE: only keys of tenants are admitted", Test: "TestOnlyKeysOfTenantsAreAdmitted", Package: "./internal/catalog", Edits: []mutation.Edit{
 		mutation.Replace("internal/catalog/admission.go", "if err != nil && route.Public {", "if err != nil {"),
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -160,7 +160,7 @@
 		return
 	}
 	id := request.Header.Get(platform.HeaderRequestID)
-	s.truth.Arrived(s.ID, node, id)
+	s.truth.Arrived(s.ID, s.Zone, node, id)
 	s.truth.judgeTenant(id, request.Header)
 	writer.Header().Set(platform.HeaderRequestID, id)
 	model := request.Header.Get(platform.HeaderModel)
@@ -335,7 +335,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.truth.Ordered(s.ID, document.Holder, document.Fence)
+	s.truth.Ordered(s.ID, s.Zone, document.Holder, document.Fence)
 	faults := s.snapshot()
 	if faults.LateOrders && s.draw(0.5) {
 		time.AfterFunc(2*time.Second+time.Duration(document.Fence%7)*time.Second, func() { s.carryOut(document) })
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -49,6 +49,9 @@
 	// ordersExcused is until when orders are not judged.
 	ordersExcused time.Time
 	counts        map[string]int
+	// evacuatedAt is when a zone was acknowledged as evacuated, zero once it was taken
+	// back.
+	evacuatedAt map[string]time.Time
 	// tenants tells for whom a request or an item runs.
 	tenants map[string]string
 	cloud   cloudTruth
@@ -98,7 +101,8 @@
 		items: make(map[string]*itemTruth), jobs: make(map[string]*jobTruth), stamps: make(map[string]stampTruth),
 		orders: make(map[string]orderTruth), disturbed: make(map[string]time.Time), gone: make(map[string]time.Time),
 		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(), held: make(map[string]time.Time),
-		started: time.Now(),
+		evacuatedAt: make(map[string]time.Time),
+		started:     time.Now(),
 	}
 }
 
@@ -152,13 +156,14 @@
 }
 
 // Arrived judges a request that reached a sampler.
-func (t *Truth) Arrived(sampler, node, id string) {
+func (t *Truth) Arrived(sampler, zone, node, id string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
 	if since, leaving := t.gone[sampler]; leaving && now.Sub(since) > drainBound+slack && t.inTouch(node, now) {
 		t.broken("DRAIN", "request %s reached %s from %s %v after its leave", id, sampler, node, now.Sub(since))
 	}
+	t.judgeEvacuation(sampler, zone, node, "request "+id, now)
 }
 
 // RunStarted judges a run of an item and returns its number.
@@ -224,7 +229,7 @@
 }
 
 // Ordered judges an order to a sampler.
-func (t *Truth) Ordered(sampler, holder string, fence uint64) {
+func (t *Truth) Ordered(sampler, zone, holder string, fence uint64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
@@ -232,6 +237,7 @@
 	if now.Before(t.ordersExcused) {
 		return
 	}
+	t.judgeEvacuation(sampler, zone, holder, "an order", now)
 	last, known := t.orders[sampler]
 	if known && last.holder != holder {
 		switch {
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -73,7 +73,9 @@
 	samplers []*samplerMachine
 	ready    []string
 	versions map[string]uint64
-	work     conc.WaitGroup
+	// evacuated counts the reasons to evacuate a zone.
+	evacuated map[string]int
+	work      conc.WaitGroup
 }
 
 // nodeMachine is a machine that runs a node.
@@ -99,7 +101,8 @@
 func NewWorld(options Options) *World {
 	w := &World{
 		Truth: NewTruth(), Store: NewStore(options.Seed), options: options,
-		network: options.Surroundings, versions: make(map[string]uint64), tenants: newTenantBook(),
+		network: options.Surroundings, versions: make(map[string]uint64), evacuated: make(map[string]int),
+		tenants: newTenantBook(),
 	}
 	if w.network == nil {
 		w.network = newSimulated(options.Seed)
@@ -185,6 +188,7 @@
 	settings.Bounds.StatusIntervalS = 120
 	settings.Limits.CPUShare, settings.Limits.Cores = 0.5, 1
 	settings.Bounds.ColdOver, settings.Bounds.ColdSlack = coldOver, coldSlack
+	settings.Bounds.EvacuateMS = float64(evacuateBound.Milliseconds())
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = w.storeAddress, 32<<10, 256<<10
 	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -47,6 +47,7 @@
 	BackEndRefused   Code = 2007
 	BackEndUnreached Code = 2008
 	KeyUnavailable   Code = 2009
+	ZoneEvacuated    Code = 2010
 	SamplersCold     Code = 2012
 
 	AnswerLost       Code = 3001
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -15,6 +15,8 @@
 	// Leaving is set once the endpoint accepts no new work, from whichever
 	// source said so first. It is never cleared.
 	Leaving bool
+	// Evacuated is set while the endpoint's zone is evacuated.
+	Evacuated bool
 	// InFlight is the work that this node has at the endpoint.
 	InFlight int
 	// Report is the last load report; ReportedAt is zero if there is none.
--- a/internal/routing/profile.go
+++ b/internal/routing/profile.go
@@ -80,7 +80,7 @@
 // NewApplicationProfile returns the pipeline for application requests.
 func NewApplicationProfile(random *rand.Rand) *Profile {
 	return NewProfile(random, RandomSubset{},
-		[]Filter{NotLeaving{}, NotExcluded{}, NotEjected{}},
+		[]Filter{NotLeaving{}, NotEvacuated{}, NotExcluded{}, NotEjected{}},
 		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, 1}},
 		TwoChoices{})
 }
@@ -96,7 +96,7 @@
 // the number of connections small.
 func NewHostedProfile(random *rand.Rand, node string) *Profile {
 	return NewProfile(random, PreferredSubset{Node: node},
-		[]Filter{NotLeaving{}, NotExcluded{}, WithinBudget{}, NotCold{}, NotEjected{}},
+		[]Filter{NotLeaving{}, NotEvacuated{}, NotExcluded{}, WithinBudget{}, NotCold{}, NotEjected{}},
 		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, hostedZoneWeight}},
 		BestScore{})
 }
@@ -104,7 +104,7 @@
 // NewGenerationProfile returns the pipeline for engines.
 func NewGenerationProfile(random *rand.Rand) *Profile {
 	return NewProfile(random, RandomSubset{},
-		[]Filter{NotLeaving{}, NotExcluded{}, ServesVersion{}, NotEjected{}},
+		[]Filter{NotLeaving{}, NotEvacuated{}, NotExcluded{}, ServesVersion{}, NotEjected{}},
 		[]WeightedScorer{{LeastLoad{}, 3}, {PrefixAffinity{}, 2}},
 		TwoChoices{})
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/evacuation"
 )
 
 var now = time.Unix(1000, 0)
@@ -158,3 +160,41 @@
 		require.Equal(t, "far", profile.Pick(table, request).ID)
 	}
 }
+
+func evacuated(zones ...string) evacuation.Zones {
+	next, _ := evacuation.Zones{}.Take(evacuation.SourceOperator, zones, now)
+	return next
+}
+
+func TestEvacuatedEndpointIsNeverPickedUntilItIsTakenBack(t *testing.T) {
+	for _, profile := range []*Profile{
+		NewApplicationProfile(newRandom()), NewHostedProfile(newRandom(), "n"), NewGenerationProfile(newRandom()),
+	} {
+		table := NewTable()
+		table.Evacuate(evacuated("a"))
+		table.Update([]Machine{{ID: "a1", Pool: "p", Address: "a1", Zone: "a"}, {ID: "b1", Pool: "p", Address: "b1", Zone: "b"}})
+		request := &Request{Pool: "p", Zone: "a", Now: now}
+		for range 20 {
+			require.Equal(t, "b1", profile.Pick(table, request).ID, "the endpoint came after the evacuation")
+		}
+		for range failuresToEject {
+			table.Get("b1").Started()
+			table.Get("b1").Failed(now)
+		}
+		require.Equal(t, "b1", profile.Pick(table, request).ID, "a doubtful endpoint, not an evacuated one")
+		table.Evacuate(evacuated("b"))
+		require.Equal(t, "a1", profile.Pick(table, request).ID)
+	}
+}
+
+func TestPoolIsEvacuatedOnceNoOtherEndpointTakesWork(t *testing.T) {
+	table := NewTable()
+	require.False(t, table.Evacuated("p"), "nothing is there")
+	table.Update([]Machine{{ID: "a1", Pool: "p", Address: "a1", Zone: "a"}, {ID: "b1", Pool: "p", Address: "b1", Zone: "b"}})
+	table.Evacuate(evacuated("a"))
+	require.False(t, table.Evacuated("p"))
+	table.MarkLeaving("b1")
+	require.True(t, table.Evacuated("p"))
+	table.MarkLeaving("a1")
+	require.False(t, table.Evacuated("p"), "it would have none without the evacuation")
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/warmup"
 )
 
@@ -32,7 +33,8 @@
 	pools map[string]*pool
 	// leaving remembers endpoints that said that they leave, also before the
 	// machine list names them.
-	leaving map[string]struct{}
+	leaving   map[string]struct{}
+	evacuated evacuation.Zones
 }
 
 type pool struct {
@@ -77,6 +79,7 @@
 		if !ok || endpoint.Address != machine.Address || endpoint.Pool != machine.Pool {
 			endpoint = &Endpoint{ID: machine.ID, Address: machine.Address, Zone: machine.Zone, Pool: machine.Pool}
 			endpoint.Report.Capacity = machine.Capacity
+			endpoint.Evacuated = t.evacuated.Has(machine.Zone)
 			_, endpoint.Leaving = t.leaving[machine.ID]
 			t.byID[machine.ID] = endpoint
 			changes.Added = append(changes.Added, endpoint)
@@ -114,7 +117,7 @@
 // room again, the first of all; false if none is kept away for that.
 func (t *Table) RoomAgain(request *Request) (at time.Time, cold bool) {
 	for _, endpoint := range t.Pool(request.Pool) {
-		if endpoint.Leaving || slices.Contains(request.Excluded, endpoint.ID) || endpoint.Warmup.Room(request.Now) > 0 {
+		if endpoint.Leaving || endpoint.Evacuated || slices.Contains(request.Excluded, endpoint.ID) || endpoint.Warmup.Room(request.Now) > 0 {
 			continue
 		}
 		if next := endpoint.Warmup.Next(request.Now); !cold || next.Before(at) {
@@ -137,6 +140,30 @@
 	return true
 }
 
+// Evacuate applies the list of evacuated zones.
+func (t *Table) Evacuate(zones evacuation.Zones) {
+	t.evacuated = zones
+	for _, endpoint := range t.byID {
+		endpoint.Evacuated = zones.Has(endpoint.Zone)
+	}
+}
+
+// Evacuated reports whether a pool would have endpoints for new work if no zone were
+// evacuated, and has none.
+func (t *Table) Evacuated(pool string) bool {
+	evacuated := false
+	for _, endpoint := range t.Pool(pool) {
+		switch {
+		case endpoint.Leaving:
+		case !endpoint.Evacuated:
+			return false
+		default:
+			evacuated = true
+		}
+	}
+	return evacuated
+}
+
 // LeavingIDs returns the endpoints known to leave, ordered.
 func (t *Table) LeavingIDs() []string { return slices.Sorted(maps.Keys(t.leaving)) }
 
--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -18,7 +18,10 @@
 
 // Service is what is known of a service.
 type Service struct {
+	// Zones are those in which samplers may be ordered.
 	Zones []Zone
+	// Evacuated counts the ordinary samplers of the other zones, which get no work.
+	Evacuated int
 	// Max bounds the samplers of both kinds in each zone.
 	Max int
 	// Slots is the number of items that one sampler runs at once.
@@ -101,7 +104,8 @@
 	}
 	needed := max((peak+service.Slots-1)/service.Slots-ordinary, 0)
 	if service.SpotPrice > dearestSpot {
-		needed = 0
+		// What is lost for a time is replaced at any price below an ordinary sampler's.
+		needed = min(needed, service.Evacuated)
 	}
 	if !p.begun {
 		p.reserve, p.begun = spot, true
--- a/internal/scaling/plan_test.go
+++ b/internal/scaling/plan_test.go
@@ -125,3 +125,22 @@
 		}
 	})
 }
+
+// A zone that is evacuated is left out of the zones; its samplers are replaced in the
+// others and given back once it is there again.
+func TestSamplersOfAnEvacuatedZoneAreReplacedForAsLong(t *testing.T) {
+	for _, price := range []float64{0.2, dearestSpot + 0.1} {
+		whole, p := fleetOf(12, 0), NewPlanner(began)
+		whole.SpotPrice = price
+		require.Empty(t, p.Plan(began, whole, 200))
+		out := whole
+		out.Zones, out.Evacuated = whole.Zones[1:], 12
+		now := began.Add(keepAfterStart)
+		orders := p.Plan(now, out, 200)
+		require.Equal(t, map[string]int{"b": 5, "c": 5}, desired(orders), "200 items in slots of 6, less 24 samplers")
+		taken(p, orders, now)
+		back := whole
+		back.Zones = []Zone{whole.Zones[0], {Name: "b", Ordinary: 12, Spot: 5}, {Name: "c", Ordinary: 12, Spot: 5}}
+		require.Equal(t, map[string]int{"b": 0, "c": 0}, desired(p.Plan(now.Add(time.Minute), back, 200)))
+	}
+}
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -95,7 +95,7 @@
 func (s *Scheduler) aheadRoom() int {
 	slots, taken := 0, 0
 	for _, state := range s.ordered {
-		if !state.Leaving {
+		if !state.Leaving && !state.evacuated {
 			slots += state.slots()
 		}
 	}
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -29,7 +29,9 @@
 // samplerState is a sampler with what the executor knows of it.
 type samplerState struct {
 	Sampler
-	running int
+	// evacuated is set while the sampler's zone is evacuated.
+	evacuated bool
+	running   int
 	// loading holds the models whose weights are being changed. Only work for
 	// these has to wait.
 	loading map[string]struct{}
@@ -98,7 +100,7 @@
 
 // room is the number of items that the sampler may take on.
 func (s *samplerState) room(fleet time.Duration, now time.Time) int {
-	if s.Leaving || now.Before(s.notBefore) {
+	if s.Leaving || s.evacuated || now.Before(s.notBefore) {
 		return 0
 	}
 	return min(s.freeSlots(fleet), s.budget.Room(now))
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/warmup"
 )
 
@@ -33,6 +34,7 @@
 		}
 		known := state.Versions
 		state.Sampler = sampler
+		state.evacuated = s.evacuated.Has(sampler.Zone)
 		state.budget.SetLimits(s.limits[sampler.Service])
 		state.budget.Told(sampler.ColdFor, now)
 		if !ok && !first {
@@ -53,6 +55,15 @@
 	s.lookFrom = 0
 }
 
+// Evacuate applies the list of evacuated zones: their samplers get no new run. Runs
+// that they have go on.
+func (s *Scheduler) Evacuate(zones evacuation.Zones) {
+	s.evacuated = zones
+	for _, state := range s.samplers {
+		state.evacuated = zones.Has(state.Zone)
+	}
+}
+
 func newest(known, listed map[string]uint64) map[string]uint64 {
 	merged := maps.Clone(listed)
 	if merged == nil {
@@ -114,7 +125,7 @@
 			status.Cold++
 			status.Sent += state.budget.Spent(now)
 		}
-		if !now.Before(state.notBefore) && state.freeSlots(s.fleetPace) > 0 && state.budget.Room(now) == 0 {
+		if !state.evacuated && !now.Before(state.notBefore) && state.freeSlots(s.fleetPace) > 0 && state.budget.Room(now) == 0 {
 			status.Kept++
 		}
 	}
@@ -135,6 +146,8 @@
 	Slots   int
 	Pace    time.Duration
 	Leaving bool
+	// Evacuated is set while the sampler's zone is evacuated.
+	Evacuated bool
 	// Versions maps a model to the version that it serves. It is the scheduler's own
 	// and changes with it.
 	Versions map[string]uint64
@@ -146,7 +159,8 @@
 	for _, state := range s.ordered {
 		loads = append(loads, Load{
 			ID: state.ID, Running: state.running, Slots: state.slots(), Pace: state.pace, Leaving: state.Leaving,
-			Versions: state.Versions,
+			Evacuated: state.evacuated,
+			Versions:  state.Versions,
 		})
 	}
 	return loads
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/warmup"
 )
@@ -23,6 +24,8 @@
 	// begins at lookFrom.
 	ordered  []*samplerState
 	lookFrom int
+	// evacuated are the zones whose samplers get nothing new.
+	evacuated evacuation.Zones
 	// seenGroups tells when a job last brought a group.
 	seenGroups map[string]time.Time
 	// fleetPace is a moving average of the time to one event at any sampler.
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/ledger"
 )
 
@@ -452,3 +453,47 @@
 	require.Len(t, starts, 2)
 	require.Equal(t, "s0700", starts[0].Sampler.ID)
 }
+
+func evacuated(zones ...string) evacuation.Zones {
+	next, _ := evacuation.Zones{}.Take(evacuation.SourceOperator, zones, began)
+	return next
+}
+
+func inZone(zone string, listed Sampler) Sampler {
+	listed.Zone = zone
+	return listed
+}
+
+func TestEvacuatedSamplerGetsNothingNewAndFinishesWhatItHas(t *testing.T) {
+	b := newBench(t, inZone("a", sampler("a1", 2, 1)), inZone("b", sampler("b1", 1, 1)))
+	b.addJob(b.jobOf("j", 1, "g:900", "g:800", "g:700"), policy(time.Second), kept{})
+	running := b.starts()
+	require.Len(t, running, 3)
+	b.s.Evacuate(evacuated("a"))
+	b.addJob(b.jobOf("k", 1, "g:900", "g:800"), policy(time.Second), kept{})
+	for _, start := range running {
+		require.True(t, b.feed(start, 1, 5, 1))
+		require.NotNil(t, b.s.RunEnded(start.Key, start.Run, Complete, b.now).Finished)
+	}
+	require.Empty(t, b.s.Moves(b.now))
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	require.Equal(t, "b1", starts[0].Sampler.ID)
+	b.s.Samplers([]Sampler{inZone("a", sampler("a1", 2, 1)), inZone("a", sampler("a2", 2, 1)), inZone("b", sampler("b1", 1, 1))}, b.now)
+	require.Empty(t, b.starts(), "also samplers that came since get nothing")
+	b.s.Evacuate(evacuated())
+	require.Len(t, b.starts(), 1, "the zone is taken back")
+}
+
+func TestSlowRunsDoNotMoveIntoAnEvacuatedZone(t *testing.T) {
+	b := newBench(t, sampler("slow", 1, 1))
+	b.addJob(b.jobOf("j", 1, "g:9000"), policy(time.Second), kept{})
+	start := b.starts()[0]
+	for id := uint64(1); id < 20; id++ {
+		b.now = b.now.Add(200 * time.Millisecond)
+		require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: id, Version: 1, Data: []byte("x")}, b.now))
+	}
+	b.s.Evacuate(evacuated("a"))
+	b.s.Samplers([]Sampler{sampler("slow", 1, 1), inZone("a", sampler("fit", 1, 1))}, b.now)
+	require.Empty(t, b.s.Moves(b.now))
+}
