Leave the reserve where it stands when a zone comes back

Cause: a zone taken back from its evacuation got an even share of the reserve at once: at 15.2 s four samplers were ordered there and four given back elsewhere, which booted cold; two fell over at 28 s when the zone was evacuated again. Ruled out: the second evacuation itself; the filter held (no EVAC). Change: where what the platform took is the reserve already and the zones hold it, it stays. FAILBACK is left: samplers that boot are cold and get a full sampler's work.

--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -131,6 +131,9 @@
 			cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name),
 		)
 	})
+	if standing, ok := p.standing(now, ordered, most); ok {
+		return standing
+	}
 	left := p.reserve
 	orders := make([]Order, 0, len(ordered))
 	for i, zone := range ordered {
@@ -143,6 +146,25 @@
 	return orders
 }
 
+// standing returns the orders that the platform took, if together they are the reserve
+// and their zones hold them. A zone that comes back, as after its evacuation, does not
+// make others give samplers back that it would then boot itself.
+func (p *Planner) standing(now time.Time, zones []Zone, most int) (orders []Order, ok bool) {
+	left := p.reserve
+	for _, zone := range zones {
+		order := Order{Zone: zone.Name}
+		if state := p.zones[zone.Name]; state != nil {
+			order.Desired = state.taken
+		}
+		if order.Desired > p.room(now, zone, most) {
+			return nil, false
+		}
+		left -= order.Desired
+		orders = append(orders, order)
+	}
+	return orders, left == 0
+}
+
 // room is how many spot samplers a zone can hold now.
 func (p *Planner) room(now time.Time, zone Zone, most int) int {
 	room := max(most-zone.Ordinary, 0)
--- a/internal/scaling/plan_test.go
+++ b/internal/scaling/plan_test.go
@@ -144,3 +144,17 @@
 		require.Equal(t, map[string]int{"b": 0, "c": 0}, desired(p.Plan(now.Add(time.Minute), back, 200)))
 	}
 }
+
+// A zone came back from its evacuation and got a share of the reserve at once: four
+// samplers booted there while four others were given back.
+func TestZoneThatComesBackMovesNoSamplers(t *testing.T) {
+	whole, p := fleetOf(12, 0), NewPlanner(began)
+	require.Empty(t, p.Plan(began, whole, 200))
+	out := whole
+	out.Zones, out.Evacuated = whole.Zones[1:], 12
+	now := began.Add(time.Second)
+	taken(p, p.Plan(now, out, 200), now)
+	back := whole
+	back.Zones = []Zone{whole.Zones[0], {Name: "b", Ordinary: 12, Spot: 5}, {Name: "c", Ordinary: 12, Spot: 5}}
+	require.Empty(t, p.Plan(now.Add(time.Second), back, 200), "the reserve stays for a while after the start")
+}
