--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -41,13 +41,6 @@
 		case silent > silenceLimit && !entry.sampler.isLoading(entry.job.spec.Model):
 			move.Reason = "silent"
 			entry.sampler.pause(now)
-		case entry.sampler.evacuated && !noRoom[entry.job]:
-			best, _ := s.choose(entry, now)
-			noRoom[entry.job] = best == nil
-			if best == nil {
-				continue
-			}
-			move.Reason = "evacuated"
 		case float64(entry.sampler.pace) > moveRatio*float64(brisk) && !noRoom[entry.job]:
 			best, _ := s.choose(entry, now)
 			noRoom[entry.job] = best == nil
