--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -140,3 +140,18 @@
 	l.add(1, "a", event.LinesDropped, "")
 	require.Contains(t, l.tell(t, "x").Cause, "dropped lines 1 times")
 }
+
+func TestEvacuationIsNamedAsTheReason(t *testing.T) {
+	var l log
+	l.add(0, "a", event.ZoneEvacuated, `"zone":"z1"`)
+	l.add(1, "b", event.ZoneEvacuated, `"zone":"z3"`)
+	l.add(9000, "a", event.RequestGivenUp, `"request_id":"r","attempts":0,"code":2010,"detail":"all out"`)
+	l.add(9100, "a", event.ItemStarted, `"job_id":"j","item_id":"i","sampler":"s"`)
+	l.add(9200, "a", event.ZoneTakenBack, `"zone":"z1"`)
+	l.add(9300, "a", event.ItemListed, `"job_id":"j","item_id":"i"`)
+	l.add(9400, "a", event.RequestGivenUp, `"request_id":"later","attempts":0,"code":2006,"detail":"none"`)
+	require.Equal(t, "evacuated meanwhile: z1", l.tell(t, "r").Cause)
+	require.Contains(t, l.tell(t, "r").Outcome, "2010 zone_evacuated")
+	require.Contains(t, l.tell(t, "i").Cause, "evacuated meanwhile: z1")
+	require.Equal(t, "none", l.tell(t, "later").Cause)
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -52,6 +52,7 @@
 	event.LogReadRecovered, event.ExecutorStarted, event.ExecutorStopped, event.ColdWorkWaits, event.GroupContactLost,
 	event.GroupContactRegained, event.CatalogApplied, event.CatalogRejected, event.LinesDropped, event.StandingChanged,
 	event.PageCut, event.LogDistanceChanged,
+	event.ZoneEvacuated, event.ZoneTakenBack,
 }
 
 const (
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -50,16 +50,28 @@
 		return fmt.Sprintf("refused on %s: %s", last.Node, meaning(last)), refusal(last, all)
 	default:
 		outcome = fmt.Sprintf("given up on %s after %d attempt(s): %s", last.Node, last.Fields.Count("attempts"), meaning(last))
+		out := evacuations(story.Lines, all)
+		if result.Code(last.Fields.Count("code")) == result.ZoneEvacuated && out != "" {
+			return outcome, out
+		}
 		if still := standstill(last, all); still != "" {
 			return outcome, still
 		}
 		if failed > 0 {
-			return outcome, "its attempts failed: " + endings(story.Lines)
+			return outcome, withReason("its attempts failed: "+endings(story.Lines), out)
 		}
-		return outcome, last.Fields.Text("detail")
+		return outcome, withReason(last.Fields.Text("detail"), out)
 	}
 }
 
+// withReason adds what else may have led to an end, if there is anything.
+func withReason(cause, reason string) string {
+	if reason == "" {
+		return cause
+	}
+	return cause + "; " + reason
+}
+
 // meaning spells the result code of a line out.
 func meaning(line Line) string {
 	code := result.Code(line.Fields.Count("code"))
@@ -177,6 +189,9 @@
 			told = append(told, fmt.Sprintf("%d %s", number, counted.text))
 		}
 	}
+	if out := evacuations(story.Lines, all); out != "" {
+		told = append(told, out)
+	}
 	if len(told) == 0 {
 		return "no trouble in its lines"
 	}
