Replace no machine of the simulation that is down already

Cause: replaceNode marked a machine as removed before it looked whether it was down; the fault that had it down started it again, nothing stopped it at the end, and the run panicked ("blocked goroutines remain"). Ruled out: the evacuation, as the panic's only living node was a removed machine.

--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -222,7 +222,9 @@
 func (w *World) replaceNode(fault Fault, machine *nodeMachine) {
 	w.mutex.Lock()
 	gone := machine.down || machine.removed
-	machine.removed = true
+	if !gone {
+		machine.removed = true
+	}
 	w.mutex.Unlock()
 	if gone {
 		return
--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -137,3 +137,16 @@
 		require.GreaterOrEqual(t, counts["steps whole of "+model], counts["steps of "+model]-len(faults), "%s: %v", model, counts)
 	}
 }
+
+// A machine that was down when its replacement was drawn counted as removed, was started
+// again by the fault that had it down, and ran on after the end of the run (seed 11 with
+// eight faults).
+func TestMachineThatIsDownIsNotReplaced(t *testing.T) {
+	faults := []Fault{
+		{Kind: KillAll, At: 8 * time.Second, For: 4 * time.Second},
+		{Kind: NodeReplaced, At: 9 * time.Second, For: 2 * time.Second},
+	}
+	world := play(t, example(301, nil), faults)
+	require.Empty(t, world.Truth.Violations())
+	require.Len(t, world.present(), len(world.nodes))
+}
