Split each step's seconds along the item that decided it

The executor's line of a listed item carries what it needs; batch_read (730, DEBUG) tells reads of pages.

--- a/internal/explain/steps.go
+++ b/internal/explain/steps.go
@@ -35,6 +35,15 @@
 	Last    string
 	Events  int
 	Sampler string
+	// Submit is how long the node took to keep the job, Wanted the number of groups that
+	// the trainer waits for, 0 if no line tells.
+	Submit time.Duration
+	Wanted int
+	// Chain splits the time of a step that ended, nil for others.
+	Chain *Chain
+
+	decider     decider
+	listedItems map[string]struct{}
 }
 
 // Steps returns the batch jobs that lines tell of, by model and submission.
@@ -72,6 +81,7 @@
 			s.Asked = line.Time
 		}
 		s.Model, s.Number, s.Items = line.Fields.Text("model"), line.Fields.Count("step"), line.Fields.Count("items")
+		s.Wanted, s.Submit = line.Fields.Count("wanted_groups"), milliseconds(line.Fields, "took_ms")
 	case event.ItemStarted:
 		if s.FirstStart.IsZero() {
 			s.FirstStart = line.Time
@@ -85,16 +95,30 @@
 	case event.BatchEnded:
 		if s.Ended.IsZero() {
 			s.Ended = line.Time
+			if s.decider.found {
+				split := s.chain(s.decider.line)
+				s.Chain = &split
+			}
 		}
 	}
 }
 
 func (s *Step) listed(line Line) {
+	item := line.Fields.Text("item_id")
+	if s.listedItems == nil {
+		s.listedItems = make(map[string]struct{})
+	}
+	if _, again := s.listedItems[item]; again {
+		// A former executor that is back in touch reads the same results.
+		return
+	}
+	s.listedItems[item] = struct{}{}
 	s.Listed++
+	s.decider.take(line, s.Wanted)
 	s.LastListed = line.Time
 	s.LastCompleted = ago(line, completedField(line))
 	s.LastScored = ago(line, "scored_ms_ago")
-	s.Last, s.Events, s.Sampler = line.Fields.Text("item_id"), line.Fields.Count("events"), line.Fields.Text("sampler")
+	s.Last, s.Events, s.Sampler = item, line.Fields.Count("events"), line.Fields.Text("sampler")
 }
 
 // completedField is the name under which a line tells when the text was complete.
--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -42,3 +42,43 @@
 	require.Equal(t, 2200*time.Millisecond, step.After(step.Ended))
 	require.Equal(t, []any{2, 2, "y", 9, "t"}, []any{step.Starts, step.Listed, step.Last, step.Events, step.Sampler})
 }
+
+// splitStep is a step of two groups, of which the trainer waits for one.
+func splitStep(t *testing.T) Step {
+	t.Helper()
+	var l log
+	l.add(100, "a", event.BatchSubmitted, `"job_id":"j","model":"m","step":3,"items":3,"wanted_groups":1,"took_ms":40`)
+	l.add(150, "b", event.ItemStarted, `"job_id":"j","item_id":"x"`)
+	l.add(700, "b", event.ItemListed, `"job_id":"j","item_id":"x","group":"g","group_open":1,"started_ms_ago":550,"completed_ms_ago":50,"scored_ms_ago":20`)
+	l.add(2000, "b", event.ItemListed, `"job_id":"j","item_id":"y","group":"g","group_open":0,"events":9,"runs":2,"expected_tokens":400,`+
+		`"started_ms_ago":1800,"completed_ms_ago":90,"scored_ms_ago":60,"prompt_ms":30,"paused_ms":100,"stalled_ms":200`)
+	l.add(2050, "c", event.ItemListed, `"job_id":"j","item_id":"y","group":"","group_open":0,"started_ms_ago":-1,"completed_ms_ago":-1`)
+	l.add(2100, "b", event.ItemListed, `"job_id":"j","item_id":"z","group":"h","group_open":0,"started_ms_ago":1800,"completed_ms_ago":10,"scored_ms_ago":10`)
+	l.add(2600, "b", event.BatchEnded, `"job_id":"j"`)
+	lines, _, err := Read(strings.NewReader(l.text.String()))
+	require.NoError(t, err)
+	steps := Steps(lines)
+	require.Len(t, steps, 1)
+	return steps[0]
+}
+
+func TestStepIsSplitAlongTheItemThatMadeTheLastWantedGroupWhole(t *testing.T) {
+	step := splitStep(t)
+	require.Equal(t, 3, step.Listed, "what a former executor reads again counts once")
+	require.NotNil(t, step.Chain)
+	require.Equal(t, Chain{
+		Item: "y", Events: 9, Expected: 400, Runs: 2, Submit: 40 * time.Millisecond, Weights: 50 * time.Millisecond,
+		Queue: 50 * time.Millisecond, Prompt: 30 * time.Millisecond, Paused: 100 * time.Millisecond, Stalled: 200 * time.Millisecond,
+		Tokens: 1380 * time.Millisecond, Reward: 30 * time.Millisecond, List: 60 * time.Millisecond, Read: 600 * time.Millisecond,
+	}, *step.Chain)
+	require.Equal(t, step.Submit+step.After(step.Ended), step.Chain.Total(), "the parts add up")
+}
+
+func TestMeansLeaveOutStepsThatDidNotEnd(t *testing.T) {
+	step := splitStep(t)
+	mean, ended := Means([]Step{step, {}, step})
+	require.Equal(t, 2, ended)
+	require.Equal(t, step.Chain.Total(), mean.Total())
+	_, ended = Means([]Step{{}})
+	require.Zero(t, ended)
+}
--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -36,7 +36,7 @@
 		return taken(id, foreign)
 	}
 	n.logger.Log(event.BatchSubmitted, "job_id", id, "step", spec.Step, "model", spec.Model,
-		"min_version", spec.MinVersion, "items", len(items), "took_ms", took.Milliseconds())
+		"min_version", spec.MinVersion, "items", len(items), "wanted_groups", spec.WantedGroups, "took_ms", took.Milliseconds())
 	return nil
 }
 
@@ -162,12 +162,13 @@
 	if err := n.requireJob(ctx, id, key); err != nil {
 		return Page{}, err
 	}
+	began := time.Now()
 	holdCtx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
 	for {
 		page, changed, settled := n.jobs.page(id, from)
 		if len(page.Results) > 0 {
-			return n.withTexts(ctx, id, page)
+			return n.withTexts(ctx, id, page, began)
 		}
 		if settled || n.Draining() || !n.jobs.await(holdCtx, changed) {
 			break
@@ -178,7 +179,7 @@
 		return Page{}, spread(err)
 	}
 	page, _, _ := n.jobs.page(id, from)
-	return n.withTexts(ctx, id, page)
+	return n.withTexts(ctx, id, page, began)
 }
 
 // textsPatience is how long the texts of a page are read before the page ends with those
@@ -186,9 +187,10 @@
 // of that the connection and the answer take their way too (the users' bound; chosen half).
 const textsPatience = 750 * time.Millisecond
 
-// withTexts reads the texts of a page. A page whose texts could not all be read in time
+// withTexts reads the texts of a page that was asked for at a time. A page whose texts could not all be read in time
 // ends before the first of the others.
-func (n *Node) withTexts(ctx context.Context, id string, page Page) (Page, error) {
+func (n *Node) withTexts(ctx context.Context, id string, page Page, asked time.Time) (Page, error) {
+	found := time.Now()
 	var wanted []*pathbendv1.Blob
 	for _, listed := range page.Results {
 		if listed.Text != nil {
@@ -207,6 +209,8 @@
 	default:
 		n.logger.Log(event.PageCut, "job_id", id, "results", len(page.Results), "of", whole, "detail", err.Error())
 	}
+	n.logger.Log(event.BatchRead, "job_id", id, "from", page.Next-len(page.Results), "next", page.Next, "total", page.Total,
+		"held_ms", found.Sub(asked).Milliseconds(), "texts_ms", time.Since(found).Milliseconds())
 	return page, nil
 }
 
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -303,7 +303,10 @@
 	e.node.logger.Log(event.ItemListed, "job_id", key.Job, "item_id", key.Item, "dead", dead,
 		"sampler", passed.Sampler, "events", passed.Events, "runs", passed.Runs,
 		"started_ms_ago", millisecondsSince(passed.Started, now), "completed_ms_ago", millisecondsSince(passed.Completed, now),
-		"scored_ms_ago", millisecondsSince(passed.Scored, now))
+		"scored_ms_ago", millisecondsSince(passed.Scored, now),
+		"prompt_ms", passed.Spent.Prompt.Milliseconds(), "paused_ms", passed.Spent.Paused.Milliseconds(),
+		"stalled_ms", passed.Spent.Stalled.Milliseconds(), "expected_tokens", passed.ExpectedTokens,
+		"group", passed.Group, "group_open", passed.GroupOpen, "carried", passed.Carried)
 }
 
 // millisecondsSince returns how long ago a moment was, -1 if it is not known.
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -100,11 +100,50 @@
 	Events  uint64
 	// Runs counts the times that it was sent to a sampler.
 	Runs int
+	// Group is the item's group, GroupOpen how many others of it have no place in the
+	// log yet. Carried is set if an earlier job brought the group already.
+	Group     string
+	GroupOpen int
+	Carried   bool
+	// ExpectedTokens is the caller's guess of its length.
+	ExpectedTokens uint64
+	// Spent tells where the time between Started and Completed went.
+	Spent Spent
 }
 
-func (m *Milestones) sent(samplerID string, now time.Time) {
+// Spent splits the time that an item took from its first start to its complete text.
+// What is in none of these, it was making events.
+type Spent struct {
+	// Prompt is the time from the starts of its runs to their first events.
+	Prompt time.Duration
+	// Paused is the time from the last sign of each run that ended early to the next
+	// run.
+	Paused time.Duration
+	// Stalled is that of gaps between events of stallFrom or longer.
+	Stalled time.Duration
+}
+
+// stallFrom is the gap between two events that counts as a stall: the users' sheets
+// bound pauses by 150 ms, and events come some 35 ms apart.
+const stallFrom = 150 * time.Millisecond
+
+// gap records the time from one event of a run, or from its start, to the next.
+func (s *Spent) gap(length time.Duration, first bool) {
+	switch {
+	case first:
+		s.Prompt += length
+	case length >= stallFrom:
+		s.Stalled += length
+	}
+}
+
+// sent records the start of a run. lastSign is the last event, or start, of the run
+// before it.
+func (m *Milestones) sent(samplerID string, lastSign, now time.Time) {
 	if m.Started.IsZero() {
 		m.Started = now
+	} else {
+		m.Spent.Paused += now.Sub(lastSign)
 	}
 	m.Sampler = samplerID
 	m.Runs++
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -168,8 +168,8 @@
 func (s *Scheduler) start(entry *item, chosen *samplerState, candidates int, now time.Time) Start {
 	s.runs++
 	entry.phase, entry.sampler, entry.run = running, chosen, s.runs
+	entry.milestones.sent(chosen.ID, entry.lastEvent, now)
 	entry.startedAt, entry.lastEvent = now, now
-	entry.milestones.sent(chosen.ID, now)
 	started := Start{
 		Key: entry.key, Run: s.runs, Sampler: chosen.Sampler, Job: entry.job.spec, Item: entry.spec,
 		AfterEvent: entry.events, Candidates: candidates, Running: chosen.running, Pace: chosen.pace,
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -41,6 +41,7 @@
 	entry.text = append(entry.text, event.Data...)
 	entry.events++
 	entry.versions = versions
+	entry.milestones.Spent.gap(now.Sub(entry.lastEvent), entry.lastEvent.Equal(entry.startedAt))
 	if entry.lastEvent != entry.startedAt {
 		s.observe(entry.sampler, now.Sub(entry.lastEvent))
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -207,7 +207,14 @@
 	s.free(entry)
 	delete(s.items, key)
 	entry.job.items = slices.DeleteFunc(entry.job.items, func(other *item) bool { return other == entry })
-	return entry.milestones, stopped
+	passed = entry.milestones
+	passed.Group, passed.Carried, passed.ExpectedTokens = entry.spec.Group, entry.carried, entry.spec.ExpectedTokens
+	for _, other := range entry.job.items {
+		if other.spec.Group == entry.spec.Group {
+			passed.GroupOpen++
+		}
+	}
+	return passed, stopped
 }
 
 // HasJob reports whether a job is known.
