Reach the log service through a peer while it does not answer this node

Change: a node whose calls to the store fail or stay unanswered, while no other call of it is answered, hands them to a peer, which makes each once and passes the store's own answer back. The executor keeps its share and its runs. Decisions are internal/relay.

Ways weighed: a quicker takeover (the text since the last save is lost, the share has still to lapse); a warm successor told by the executor (a second protocol, no help to the other nodes that are turned away). Only peers that the store answers are asked, and the answer is the store's: no peer vouches for anything.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,7 @@
 	JobUnread            Number = 719
 	ExecutorYielded      Number = 720
 	BatchRead            Number = 730
+	LogThroughPeer       Number = 731
 	GroupShareChanged    Number = 801
 	GroupContactLost     Number = 802
 	GroupContactRegained Number = 803
@@ -178,6 +179,7 @@
 	{JobUnread, "job_unread", slog.LevelWarn, "The items of a job, or the text that was made of one, could not be read from the log; the items are read again, the text is made again.", "Check the log service."},
 	{ExecutorYielded, "executor_yielded", slog.LevelInfo, "This node ran the batch jobs without its share, and samplers have work of another node, so it gives them up.", "Check the node's way to the log service."},
 	{BatchRead, "batch_read", slog.LevelDebug, "A page of results was read; the line tells its positions, how long the answer was held and what the texts took.", "None."},
+	{LogThroughPeer, "log_reached_through_peer", slog.LevelInfo, "The log service does not answer this node, and a peer that it answers makes this node's calls.", "Check the node's way to the log service."},
 	{GroupShareChanged, "group_share_changed", slog.LevelInfo, "The log service dealt partitions anew; the line tells the generation and this node's part.", "None."},
 	{GroupContactLost, "group_contact_lost", slog.LevelWarn, "This node cannot renew its share; it gives no orders until it can.", "Check the log service."},
 	{GroupContactRegained, "group_contact_regained", slog.LevelInfo, "This node renews its share again.", "None."},
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -10,6 +10,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/relay"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/wait"
 )
@@ -52,6 +53,9 @@
 type announcedNode struct {
 	// millicores is the processor time a second that it may use.
 	millicores uint64
+	// zone and address are where it makes calls for others.
+	zone    string
+	address string
 	// readAt is when this process read of it.
 	readAt time.Time
 }
@@ -76,7 +80,9 @@
 			d.logger.Log(event.RecordSkipped, "topic", d.follower.Partition.Topic, "offset", record.Offset, "detail", err.Error())
 			continue
 		}
-		d.nodes[record.Key] = announcedNode{millicores: announced.Millicores, readAt: now}
+		d.nodes[record.Key] = announcedNode{
+			millicores: announced.Millicores, zone: announced.Zone, address: announced.Address, readAt: now,
+		}
 	}
 }
 
@@ -145,6 +151,30 @@
 	return d.nodes[node].millicores
 }
 
+// peers lists the nodes that make calls for others.
+func (d *directory) peers(now time.Time) []relay.Peer {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var peers []relay.Peer
+	for name, node := range d.nodes {
+		if node.address != "" && now.Sub(node.readAt) <= announcedFor {
+			peers = append(peers, relay.Peer{Name: name, Zone: node.zone, Address: node.address})
+		}
+	}
+	return peers
+}
+
+// Peers lists the nodes that make calls to the log service for others.
+func (n *Node) Peers() []relay.Peer { return n.directory.peers(time.Now()) }
+
+// current reports whether a node's entry says what it would announce.
+func (d *directory) current(settings *Settings) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	entry := d.nodes[settings.Name]
+	return entry.millicores == settings.Millicores && entry.address == settings.PeerAddress() && entry.zone == settings.Zone
+}
+
 // announce tells the other nodes this node's capacity, again and again. A process
 // that starts again on its machine leaves the entry that it finds: when all start at
 // once, their entries would only be in the way of their reads.
@@ -154,7 +184,7 @@
 	}
 	for !n.directoryRead() && wait.For(ctx, unreadPause) {
 	}
-	if n.directory.millicores(n.settings.Name) == n.settings.Millicores {
+	if n.directory.current(&n.settings) {
 		wait.For(ctx, rand.N(announceInterval))
 	}
 	for ctx.Err() == nil {
@@ -173,7 +203,9 @@
 }
 
 func (n *Node) announceOnce(ctx context.Context) error {
-	value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: n.settings.Name, Millicores: n.settings.Millicores})
+	value, err := proto.Marshal(&pathbendv1.NodeCapacity{
+		Node: n.settings.Name, Millicores: n.settings.Millicores, Zone: n.settings.Zone, Address: n.settings.PeerAddress(),
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"strconv"
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
@@ -175,6 +177,14 @@
 	keepMargin = 30 * time.Second
 )
 
+// PeerAddress is where this node listens to others, empty where there is no port for that.
+func (s *Settings) PeerAddress() string {
+	if s.PeerPorts[0] == 0 {
+		return ""
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0]))
+}
+
 // shareTTL is how long a share of the partitions outlasts the last renewal.
 func (s *Settings) shareTTL() time.Duration {
 	return time.Duration(float64(s.ShortestTTL) * shareTTLs)
