Cut each node off from the store in the simulation: work goes on through peers

Nodes of the simulation listen to each other, so every cut from the store that it draws goes through peers too; a node of unknown capacity announces its address. TestNodesThatAreCutOff- FromTheStoreKeepTheirWork cuts the six nodes in turn for 5 s each: no step is lost, and the executor's share is never at risk. The soak's nodes do not listen to each other yet.

--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -117,7 +117,7 @@
 // awaitAnnouncements waits until any node's machine is known. The nodes of a new deployment
 // read an empty directory, and by that each of them would be as large as any.
 func (n *Node) awaitAnnouncements(ctx context.Context) {
-	if n.settings.Millicores == 0 {
+	if n.settings.Millicores == 0 && n.settings.PeerAddress() == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, emptyPatience)
@@ -179,7 +179,7 @@
 // that starts again on its machine leaves the entry that it finds: when all start at
 // once, their entries would only be in the way of their reads.
 func (n *Node) announce(ctx context.Context) {
-	if n.settings.Millicores == 0 {
+	if n.settings.Millicores == 0 && n.settings.PeerAddress() == "" {
 		return
 	}
 	for !n.directoryRead() && wait.For(ctx, unreadPause) {
--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,3 +152,39 @@
 	require.Empty(t, world.Truth.Violations())
 	require.Len(t, world.present(), len(world.nodes))
 }
+
+// An executor that could not reach the store lost its share after 1.5 s, and each step
+// under way with it what was not saved of its texts.
+func TestNodesThatAreCutOffFromTheStoreKeepTheirWork(t *testing.T) {
+	const cutFor, pause = 5 * time.Second, 7 * time.Second
+	var faults []Fault
+	for node := range uint64(6) {
+		faults = append(faults, Fault{Kind: NodeCutFromStore, At: time.Duration(node+1)*pause - cutFor, For: cutFor, Target: node})
+	}
+	logs := &lines{}
+	world := play(t, example(400, logs), faults)
+	require.Empty(t, world.Truth.Violations())
+	counts := world.Truth.counts
+	require.Equal(t, counts["steps"], counts["steps whole"], counts)
+	text := logs.String()
+	require.Contains(t, text, `"msg":"log_reached_through_peer"`)
+	require.NotContains(t, text, `"msg":"group_contact_lost"`, "the executor's share is at risk")
+}
+
+// lines collects what nodes log.
+type lines struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (l *lines) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *lines) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
+}
--- a/internal/platformsim/surroundings.go
+++ b/internal/platformsim/surroundings.go
@@ -71,7 +71,11 @@
 func (simulated) Front(node string) string     { return node + frontPort }
 func (simulated) Readiness(node string) string { return node + readinessPort }
 
+// peerPort is where nodes listen to each other.
+const peerPort = 7000
+
 func (s simulated) StartNode(settings platform.Settings, logs io.Writer) (NodeProcess, error) {
+	settings.PortRange = []int{peerPort, peerPort}
 	logger := event.Discard()
 	if logs != nil {
 		logger = event.NewLogger(logs, slog.LevelDebug, "node", settings.Node)
