--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -36,6 +36,17 @@
 	coldCount   prometheus.Gauge
 	coldUsed    prometheus.Gauge
 	coldWaiting prometheus.Gauge
+	peerCalls   *prometheus.CounterVec
+}
+
+// PeerCallAsked counts a call to the log that a peer was asked to make.
+func (m *Metrics) PeerCallAsked(answered bool) {
+	m.peerCalls.WithLabelValues("asked", strconv.FormatBool(answered)).Inc()
+}
+
+// PeerCallMade counts a call to the log that this node made for a peer.
+func (m *Metrics) PeerCallMade(answered bool) {
+	m.peerCalls.WithLabelValues("made", strconv.FormatBool(answered)).Inc()
 }
 
 func newMetrics(n *Node) *Metrics {
@@ -69,7 +80,8 @@
 	m.coldUsed = prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_cold_requests_last_second", Help: "Items sent to cold samplers in the last second, while this node executes."})
 	m.coldWaiting = prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_items_waiting_for_warmth", Help: "Items that wait while samplers with free slots got all that they may get in a second, while this node executes."})
 	m.registry.MustRegister(m.coldCount, m.coldUsed, m.coldWaiting)
-	m.registry.MustRegister(m.reports, m.reportAge, m.orders, m.reserve)
+	m.peerCalls = counters("pathbend_log_peer_calls_total", "Calls to the log through peers, by whether this node asked for them or made them, and whether the log answered.", "role", "answered")
+	m.registry.MustRegister(m.peerCalls, m.reports, m.reportAge, m.orders, m.reserve)
 	m.registry.MustRegister(m.requests, m.duration, m.submissions, m.submitting, m.appends, m.appending, m.runEnds,
 		m.moves, m.moving, m.started, m.moved, m.executing)
 	m.gauge("pathbend_catalog_version", "Version of the routes and services in force.", func() float64 {
