--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -7,7 +7,6 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
-	"github.com/pathbend/pathbend/internal/longpoll"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
@@ -58,7 +57,7 @@
 	if err != nil {
 		return notTaken(err)
 	}
-	spec.ItemIds, spec.ItemGroups, spec.Items = itemIDs(items), itemGroups(items), named
+	spec.ItemIds, spec.Items = itemIDs(items), named
 	entry := &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
 	return b.record(ctx, patience-time.Since(began), known, entry)
 }
@@ -85,21 +84,6 @@
 	return ids
 }
 
-// itemGroups numbers the group of each item.
-func itemGroups(items []*pathbendv1.BatchItem) []uint32 {
-	numbers := make(map[string]uint32)
-	groups := make([]uint32, 0, len(items))
-	for _, item := range items {
-		number, known := numbers[item.Group]
-		if !known {
-			number = uint32(len(numbers))
-			numbers[item.Group] = number
-		}
-		groups = append(groups, number)
-	}
-	return groups
-}
-
 // notTaken turns a failure to keep a job's items into a promise that the job was
 // not taken, whatever became of the append.
 func notTaken(err error) error {
@@ -178,14 +162,13 @@
 	if err := n.requireJob(ctx, id, key); err != nil {
 		return Page{}, err
 	}
-	read := longpoll.Read{From: from, Asked: time.Now(), Hold: hold, Due: n.dueOf(id)}
+	began := time.Now()
 	holdCtx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
-	n.awaitWanted(holdCtx, id, read)
 	for {
 		page, changed, settled := n.jobs.page(id, from)
 		if len(page.Results) > 0 {
-			return n.withTexts(ctx, id, page, read.Asked)
+			return n.withTexts(ctx, id, page, began)
 		}
 		if settled || n.Draining() || !n.jobs.await(holdCtx, changed) {
 			break
@@ -196,39 +179,7 @@
 		return Page{}, spread(err)
 	}
 	page, _, _ := n.jobs.page(id, from)
-	return n.withTexts(ctx, id, page, read.Asked)
-}
-
-// awaitWanted holds a read until the caller has a reason to act on what there is.
-func (n *Node) awaitWanted(ctx context.Context, id string, read longpoll.Read) {
-	ctx, cancel := context.WithDeadline(ctx, read.Due)
-	defer cancel()
-	for !n.Draining() {
-		holds, following := false, false
-		changed := n.jobs.view(id, func(job *ledger.Job) {
-			if job != nil {
-				following = len(job.Results) <= read.From && job.Open()
-				holds = following || read.Holds(job, time.Now())
-			}
-		})
-		if !holds || !n.jobs.await(ctx, changed) {
-			return
-		}
-	}
-}
-
-// dueOf returns when the results of a job are wanted, now if it is not known.
-func (n *Node) dueOf(id string) time.Time {
-	due := time.Now()
-	n.jobs.view(id, func(job *ledger.Job) {
-		if job == nil {
-			return
-		}
-		if route := n.executor.routeOf(job.Spec); route != nil && route.Due > 0 {
-			due = job.AskedAt().Add(route.Due)
-		}
-	})
-	return due
+	return n.withTexts(ctx, id, page, began)
 }
 
 // textsPatience is how long the texts of a page are read before the page ends with those
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,8 +19,6 @@
 	// Score is the stamp of the reward call's answer; RewardID names that call.
 	Score    string
 	RewardID string
-	// ReadAt is when this process read the result.
-	ReadAt time.Time
 }
 
 // Progress is the text of an item that is not finished.
@@ -46,16 +44,6 @@
 
 	items  map[string]struct{}
 	listed map[string]int
-	groups groups
-}
-
-// AskedAt is when the job was submitted by the clock of the node that took it, or when
-// this process read that if it is earlier.
-func (j *Job) AskedAt() time.Time {
-	if submitted := time.UnixMilli(j.Spec.SubmittedUnixMs); submitted.Before(j.ReceivedAt) {
-		return submitted
-	}
-	return j.ReceivedAt
 }
 
 // Total is the number of items.
@@ -76,10 +64,6 @@
 // Complete reports whether every item has a result.
 func (j *Job) Complete() bool { return len(j.Results) == len(j.items) }
 
-// Undecided reports whether the caller surely waits for more results: fewer groups are
-// whole than it wants.
-func (j *Job) Undecided() bool { return j.groups.whole < j.groups.wanted }
-
 // Open reports whether work on the job is wanted.
 func (j *Job) Open() bool { return !j.Ended && !j.Complete() }
 
@@ -149,7 +133,7 @@
 	case *pathbendv1.LedgerEntry_Ended:
 		return l.end(entry.JobId), nil
 	case *pathbendv1.LedgerEntry_Listed:
-		return l.list(entry.JobId, fact.Listed.Results, now), nil
+		return l.list(entry.JobId, fact.Listed.Results), nil
 	case *pathbendv1.LedgerEntry_Progress:
 		return l.advance(entry.JobId, fact.Progress.Items), nil
 	case *pathbendv1.LedgerEntry_Claimed:
@@ -165,7 +149,6 @@
 	job := &Job{
 		ID: id, Spec: spec, ReceivedAt: now, Ended: l.ended[id],
 		items: make(map[string]struct{}, len(spec.ItemIds)), listed: make(map[string]int),
-		groups: newGroups(spec),
 	}
 	for _, itemID := range spec.ItemIds {
 		job.items[itemID] = struct{}{}
@@ -189,14 +172,14 @@
 	return Change{Kind: Ended, Job: job, Results: len(job.Results)}
 }
 
-func (l *Ledger) list(id string, results []*pathbendv1.BatchResult, now time.Time) Change {
+func (l *Ledger) list(id string, results []*pathbendv1.BatchResult) Change {
 	job, ok := l.jobs[id]
 	if !ok {
 		return Change{}
 	}
 	from := len(job.Results)
 	for _, listed := range results {
-		l.listOne(job, listed, now)
+		l.listOne(job, listed)
 	}
 	if len(job.Results) == from {
 		return Change{}
@@ -206,17 +189,16 @@
 	}
 }
 
-func (l *Ledger) listOne(job *Job, listed *pathbendv1.BatchResult, now time.Time) {
+func (l *Ledger) listOne(job *Job, listed *pathbendv1.BatchResult) {
 	if !job.Has(listed.ItemId) || job.Listed(listed.ItemId) {
 		return
 	}
 	added := Result{
 		ItemID: listed.ItemId, Dead: listed.Dead, Text: listed.Text, Versions: listed.Versions,
-		Score: listed.Score, RewardID: listed.RewardId, ReadAt: now,
+		Score: listed.Score, RewardID: listed.RewardId,
 	}
 	job.listed[listed.ItemId] = len(job.Results)
 	job.Results = append(job.Results, added)
-	job.groups.list(listed.ItemId)
 	delete(l.progress, listed.ItemId)
 	if !listed.Dead {
 		l.finished[listed.ItemId] = added
