--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -106,6 +106,27 @@
 	}
 }
 
+// A zone of three lies in another region than the store. All rules hold there, calm or
+// under faults.
+func TestDistantStore(t *testing.T) {
+	for _, distance := range []time.Duration{45 * time.Millisecond, 120 * time.Millisecond} {
+		for seed := uint64(1); seed <= 2; seed++ {
+			t.Run(fmt.Sprint(distance, "/seed=", seed), func(t *testing.T) {
+				t.Parallel()
+				options := example(seed, nil)
+				options.Distance = distance
+				var faults []Fault
+				if seed > 1 {
+					faults = Draw(seed, faultTime, *faultsRun)
+				}
+				world := play(t, options, faults)
+				require.Empty(t, world.Truth.Violations(), "%v", faults)
+				require.Positive(t, world.Truth.counts["steps whole"], "%v", faults)
+			})
+		}
+	}
+}
+
 // Each kind of fault alone, twice, under all kinds of work.
 func TestEachFault(t *testing.T) {
 	for kind := range faultKinds {
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -28,6 +28,7 @@
 	storePort     = ":82"
 	samplerPort   = ":90"
 	storeMachine  = "store"
+	farZone       = "c"
 	graceS        = 8
 
 	host              = "app.example"
@@ -37,7 +38,7 @@
 	applicationName   = "api"
 )
 
-var zones = []string{"a", "b", "c"}
+var zones = []string{"a", "b", farZone}
 
 // Options describe a world.
 type Options struct {
@@ -49,6 +50,9 @@
 	Logs         io.Writer
 	// Surroundings are simulated ones unless set.
 	Surroundings Surroundings
+	// Distance is how far away farZone lies, with its nodes, samplers and callers, from the
+	// store and all else, one way; next door if it is 0.
+	Distance time.Duration
 	// Nameless is set where samplers cannot tell from which node a request comes:
 	// then trouble of one machine counts as trouble of all.
 	Nameless bool
@@ -105,7 +109,7 @@
 		tenants: newTenantBook(),
 	}
 	if w.network == nil {
-		w.network = newSimulated(options.Seed)
+		w.network = newSimulated(options.Seed, options.Distance)
 	}
 	for _, model := range options.Models {
 		w.versions[model] = 1
