--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -35,10 +35,6 @@
 	retryHint = 200 * time.Millisecond
 	// readBytes bounds one read.
 	readBytes = 512 << 10
-	// stepOver bounds what a read may return of others between two wanted blobs, in bytes, by
-	// the size of the wanted ones: a call of its own costs the way to the log, and is priced
-	// as some 12 KB read are (chosen below that).
-	stepOver = 8 << 10
 	// readsTogether is how many reads of one Get are under way at once. The texts of a job
 	// lie among those of others, in some 20 to 40 places: one after the other, each costs
 	// the way to the log and back (chosen: as many as connections to it are kept).
@@ -275,19 +271,11 @@
 	run := adjacentRun{}
 	for i, blob := range wanted {
 		next := first.Offset + uint64(run.records)
-		if blob.Partition != first.Partition || blob.Offset < next {
+		bytes := run.bytes + int(blob.Bytes) + int(blob.Records)*sharedlog.RecordFraming
+		if blob.Partition != first.Partition || blob.Offset != next || len(run.blobs) > 0 && bytes > readBytes {
 			break
 		}
-		gap := int(blob.Offset - next)
-		between := 0
-		if gap > 0 {
-			between = gap * (run.bytes/run.records + 1)
-		}
-		bytes := run.bytes + between + int(blob.Bytes) + int(blob.Records)*sharedlog.RecordFraming
-		if between > stepOver || len(run.blobs) > 0 && bytes > readBytes {
-			break
-		}
-		run = adjacentRun{blobs: wanted[:i+1], records: run.records + gap + int(blob.Records), bytes: bytes}
+		run = adjacentRun{blobs: wanted[:i+1], records: run.records + int(blob.Records), bytes: bytes}
 	}
 	return run
 }
