--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -218,7 +218,7 @@
 			move.Reason = "not brought again"
 		case move.Silent > silenceLimit && !copied.sampler.isLoading(copied.job.spec.Model):
 			move.Reason = "silent"
-			copied.sampler.pause(now)
+			copied.sampler.lost(now)
 		default:
 			continue
 		}
--- a/internal/schedule/cold_test.go
+++ b/internal/schedule/cold_test.go
@@ -47,8 +47,7 @@
 	return count
 }
 
-// refuse ends runs as refused, which takes them off their sampler but not out of its
-// budget.
+// end ends runs, which takes them off their sampler but not out of its budget.
 func (b *bench) end(starts []Start, ending Ending) {
 	for _, start := range starts {
 		b.s.RunEnded(start.Key, start.Run, ending, b.now)
@@ -127,6 +126,16 @@
 	require.True(t, b.s.samplers["s"].budget.Cold(b.now))
 }
 
+// A refusal comes from a sampler that lives: of 421 for other weights there are many at
+// each new version.
+func TestSamplerThatRefusesIsNotTakenForCold(t *testing.T) {
+	b := coldBench(t, coldSampler("s", 0))
+	starts := b.starts()
+	b.end(starts[:1], Refused)
+	b.end(starts[1:2], Failed)
+	require.False(t, b.s.samplers["s"].budget.Cold(b.now))
+}
+
 func TestNewSamplerIsTakenForCold(t *testing.T) {
 	b := coldBench(t, coldSampler("old", 0))
 	b.s.Samplers([]Sampler{coldSampler("old", 0), coldSampler("new", 0)}, b.now)
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -40,7 +40,7 @@
 		switch {
 		case silent > silenceLimit && !entry.sampler.isLoading(entry.job.spec.Model):
 			move.Reason = "silent"
-			entry.sampler.pause(now)
+			entry.sampler.lost(now)
 		case float64(entry.sampler.pace) > moveRatio*float64(brisk) && !noRoom[entry.job]:
 			best, _ := s.choose(entry, now)
 			noRoom[entry.job] = best == nil
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -156,9 +156,12 @@
 		return s.failed(entry, sampler.ID, now)
 	case WrongSampler:
 		sampler.Leaving = true
-	case Refused, Broken:
+	case Refused:
 		sampler.pause(now)
 		entry.rest(now)
+	case Broken:
+		sampler.lost(now)
+		entry.rest(now)
 	}
 	return Verdict{}
 }
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -164,9 +164,14 @@
 // completed records a run that ended well.
 func (s *samplerState) completed() { s.failing -= failingWeight * s.failing }
 
-// pause keeps work away after a failure. What did not answer may have started anew.
-func (s *samplerState) pause(now time.Time) {
+// lost records that the sampler broke off or was silent: it may have started anew.
+func (s *samplerState) lost(now time.Time) {
 	s.budget.Doubt(now)
+	s.pause(now)
+}
+
+// pause keeps work away after a failure.
+func (s *samplerState) pause(now time.Time) {
 	s.notBefore = now.Add(min(basePause<<min(s.failures, 6), maxPause))
 	s.failures++
 }
