Take a zone that is taken back for cold; let no older list of samplers follow a newer one

Cause: samplers of an evacuated zone may have become cold shortly before it is taken back, and their entries tell it one to two seconds later. And the list could be handed to the fleet by two callers (a new list, a new configuration), the older one last. Change: both the executor and the nodes doubt such samplers from that moment on; limits that an entry named stay until the endpoint is warm; one lock around loading and handing over the list.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,7 +162,7 @@
 func (f *Fleet) Evacuate(zones evacuation.Zones) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.table.Evacuate(zones)
+	f.table.Evacuate(zones, time.Now())
 }
 
 // Evacuated implements dispatch.Balancer.
--- a/internal/hosted/evacuation.go
+++ b/internal/hosted/evacuation.go
@@ -58,6 +58,6 @@
 func (e *executor) takeEvacuations() {
 	if current := e.node.evacuated.Load(); current != e.evacuated {
 		e.evacuated = current
-		e.scheduler.Evacuate(*current)
+		e.scheduler.Evacuate(*current, time.Now())
 	}
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -56,6 +56,9 @@
 	usage      *usage
 	scaler     *scaler
 
+	// fleetMutex keeps an older list of samplers from following a newer one.
+	fleetMutex sync.Mutex
+
 	catalog  atomic.Pointer[catalog.Catalog]
 	samplers atomic.Pointer[[]schedule.Sampler]
 	// evacuated holds the zones whose samplers get nothing new.
@@ -219,9 +222,7 @@
 	if current == nil {
 		n.logger.Log(event.NodeReady, "version", taken.Version)
 	}
-	if listed := n.samplers.Load(); listed != nil {
-		n.updateFleet(*listed)
-	}
+	n.updateFleet()
 	n.configuredOnce.Do(func() { close(n.configured) })
 	n.noteInformed()
 	n.executor.wake()
@@ -271,25 +272,31 @@
 
 // TakeSamplers applies the entire list of samplers.
 func (n *Node) TakeSamplers(listed []schedule.Sampler) {
-	n.updateFleet(listed)
 	n.samplers.Store(&listed)
+	n.updateFleet()
 	n.noteInformed()
 	n.executor.wake()
 }
 
-// updateFleet tells the fleet of the samplers, and what this node may send to those that
-// are cold.
-func (n *Node) updateFleet(listed []schedule.Sampler) {
+// updateFleet tells the fleet of the newest list of samplers, and what this node may send
+// to those that are cold.
+func (n *Node) updateFleet() {
+	n.fleetMutex.Lock()
+	defer n.fleetMutex.Unlock()
+	listed := n.samplers.Load()
+	if listed == nil {
+		return
+	}
 	current := n.Catalog()
-	nodes := n.directory.names()
-	machines := make([]fleet.Machine, 0, len(listed))
-	for _, sampler := range listed {
+	nodes, evacuated := n.directory.names(), n.evacuated.Load()
+	machines := make([]fleet.Machine, 0, len(*listed))
+	for _, sampler := range *listed {
 		machine := fleet.Machine{
 			ID: sampler.ID, Role: fleet.RoleBackEnd, Pool: sampler.Service,
 			Address: sampler.Address, Zone: sampler.Zone, Leaving: sampler.Leaving, Capacity: sampler.Slots,
 			ColdFor: sampler.ColdFor,
 		}
-		if current != nil && sampler.ColdFor > 0 {
+		if current != nil && (sampler.ColdFor > 0 || evacuated.Has(sampler.Zone)) {
 			machine.Limits = n.requestLimits(current, sampler, nodes)
 		}
 		machines = append(machines, machine)
--- a/internal/routing/cold_test.go
+++ b/internal/routing/cold_test.go
@@ -114,3 +114,15 @@
 	_, cold := coldTable(0, nil, "a").RoomAgain(&Request{Pool: "p", Now: coldNow, Excluded: []string{"a"}})
 	require.False(t, cold)
 }
+
+func TestEndpointsOfAZoneThatIsTakenBackAreTakenForCold(t *testing.T) {
+	table := coldTable(2, map[string]bool{"a": true}, "a")
+	later := coldNow.Add(time.Minute)
+	table.Evacuate(evacuated(""), later)
+	table.Evacuate(evacuated(), later)
+	warm := []Machine{{ID: "a", Pool: "p", Address: "a"}}
+	table.Update(warm)
+	table.NoteCold(warm, later)
+	require.True(t, table.Get("a").Warmup.Cold(later), "its entry is some seconds old")
+	require.Equal(t, 2, table.Get("a").Warmup.Room(later))
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -171,7 +171,7 @@
 		NewApplicationProfile(newRandom()), NewHostedProfile(newRandom(), "n"), NewGenerationProfile(newRandom()),
 	} {
 		table := NewTable()
-		table.Evacuate(evacuated("a"))
+		table.Evacuate(evacuated("a"), now)
 		table.Update([]Machine{{ID: "a1", Pool: "p", Address: "a1", Zone: "a"}, {ID: "b1", Pool: "p", Address: "b1", Zone: "b"}})
 		request := &Request{Pool: "p", Zone: "a", Now: now}
 		for range 20 {
@@ -182,7 +182,7 @@
 			table.Get("b1").Failed(now)
 		}
 		require.Equal(t, "b1", profile.Pick(table, request).ID, "a doubtful endpoint, not an evacuated one")
-		table.Evacuate(evacuated("b"))
+		table.Evacuate(evacuated("b"), now)
 		require.Equal(t, "a1", profile.Pick(table, request).ID)
 	}
 }
@@ -191,7 +191,7 @@
 	table := NewTable()
 	require.False(t, table.Evacuated("p"), "nothing is there")
 	table.Update([]Machine{{ID: "a1", Pool: "p", Address: "a1", Zone: "a"}, {ID: "b1", Pool: "p", Address: "b1", Zone: "b"}})
-	table.Evacuate(evacuated("a"))
+	table.Evacuate(evacuated("a"), now)
 	require.False(t, table.Evacuated("p"))
 	table.MarkLeaving("b1")
 	require.True(t, table.Evacuated("p"))
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -104,11 +104,14 @@
 	return changes
 }
 
-// NoteCold applies what the machine list says of cold endpoints.
+// NoteCold applies what the machine list says of cold endpoints. Limits that it named
+// before last until the endpoint is warm.
 func (t *Table) NoteCold(machines []Machine, now time.Time) {
 	for _, machine := range machines {
 		endpoint := t.byID[machine.ID]
-		endpoint.Warmup.SetLimits(machine.Limits)
+		if machine.Limits != (warmup.Limits{}) {
+			endpoint.Warmup.SetLimits(machine.Limits)
+		}
 		endpoint.Warmup.Told(machine.ColdFor, now)
 	}
 }
@@ -141,10 +144,14 @@
 }
 
 // Evacuate applies the list of evacuated zones.
-func (t *Table) Evacuate(zones evacuation.Zones) {
+func (t *Table) Evacuate(zones evacuation.Zones, now time.Time) {
 	t.evacuated = zones
 	for _, endpoint := range t.byID {
-		endpoint.Evacuated = zones.Has(endpoint.Zone)
+		before := endpoint.Evacuated
+		if endpoint.Evacuated = zones.Has(endpoint.Zone); before && !endpoint.Evacuated {
+			// It may have become cold shortly before.
+			endpoint.Warmup.Doubt(now)
+		}
 	}
 }
 
--- a/internal/schedule/cold_test.go
+++ b/internal/schedule/cold_test.go
@@ -155,3 +155,13 @@
 	b.now = b.now.Add(3 * time.Second)
 	require.True(t, b.s.worthMove(entry, b.s.samplers["fit"], b.s.briskPace(), b.now))
 }
+
+// The samplers of an evacuated zone may have become cold shortly before it is taken back.
+func TestZoneThatIsTakenBackIsTakenForCold(t *testing.T) {
+	b := coldBench(t, coldSampler("s", 0))
+	b.s.Evacuate(evacuated(""), b.now)
+	require.Empty(t, b.starts())
+	b.now = b.now.Add(time.Minute)
+	b.s.Evacuate(evacuated(), b.now)
+	require.Len(t, b.starts(), coldLimit)
+}
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -57,10 +57,13 @@
 
 // Evacuate applies the list of evacuated zones: their samplers get no new run. Runs
 // that they have go on.
-func (s *Scheduler) Evacuate(zones evacuation.Zones) {
+func (s *Scheduler) Evacuate(zones evacuation.Zones, now time.Time) {
 	s.evacuated = zones
 	for _, state := range s.samplers {
-		state.evacuated = zones.Has(state.Zone)
+		before := state.evacuated
+		if state.evacuated = zones.Has(state.Zone); before && !state.evacuated {
+			state.budget.Doubt(now)
+		}
 	}
 }
 
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -469,7 +469,7 @@
 	b.addJob(b.jobOf("j", 1, "g:900", "g:800", "g:700"), policy(time.Second), kept{})
 	running := b.starts()
 	require.Len(t, running, 3)
-	b.s.Evacuate(evacuated("a"))
+	b.s.Evacuate(evacuated("a"), b.now)
 	b.addJob(b.jobOf("k", 1, "g:900", "g:800"), policy(time.Second), kept{})
 	for _, start := range running {
 		require.True(t, b.feed(start, 1, 5, 1))
@@ -481,7 +481,7 @@
 	require.Equal(t, "b1", starts[0].Sampler.ID)
 	b.s.Samplers([]Sampler{inZone("a", sampler("a1", 2, 1)), inZone("a", sampler("a2", 2, 1)), inZone("b", sampler("b1", 1, 1))}, b.now)
 	require.Empty(t, b.starts(), "also samplers that came since get nothing")
-	b.s.Evacuate(evacuated())
+	b.s.Evacuate(evacuated(), b.now)
 	require.Len(t, b.starts(), 1, "the zone is taken back")
 }
 
@@ -493,7 +493,7 @@
 		b.now = b.now.Add(200 * time.Millisecond)
 		require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: id, Version: 1, Data: []byte("x")}, b.now))
 	}
-	b.s.Evacuate(evacuated("a"))
+	b.s.Evacuate(evacuated("a"), b.now)
 	b.s.Samplers([]Sampler{sampler("slow", 1, 1), inZone("a", sampler("fit", 1, 1))}, b.now)
 	require.Empty(t, b.s.Moves(b.now))
 }
