Serve application requests and reward calls in the regions allowed

Cause: a route's and a tenant's allowedRegions bound nothing; requests and reward calls went to any sampler of the service. Ruled out: a check before the first attempt only (a further, hedged or repeated attempt picks anew); leaving samplers of other regions out of the table (other routes use them). Change: routing.AllowedRegion, a filter of every pick, with the regions in each attempt's routing.Request; SameRegion and the order of PreferredSubset prefer zone, then region. Result code 2011 (region_unavailable): without Retry-After where no region of the deployment is allowed, at submission too for jobs and their reward calls; with it where nothing serves there now.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/routing"
@@ -30,7 +31,9 @@
 	mutex     sync.Mutex
 	endpoints []*routing.Endpoint
 	leaving   []string
-	inFlight  atomic.Int64
+	// asked are the regions of each request for an endpoint.
+	asked    []locality.Regions
+	inFlight atomic.Int64
 	// roomAgain is when cold endpoints have room, zero if none is cold.
 	roomAgain time.Time
 }
@@ -44,6 +47,9 @@
 }
 
 func (b *listBalancer) Pick(request *routing.Request) *routing.Endpoint {
+	b.mutex.Lock()
+	b.asked = append(b.asked, request.Regions)
+	b.mutex.Unlock()
 	if len(request.Excluded) >= len(b.endpoints) {
 		return nil
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/routing"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -45,6 +46,8 @@
 	HedgeAfter time.Duration
 	// AnyZone leaves the zones of the back ends out of the choice.
 	AnyZone bool
+	// Regions are those in which the request may be served.
+	Regions locality.Regions
 	// Excluded are back ends that must not get the request.
 	Excluded []string
 	// Permitted is asked before every attempt but the first; an error ends the
@@ -126,7 +129,7 @@
 		Deadline:    request.Deadline,
 	}
 	received := time.Now()
-	route := &routing.Request{Pool: request.Pool, Zone: d.zone, Excluded: request.Excluded}
+	route := &routing.Request{Pool: request.Pool, Zone: d.zone, Regions: request.Regions, Excluded: request.Excluded}
 	if request.AnyZone {
 		route.Zone = ""
 	}
@@ -221,6 +224,9 @@
 		return result.New(result.SamplersCold, "the back ends of pool %q that live are cold and have their share", route.Pool).
 			WithRetryAfter(max(at.Sub(route.Now), retryHint))
 	}
+	if route.Regions.Bound() {
+		return result.New(result.RegionUnavailable, "no live back end in pool %q in %v", route.Pool, route.Regions).WithRetryAfter(retryHint)
+	}
 	return result.New(result.NoBackEnd, "no live back end in pool %q", route.Pool).WithRetryAfter(retryHint)
 }
 
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
@@ -96,3 +97,19 @@
 	require.Equal(t, 3, answer.Attempts)
 	require.EqualValues(t, 1, thirdRuns.Load())
 }
+
+// The first attempt, the one beside it and the one after both are all bound.
+func TestRegionsBindEveryAttempt(t *testing.T) {
+	failing := func(writer http.ResponseWriter, _ *http.Request) {
+		time.Sleep(30 * time.Millisecond)
+		writer.WriteHeader(http.StatusInternalServerError)
+	}
+	first, _ := backEnd(t, failing)
+	second, _ := backEnd(t, failing)
+	request := requestOf(false)
+	request.HedgeAfter, request.MaxAttempts, request.Regions = 5*time.Millisecond, 3, locality.Only("north")
+	balancer := balancerOf(first, second)
+	_, err := doFailing(t, balancer, request)
+	require.NoError(t, err, "the failure of a back end is its answer")
+	require.Equal(t, []locality.Regions{request.Regions, request.Regions, request.Regions}, balancer.asked)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,8 @@
 	mutex       sync.Mutex
 	table       *routing.Table
 	application *routing.Profile
+	// allowed keeps the back ends in the regions of a request.
+	allowed routing.AllowedRegion
 	generation  *routing.Profile
 	// states holds the last load report of each engine.
 	states map[string]engineReport
@@ -46,11 +48,12 @@
 	}
 }
 
-// NewHosted returns an empty fleet for a node, by its name, whose endpoints send no
+// NewHosted returns an empty fleet for a node, by its place, whose endpoints send no
 // load reports.
-func NewHosted(random *rand.Rand, node string, logger *event.Logger) *Fleet {
+func NewHosted(random *rand.Rand, place routing.Place, logger *event.Logger) *Fleet {
 	hosted := New(random, logger)
-	hosted.application = routing.NewHostedProfile(random, node)
+	hosted.application = routing.NewHostedProfile(random, place)
+	hosted.allowed = routing.AllowedRegion{Topology: place.Topology}
 	return hosted
 }
 
@@ -110,7 +113,7 @@
 func (f *Fleet) RoomAgain(request *routing.Request) (at time.Time, cold bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.table.RoomAgain(request)
+	return f.table.RoomAgain(request, f.allowed)
 }
 
 // PickEngine chooses an engine for a generation, which counts as started.
--- a/internal/hosted/batch.go
+++ b/internal/hosted/batch.go
@@ -25,7 +25,10 @@
 	if _, already := n.jobs.seen(known); already {
 		return taken(id, foreign)
 	}
-	err := n.jobs.submit(ctx, id, spec, items, known)
+	err := n.servableJob(spec, items)
+	if err == nil {
+		err = n.jobs.submit(ctx, id, spec, items, known)
+	}
 	took := time.Since(began)
 	n.metrics.submission(err, took)
 	if err != nil {
--- a/internal/hosted/forward.go
+++ b/internal/hosted/forward.go
@@ -51,7 +51,14 @@
 	began := time.Now()
 	deadline := began.Add(holdTime(route, in))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
+	if err := n.servable(admitted.Regions); err != nil {
+		cancel()
+		n.metrics.request(route.Name, nil, err, time.Since(began))
+		n.LogRefusal(in.ID, in.Host, in.Path, err)
+		return nil, err
+	}
 	request := requestOf(route, in, deadline)
+	request.Regions = admitted.Regions
 	request.Tenant = admitted.Tenant.Name
 	request.Permitted = n.permits(admitted, in.Key)
 	meter := n.usage.meter(admitted)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -86,7 +86,7 @@
 func New(settings Settings, ports Ports, logger *event.Logger) *Node {
 	n := &Node{
 		settings: settings, ports: ports, logger: logger, log: sharedlog.Measure(ports.Log, ports.Group),
-		fleet:     fleet.NewHosted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), settings.Name, logger),
+		fleet:     fleet.NewHosted(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), settings.place(), logger),
 		exchanger: dispatch.NewExchanger(ports.Network),
 		versions:  make(map[string]uint64),
 		informed:  make(chan struct{}),
--- /dev/null
+++ b/internal/hosted/regions.go
@@ -0,0 +1,57 @@
+package hosted
+
+import (
+	"slices"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/locality"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/routing"
+)
+
+// place is where the node stands.
+func (s *Settings) place() routing.Place {
+	return routing.Place{Node: s.Name, Zone: s.Zone, Topology: s.Topology}
+}
+
+// regionsOf returns the regions in which a tenant's work on a route may be served, by the
+// configuration in force.
+func regionsOf(current *catalog.Catalog, route *catalog.Route, tenantName string) locality.Regions {
+	tenant, _ := current.Keys.Tenant(tenantName)
+	return route.Regions.And(tenant.Regions)
+}
+
+// servable returns an error if no region of the deployment is among those allowed. Coming
+// back is of no use then before somebody changes the configuration.
+func (n *Node) servable(regions locality.Regions) error {
+	if !regions.Bound() || slices.ContainsFunc(n.settings.Topology.Regions(), regions.Allow) {
+		return nil
+	}
+	return result.New(result.RegionUnavailable, "no region of this deployment is in %v", regions)
+}
+
+// servableJob returns an error if the items of a job, or their reward calls, could never
+// be served.
+func (n *Node) servableJob(spec *pathbendv1.BatchJob, items []*pathbendv1.BatchItem) error {
+	current := n.Catalog()
+	if current == nil {
+		return nil
+	}
+	if route := current.Find(spec.Host, spec.Path); route != nil {
+		if err := n.servable(regionsOf(current, route, spec.Tenant)); err != nil {
+			return err
+		}
+	}
+	for _, item := range items {
+		if item.Reward == nil {
+			continue
+		}
+		if route := current.Find(item.Reward.Host, item.Reward.Path); route != nil {
+			if err := n.servable(regionsOf(current, route, spec.Tenant)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/hosted/rewards.go
+++ b/internal/hosted/rewards.go
@@ -120,7 +120,9 @@
 	deadline := time.Now().Add(min(rewardTimeout<<min(attempt, 5), maxRewardTimeout))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	answer, err := e.node.dispatcher.Do(ctx, rewardRequest(route, completed, avoid, deadline))
+	request := rewardRequest(route, completed, avoid, deadline)
+	request.Regions = regionsOf(current, route, completed.Tenant)
+	answer, err := e.node.dispatcher.Do(ctx, request)
 	outcome := rewardOutcome{maxFailures: route.MaxAttempts}
 	if err != nil {
 		outcome.detail = err.Error()
--- a/internal/result/definitions.go
+++ b/internal/result/definitions.go
@@ -22,6 +22,7 @@
 	{BackEndUnreached, "back_end_unreached", http.StatusServiceUnavailable, NotRun, "No byte of the request reached a back end.", "Repeat after the hint."},
 	{KeyUnavailable, "key_unavailable", http.StatusServiceUnavailable, NotRun, "Too few witnesses answered to bind the idempotency key; this attempt ran nothing.", "Repeat with the same key after the hint."},
 	{ZoneEvacuated, "zone_evacuated", http.StatusServiceUnavailable, NotRun, "The zones of all back ends that could run it are evacuated.", "Repeat after the hint; ask the operator how long the evacuation lasts."},
+	{RegionUnavailable, "region_unavailable", http.StatusServiceUnavailable, NotRun, "Nothing serves the request in the regions that its route and its tenant allow.", "Repeat after the hint; without one, allow a region in which samplers stand."},
 	{SamplersCold, "samplers_cold", http.StatusServiceUnavailable, NotRun, "Every live back end of the pool is cold, and this node's share of what a cold one bears is spent.", "Repeat after the hint: then there is room again."},
 	{AnswerLost, "answer_lost", http.StatusBadGateway, Unknown, "The back end received the request and its answer was lost.", "Repeat only if the request may run twice."},
 	{AnswerMismatch, "answer_mismatch", http.StatusBadGateway, Unknown, "The back end answered a different request.", "Repeat only if the request may run twice."},
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -48,7 +48,9 @@
 	BackEndUnreached Code = 2008
 	KeyUnavailable   Code = 2009
 	ZoneEvacuated    Code = 2010
-	SamplersCold     Code = 2012
+	// RegionUnavailable is told apart from NoBackEnd, which other regions could mend.
+	RegionUnavailable Code = 2011
+	SamplersCold      Code = 2012
 
 	AnswerLost       Code = 3001
 	AnswerMismatch   Code = 3002
--- /dev/null
+++ b/internal/routing/allowed_region_test.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pathbend/pathbend/internal/locality"
+)
+
+var twoRegions = locality.NewTopology(map[string]string{"a": "north", "b": "north", "c": "south"})
+
+// Any attempt of a request that a region binds goes to that region, whichever endpoints
+// leave, are ejected or were tried before.
+func TestRequestStaysInItsRegion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := zonedTable(rapid.IntRange(1, 12).Draw(t, "endpoints"))
+		profile := NewHostedProfile(newRandom(), Place{Node: "node-1", Zone: "a", Topology: twoRegions})
+		allowed := rapid.SampledFrom([]locality.Regions{locality.Only("south"), locality.Only("north"), locality.Only("elsewhere")}).Draw(t, "allowed")
+		request := &Request{Pool: "app", Zone: "a", Regions: allowed, Now: now}
+		inRegion := 0
+		for _, endpoint := range table.Pool("app") {
+			if allowed.Allow(twoRegions.Region(endpoint.Zone)) {
+				inRegion++
+			}
+			for range rapid.IntRange(0, failuresToEject).Draw(t, "failures") {
+				endpoint.Started()
+				endpoint.Failed(now)
+			}
+		}
+		for range inRegion {
+			picked := profile.Pick(table, request)
+			require.NotNil(t, picked, "one that serves there is found")
+			require.True(t, allowed.Allow(twoRegions.Region(picked.Zone)))
+			request.Excluded = append(request.Excluded, picked.ID)
+		}
+		require.Nil(t, profile.Pick(table, request), "nothing is left there")
+	})
+}
+
+func TestUnknownZoneServesOnlyWhatNoRegionBinds(t *testing.T) {
+	filter := AllowedRegion{Topology: twoRegions}
+	nowhere := &Endpoint{ID: "e", Zone: "z"}
+	require.True(t, filter.Keep(&Request{}, nowhere))
+	require.False(t, filter.Keep(&Request{Regions: locality.Only("north")}, nowhere))
+}
+
+func TestOwnRegionIsLeftOnceItHasTwoRequestsMore(t *testing.T) {
+	table := NewTable()
+	table.Update([]Machine{
+		{ID: "near", Pool: "p", Zone: "b", Capacity: 6}, {ID: "far", Pool: "p", Zone: "c", Capacity: 6},
+	})
+	profile := NewHostedProfile(newRandom(), Place{Node: "node-1", Zone: "a", Topology: twoRegions})
+	for _, wanted := range []string{"near", "near", "far"} {
+		picked := profile.Pick(table, &Request{Pool: "p", Zone: "a", Now: now})
+		require.Equal(t, wanted, picked.ID)
+		picked.Started()
+	}
+}
--- a/internal/routing/cold_test.go
+++ b/internal/routing/cold_test.go
@@ -74,7 +74,7 @@
 
 // pickCold picks an endpoint and counts the request in its budget, as the fleet does.
 func pickCold(table *Table) string {
-	profile := NewHostedProfile(rand.New(rand.NewPCG(1, 2)), "node")
+	profile := NewHostedProfile(rand.New(rand.NewPCG(1, 2)), Place{Node: "node"})
 	endpoint := profile.Pick(table, &Request{Pool: "p", Now: coldNow})
 	if endpoint == nil {
 		return ""
@@ -97,7 +97,7 @@
 		picked[pickCold(table)]++
 	}
 	require.Equal(t, map[string]int{"a": 2, "b": 2, "": 6}, picked)
-	at, cold := table.RoomAgain(&Request{Pool: "p", Now: coldNow})
+	at, cold := table.RoomAgain(&Request{Pool: "p", Now: coldNow}, AllowedRegion{})
 	require.True(t, cold)
 	require.Equal(t, coldNow.Add(time.Second), at)
 }
@@ -105,13 +105,13 @@
 func TestNodeWithoutAShareWaitsForTheWarmth(t *testing.T) {
 	table := coldTable(0, map[string]bool{"a": true}, "a")
 	require.Empty(t, pickCold(table))
-	at, cold := table.RoomAgain(&Request{Pool: "p", Now: coldNow})
+	at, cold := table.RoomAgain(&Request{Pool: "p", Now: coldNow}, AllowedRegion{})
 	require.True(t, cold)
 	require.Equal(t, coldNow.Add(3*time.Second), at)
 }
 
 func TestPoolWithoutColdEndpointsIsNotCalledCold(t *testing.T) {
-	_, cold := coldTable(0, nil, "a").RoomAgain(&Request{Pool: "p", Now: coldNow, Excluded: []string{"a"}})
+	_, cold := coldTable(0, nil, "a").RoomAgain(&Request{Pool: "p", Now: coldNow, Excluded: []string{"a"}}, AllowedRegion{})
 	require.False(t, cold)
 }
 
--- a/internal/routing/preferred_subset.go
+++ b/internal/routing/preferred_subset.go
@@ -9,14 +9,15 @@
 )
 
 // PreferredSubset looks at endpoints in an order of the node's own: those of the
-// request's zone first, each part by rendezvous hash over node and endpoint. A node
+// request's zone first, then those of the node's region, each part by rendezvous hash over
+// node and endpoint; those that the request's regions rule out are left out. A node
 // with little to send thus uses few endpoints again and again, on connections that
 // it has, while all nodes together spread over all endpoints. The subset grows with
 // the node's requests in progress: it ends once it holds spareEndpoints that have
 // none of them.
 type PreferredSubset struct {
-	// Node is the name of the deciding node.
-	Node string
+	// Place is that of the deciding node.
+	Place Place
 }
 
 // spareEndpoints is the number of endpoints without a request of this node that one
@@ -26,8 +27,11 @@
 
 // Choose implements Subset.
 func (s PreferredSubset) Choose(into []*Endpoint, _ *rand.Rand, found *pool, request *Request) []*Endpoint {
-	spare := 0
-	for _, endpoint := range found.preferredBy(s.Node, request.Zone) {
+	spare, allowed := 0, AllowedRegion{s.Place.Topology}
+	for _, endpoint := range found.preferredBy(s.Place, request.Zone) {
+		if !allowed.Keep(request, endpoint) {
+			continue
+		}
 		into = append(into, endpoint)
 		if endpoint.InFlight > 0 || endpoint.Leaving || endpoint.Ejected(request.Now) {
 			continue
@@ -42,21 +46,25 @@
 // preferredBy returns all endpoints of the pool in a node's order for requests from
 // a zone. The order is kept as long as the pool: there is one node, and it asks for
 // its own zone or for none.
-func (p *pool) preferredBy(node, zone string) []*Endpoint {
+func (p *pool) preferredBy(place Place, zone string) []*Endpoint {
 	if ordered, known := p.orders[zone]; known {
 		return ordered
 	}
 	ordered := slices.Clone(p.endpoints)
+	region := place.Topology.Region(place.Zone)
 	elsewhere := func(endpoint *Endpoint) int {
-		if endpoint.Zone == zone {
+		switch {
+		case endpoint.Zone == zone:
 			return 0
+		case place.Topology.Region(endpoint.Zone) == region:
+			return 1
 		}
-		return 1
+		return 2
 	}
 	slices.SortFunc(ordered, func(a, b *Endpoint) int {
 		return cmp.Or(
 			cmp.Compare(elsewhere(a), elsewhere(b)),
-			cmp.Compare(rendezvousHash(node, b.ID), rendezvousHash(node, a.ID)),
+			cmp.Compare(rendezvousHash(place.Node, b.ID), rendezvousHash(place.Node, a.ID)),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
--- a/internal/routing/preferred_subset_test.go
+++ b/internal/routing/preferred_subset_test.go
@@ -26,7 +26,7 @@
 // that the endpoint closed before they were used again.
 func TestNodeWithLittleToSendKeepsToOneEndpoint(t *testing.T) {
 	table := zonedTable(12)
-	profile := NewHostedProfile(newRandom(), "node-1")
+	profile := NewHostedProfile(newRandom(), Place{Node: "node-1", Zone: "b"})
 	used := make(map[string]int)
 	for range 100 {
 		picked := profile.Pick(table, &Request{Pool: "app", Zone: "b", Now: now})
@@ -43,7 +43,7 @@
 	used := make(map[string]int)
 	const nodes = 200
 	for i := range nodes {
-		profile := NewHostedProfile(newRandom(), fmt.Sprintf("node-%d", i))
+		profile := NewHostedProfile(newRandom(), Place{Node: fmt.Sprintf("node-%d", i), Zone: "b"})
 		// Every node has an order of its own; the table caches that of one node.
 		table.rebuild()
 		used[profile.Pick(table, &Request{Pool: "app", Zone: "b", Now: now}).ID]++
@@ -56,7 +56,7 @@
 
 func TestSubsetGrowsWithTheWorkInProgress(t *testing.T) {
 	table := zonedTable(12)
-	profile := NewHostedProfile(newRandom(), "node-1")
+	profile := NewHostedProfile(newRandom(), Place{Node: "node-1", Zone: "b"})
 	inFlight := make(map[string]int)
 	for range 36 {
 		picked := profile.Pick(table, &Request{Pool: "app", Now: now})
@@ -71,7 +71,7 @@
 
 func TestLossOfThePreferredEndpointsCostsNoRequest(t *testing.T) {
 	table := zonedTable(12)
-	profile := NewHostedProfile(newRandom(), "node-1")
+	profile := NewHostedProfile(newRandom(), Place{Node: "node-1", Zone: "b"})
 	request := &Request{Pool: "app", Zone: "b", Now: now}
 	first := profile.Pick(table, request)
 	table.MarkLeaving(first.ID)
--- a/internal/routing/profile.go
+++ b/internal/routing/profile.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/pathbend/pathbend/internal/locality"
 )
 
 // Request is what a decision needs to know of an attempt.
@@ -15,6 +17,8 @@
 	MinVersion uint64
 	// PrefixHash identifies the leading part of a prompt; 0 for none.
 	PrefixHash uint64
+	// Regions are those in which the request may be served.
+	Regions locality.Regions
 	// Excluded are endpoints that this request has already tried.
 	Excluded []string
 	Now      time.Time
@@ -90,14 +94,31 @@
 // With more, a burst in one zone fills its endpoints while others are idle.
 const hostedZoneWeight = 0.4
 
+// hostedRegionWeight is added to that for the own region: an endpoint with six slots in
+// another one is chosen once those of the own region have two requests of this node more
+// (chosen: a third of a request's own work waits there, about as long as the way to the
+// other region and back takes).
+const hostedRegionWeight = 0.6
+
+// Place is where a deciding node stands and what it knows of zones.
+type Place struct {
+	// Node is the node's name, Zone its zone.
+	Node     string
+	Zone     string
+	Topology locality.Topology
+}
+
 // NewHostedProfile returns the pipeline for nodes without load reports: the
-// endpoint with the least work of this node, in the own zone among equals, and
-// among those the one that the node prefers. That keeps bytes in their zone and
-// the number of connections small.
-func NewHostedProfile(random *rand.Rand, node string) *Profile {
-	return NewProfile(random, PreferredSubset{Node: node},
-		[]Filter{NotLeaving{}, NotEvacuated{}, NotExcluded{}, WithinBudget{}, NotCold{}, NotEjected{}},
-		[]WeightedScorer{{LeastLoad{}, 3}, {SameZone{}, hostedZoneWeight}},
+// endpoint with the least work of this node in the regions allowed, in the own zone
+// among equals, then in the own region, and among those the one that the node prefers.
+// That keeps bytes in their zone and the number of connections small.
+func NewHostedProfile(random *rand.Rand, place Place) *Profile {
+	region := place.Topology.Region(place.Zone)
+	return NewProfile(random, PreferredSubset{Place: place},
+		[]Filter{AllowedRegion{place.Topology}, NotLeaving{}, NotEvacuated{}, NotExcluded{}, WithinBudget{}, NotCold{}, NotEjected{}},
+		[]WeightedScorer{
+			{LeastLoad{}, 3}, {SameZone{}, hostedZoneWeight}, {SameRegion{place.Topology, region}, hostedRegionWeight},
+		},
 		BestScore{})
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -150,7 +150,7 @@
 	table.Update([]Machine{
 		{ID: "near", Pool: "p", Zone: "a", Capacity: 6}, {ID: "far", Pool: "p", Zone: "b", Capacity: 6},
 	})
-	profile := NewHostedProfile(newRandom(), "node-1")
+	profile := NewHostedProfile(newRandom(), Place{Node: "node-1", Zone: "a"})
 	request := &Request{Pool: "p", Zone: "a"}
 	for range 20 {
 		require.Equal(t, "near", profile.Pick(table, request).ID)
@@ -168,7 +168,7 @@
 
 func TestEvacuatedEndpointIsNeverPickedUntilItIsTakenBack(t *testing.T) {
 	for _, profile := range []*Profile{
-		NewApplicationProfile(newRandom()), NewHostedProfile(newRandom(), "n"), NewGenerationProfile(newRandom()),
+		NewApplicationProfile(newRandom()), NewHostedProfile(newRandom(), Place{Node: "n"}), NewGenerationProfile(newRandom()),
 	} {
 		table := NewTable()
 		table.Evacuate(evacuated("a"), now)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -117,10 +117,10 @@
 }
 
 // RoomAgain returns when an endpoint that a request may not go to because it is cold has
-// room again, the first of all; false if none is kept away for that.
-func (t *Table) RoomAgain(request *Request) (at time.Time, cold bool) {
+// room again, the first of all that allowed keeps; false if none is kept away for that.
+func (t *Table) RoomAgain(request *Request, allowed Filter) (at time.Time, cold bool) {
 	for _, endpoint := range t.Pool(request.Pool) {
-		if endpoint.Leaving || endpoint.Evacuated || slices.Contains(request.Excluded, endpoint.ID) || endpoint.Warmup.Room(request.Now) > 0 {
+		if endpoint.Leaving || endpoint.Evacuated || !allowed.Keep(request, endpoint) || slices.Contains(request.Excluded, endpoint.ID) || endpoint.Warmup.Room(request.Now) > 0 {
 			continue
 		}
 		if next := endpoint.Warmup.Next(request.Now); !cold || next.Before(at) {
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -74,12 +74,14 @@
 	Kept     *pathbendv1.Blob
 	Versions []uint64
 	Reward   *pathbendv1.RewardCall
+	// Tenant is who submitted the job.
+	Tenant string
 	// Score is set if the text was scored by the same call before.
 	Score string
 }
 
 func (i *item) finished() Finished {
-	return Finished{Key: i.key, Text: i.text, Versions: i.versions, Reward: i.spec.Reward}
+	return Finished{Key: i.key, Text: i.text, Versions: i.versions, Reward: i.spec.Reward, Tenant: i.job.spec.Tenant}
 }
 
 // Ending is how a run ended.
