Run items at samplers of the regions allowed

Cause: the scheduler placed items at any sampler of the route's services. Ruled out: a list of samplers for each set of regions (one list, one check in serves, which every placement, move, run ahead and repeated run asks). Change: schedule.Policy has the regions of route and tenant and the topology.

--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -164,6 +164,10 @@
 		return policy
 	}
 	policy.Services = servicesOf(route)
+	policy.Topology = e.node.settings.Topology
+	if current := e.node.Catalog(); current != nil {
+		policy.Regions = regionsOf(current, route, job.Spec.Tenant)
+	}
 	policy.MaxFailures = route.MaxAttempts
 	policy.SingleVersion = route.SingleVersion
 	policy.Priority = e.node.rankOf(job.Spec.Tenant, route)
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/locality"
 )
 
 // Key names an item of a job.
@@ -19,6 +20,9 @@
 type Policy struct {
 	// Services may generate the items.
 	Services []string
+	// Regions are those whose samplers may generate the items, by Topology.
+	Regions  locality.Regions
+	Topology locality.Topology
 	// MaxFailures is the number of failed runs after which an item is dead.
 	MaxFailures int
 	// SingleVersion wants each text made by one weight version.
@@ -29,6 +33,14 @@
 	Due time.Time
 }
 
+// allows reports whether a sampler's place and service fit.
+func (p *Policy) allows(sampler *Sampler) bool {
+	if p.Regions.Bound() && !p.Regions.Allow(p.Topology.Region(sampler.Zone)) {
+		return false
+	}
+	return slices.Contains(p.Services, sampler.Service)
+}
+
 // Event is one event of a sampler's stream.
 type Event struct {
 	// ID numbers the events of a text from 1.
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -150,9 +150,9 @@
 	return 1
 }
 
-// serves reports whether a sampler's service and weights fit an item.
+// serves reports whether a sampler's place, service and weights fit an item.
 func (s *Scheduler) serves(state *samplerState, entry *item) bool {
-	if !slices.Contains(entry.job.policy.Services, state.Service) {
+	if !entry.job.policy.allows(&state.Sampler) {
 		return false
 	}
 	version, known := state.Versions[entry.job.spec.Model]
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -11,6 +11,7 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/locality"
 )
 
 var began = time.Unix(1_000_000, 0)
@@ -497,3 +498,22 @@
 	b.s.Samplers([]Sampler{sampler("slow", 1, 1), inZone("a", sampler("fit", 1, 1))}, b.now)
 	require.Empty(t, b.s.Moves(b.now))
 }
+
+// A job that regions bind never goes to a sampler elsewhere, also if all others are taken.
+func TestItemsStayInTheirRegions(t *testing.T) {
+	b := newBench(t)
+	b.s.Samplers([]Sampler{
+		{ID: "north", Service: "llm", Zone: "n", Slots: 8, Versions: map[string]uint64{"m": 1}},
+		{ID: "south", Service: "llm", Zone: "s", Slots: 2, Versions: map[string]uint64{"m": 1}},
+		{ID: "nowhere", Service: "llm", Slots: 8, Versions: map[string]uint64{"m": 1}},
+	}, b.now)
+	bound := policy(time.Minute)
+	bound.Topology = locality.NewTopology(map[string]string{"n": "north", "s": "south"})
+	bound.Regions = locality.Only("south")
+	b.addJob(b.jobOf("j", 1, "a:1", "a:1", "b:1", "b:1"), bound, kept{})
+	starts := b.starts()
+	require.Len(t, starts, 2)
+	for _, start := range starts {
+		require.Equal(t, "south", start.Sampler.ID)
+	}
+}
