--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,8 +21,8 @@
 	table       *routing.Table
 	application *routing.Profile
 	// allowed keeps the back ends in the regions of a request.
-	allowed routing.AllowedRegion
-	generation  *routing.Profile
+	allowed    routing.AllowedRegion
+	generation *routing.Profile
 	// states holds the last load report of each engine.
 	states map[string]engineReport
 	// demand is when a generation was last placed on a pool.
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -63,7 +63,7 @@
 	coldToldAt time.Time
 	// evacuated is the list of evacuated zones that the scheduler took in last.
 	evacuated  *evacuation.Zones
-	rewards    rewardSlots
+	rewards    *rewarder
 	splitBrain splitBrainDetector
 	work       conc.WaitGroup
 }
@@ -73,7 +73,7 @@
 		node: n, roll: weights.NewRoll(loadsTogether), woken: make(chan struct{}, 1),
 		runs: make(map[schedule.Key]context.CancelFunc),
 	}
-	e.rewards.released = make(chan struct{}, 1)
+	e.rewards = &rewarder{node: n, slots: rewardSlots{released: make(chan struct{}, 1)}}
 	e.lister = newLister(n)
 	return e
 }
@@ -391,7 +391,7 @@
 	e.work.Go(func() {
 		stamp, alive := completed.Score, true
 		if stamp == "" && completed.Reward != nil {
-			stamp, alive = e.score(session, completed)
+			stamp, alive = e.rewards.score(session, completed, func() bool { return e.wants(completed.Key) })
 		}
 		if session.Err() != nil {
 			return
@@ -402,20 +402,25 @@
 		if !wanted {
 			return
 		}
-		if !alive {
-			e.dead(completed.Key, 0, "its reward call failed too often")
-			return
-		}
-		if completed.Kept == nil && !e.node.jobs.contents.Fits(completed.Text) {
-			e.dead(completed.Key, 0, "its text is too large for the log")
-			return
-		}
-		e.lister.addResult(completed.Key.Job, &pathbendv1.BatchResult{
-			ItemId: completed.Key.Item, Text: completed.Kept, Versions: completed.Versions, Score: stamp, RewardId: completed.Reward.GetId(),
-		}, completed.Text)
+		e.list(completed, stamp, alive)
 	})
 }
 
+// list puts the result of a complete text down, or the item as dead if it is given up.
+func (e *executor) list(completed schedule.Finished, stamp string, alive bool) {
+	if !alive {
+		e.dead(completed.Key, 0, "its reward call failed too often")
+		return
+	}
+	if completed.Kept == nil && !e.node.jobs.contents.Fits(completed.Text) {
+		e.dead(completed.Key, 0, "its text is too large for the log")
+		return
+	}
+	e.lister.addResult(completed.Key.Job, &pathbendv1.BatchResult{
+		ItemId: completed.Key.Item, Text: completed.Kept, Versions: completed.Versions, Score: stamp, RewardId: completed.Reward.GetId(),
+	}, completed.Text)
+}
+
 // wants reports whether an item still waits for its result.
 func (e *executor) wants(key schedule.Key) bool {
 	e.mutex.Lock()
--- a/internal/hosted/rewards.go
+++ b/internal/hosted/rewards.go
@@ -64,13 +64,19 @@
 	}
 }
 
-// score calls the reward of a complete text until it answers. It returns the
-// proof of the answer, and false if the item is given up.
-func (e *executor) score(ctx context.Context, completed schedule.Finished) (stamp string, alive bool) {
+// rewarder makes the reward calls of a node.
+type rewarder struct {
+	node  *Node
+	slots rewardSlots
+}
+
+// score calls the reward of a complete text until it answers or nobody wants it. It
+// returns the proof of the answer, and false if the item is given up.
+func (r *rewarder) score(ctx context.Context, completed schedule.Finished, wanted func() bool) (stamp string, alive bool) {
 	failures := 0
 	var avoid []string
-	for attempt := 0; e.wants(completed.Key) && ctx.Err() == nil; attempt++ {
-		outcome := e.callReward(ctx, completed, avoid, attempt)
+	for attempt := 0; wanted() && ctx.Err() == nil; attempt++ {
+		outcome := r.call(ctx, completed, avoid, attempt)
 		if outcome.stamp != "" {
 			return outcome.stamp, true
 		}
@@ -80,7 +86,7 @@
 		if outcome.failed {
 			failures++
 		}
-		e.node.logger.Log(event.RewardFailed, "job_id", completed.Key.Job, "item_id", completed.Key.Item,
+		r.node.logger.Log(event.RewardFailed, "job_id", completed.Key.Job, "item_id", completed.Key.Item,
 			"reward_id", completed.Reward.Id, "attempt", attempt+1, "back_end", outcome.backEnd, "failures", failures, "detail", outcome.detail)
 		if outcome.maxFailures > 0 && failures >= outcome.maxFailures {
 			return "", false
@@ -104,8 +110,8 @@
 	maxFailures int
 }
 
-func (e *executor) callReward(ctx context.Context, completed schedule.Finished, avoid []string, attempt int) rewardOutcome {
-	current := e.node.Catalog()
+func (r *rewarder) call(ctx context.Context, completed schedule.Finished, avoid []string, attempt int) rewardOutcome {
+	current := r.node.Catalog()
 	if current == nil {
 		return rewardOutcome{detail: "no configuration"}
 	}
@@ -113,16 +119,16 @@
 	if route == nil {
 		return rewardOutcome{detail: "no route for the reward call"}
 	}
-	if !e.rewards.acquire(ctx, func() int { return e.rewardLimit(route) }) {
+	if !r.slots.acquire(ctx, func() int { return r.limit(route) }) {
 		return rewardOutcome{detail: "stopped"}
 	}
-	defer e.rewards.release()
+	defer r.slots.release()
 	deadline := time.Now().Add(min(rewardTimeout<<min(attempt, 5), maxRewardTimeout))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	request := rewardRequest(route, completed, avoid, deadline)
 	request.Regions = regionsOf(current, route, completed.Tenant)
-	answer, err := e.node.dispatcher.Do(ctx, request)
+	answer, err := r.node.dispatcher.Do(ctx, request)
 	outcome := rewardOutcome{maxFailures: route.MaxAttempts}
 	if err != nil {
 		outcome.detail = err.Error()
@@ -130,7 +136,7 @@
 	}
 	answer.Body.Close()
 	outcome.backEnd = answer.BackEnd
-	scored, err := e.node.ports.Score(answer)
+	scored, err := r.node.ports.Score(answer)
 	if err != nil {
 		outcome.failed = answer.Status == http.StatusInternalServerError
 		outcome.detail = err.Error()
@@ -156,12 +162,12 @@
 }
 
 // rewardLimit is the number of reward calls that may be under way.
-func (e *executor) rewardLimit(route *catalog.Route) int {
-	listed := e.node.samplers.Load()
+func (r *rewarder) limit(route *catalog.Route) int {
+	listed := r.node.samplers.Load()
 	if listed == nil {
 		return minRewards
 	}
-	slots, evacuated := 0, e.node.evacuated.Load()
+	slots, evacuated := 0, r.node.evacuated.Load()
 	for _, sampler := range *listed {
 		if route.Allows(sampler.Service) && !sampler.Leaving && !evacuated.Has(sampler.Zone) {
 			slots += sampler.Slots
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -70,7 +70,7 @@
 	var starts []Start
 	for _, open := range s.byDue() {
 		version, ok := s.laterVersion(open)
-		if !ok || !s.carries[open.spec.Model] {
+		if !ok || open.held || !s.carries[open.spec.Model] {
 			continue
 		}
 		for _, entry := range s.worthAhead(open, version) {
@@ -135,7 +135,7 @@
 	later := &job{id: i.job.id, spec: spec, policy: i.job.policy}
 	key := i.key
 	key.Ahead = true
-	return &item{key: key, spec: i.spec, job: later}
+	return &item{key: key, spec: i.spec, job: later, remote: i.job.policy.Remote}
 }
 
 // endAhead records the end of a run ahead. Its text is kept for a later job.
@@ -176,8 +176,8 @@
 	if wasRunning {
 		stopped = append(stopped, key)
 	}
-	if copied.events > entry.events && entry.job.fits(copied.versions) {
-		entry.text, entry.events, entry.versions, entry.saved = copied.text, copied.events, copied.versions, savedText{}
+	if copied.remote == entry.job.policy.Remote && copied.events > entry.events && entry.job.fits(copied.versions) {
+		entry.Text = Text{text: copied.text, events: copied.events, versions: copied.versions}
 		entry.aheadComplete = copied.phase == settled
 	}
 	return stopped
@@ -194,7 +194,8 @@
 	if entry.events > 0 && entry.phase != settled {
 		// The job itself is not kept: it holds the texts of all its items.
 		s.ahead[entry.key.Item] = &item{
-			key: entry.key, leftAt: now, text: entry.text, events: entry.events, versions: entry.versions,
+			key: entry.key, leftAt: now, remote: entry.job.policy.Remote,
+			Text: Text{text: entry.text, events: entry.events, versions: entry.versions},
 		}
 	}
 }
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -27,6 +27,8 @@
 	MaxFailures int
 	// SingleVersion wants each text made by one weight version.
 	SingleVersion bool
+	// Remote is set if a worker of the regions carries the runs and holds the texts.
+	Remote bool
 	// Priority ranks the job, 0 first.
 	Priority int
 	// Due is when the results are wanted.
@@ -75,11 +77,7 @@
 	// look.
 	latestStart time.Time
 
-	text     []byte
-	events   uint64
-	versions []uint64
-	// saved is the part of the text that was sent to the log.
-	saved savedText
+	Text
 
 	sampler    *samplerState
 	run        uint64
@@ -88,6 +86,8 @@
 	milestones Milestones
 	// aheadComplete is set if the text was made complete ahead of the job.
 	aheadComplete bool
+	// remote is set if a worker holds the text of a run ahead.
+	remote bool
 	// leftAt is when the job of a run ahead was over.
 	leftAt    time.Time
 	notBefore time.Time
@@ -177,31 +177,16 @@
 	spec   *pathbendv1.BatchJob
 	policy Policy
 	items  []*item
+	// held keeps its items from being started.
+	held bool
 	// newest is the newest version of the model when the job was taken in.
 	newest uint64
 }
 
-// restart drops the text, so that the item begins anew.
-func (i *item) restart() {
-	i.text, i.events, i.versions, i.saved = nil, 0, nil, savedText{}
-}
-
-// resume takes over a kept text if its versions fit the job.
-func (i *item) resume(kept Partial) {
-	if !i.job.fits(kept.Versions) {
-		return
-	}
-	i.text, i.events, i.versions = slices.Clip(kept.Text), kept.Events, kept.Versions
-	i.saved = savedText{id: kept.ID, events: kept.Events, bytes: len(kept.Text), confirmed: true}
+// accepted tells which versions the job's texts may have.
+func (j *job) accepted() Acceptance {
+	return Acceptance{MinVersion: j.spec.MinVersion, SingleVersion: j.policy.SingleVersion}
 }
 
 // fits reports whether text of these versions may be part of a result.
-func (j *job) fits(versions []uint64) bool {
-	if len(versions) == 0 {
-		return true
-	}
-	if j.policy.SingleVersion && len(versions) > 1 {
-		return false
-	}
-	return versions[0] >= j.spec.MinVersion
-}
+func (j *job) fits(versions []uint64) bool { return j.accepted().Fits(versions) }
--- a/internal/schedule/length_test.go
+++ b/internal/schedule/length_test.go
@@ -10,7 +10,7 @@
 )
 
 func itemOf(expectedTokens, events uint64) *item {
-	return &item{spec: &pathbendv1.BatchItem{ExpectedTokens: expectedTokens}, events: events}
+	return &item{spec: &pathbendv1.BatchItem{ExpectedTokens: expectedTokens}, Text: Text{events: events}}
 }
 
 func TestTokensOfAnEventAreLearned(t *testing.T) {
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -59,6 +59,9 @@
 func (s *Scheduler) waiting(now time.Time) []*item {
 	var waiting []*item
 	for _, open := range s.jobs {
+		if open.held {
+			continue
+		}
 		for _, entry := range open.items {
 			if entry.phase == pending && !now.Before(entry.notBefore) {
 				entry.latestStart = s.latestStart(entry)
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -5,7 +5,6 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
-	"github.com/pathbend/pathbend/internal/ledger"
 )
 
 const (
@@ -27,20 +26,9 @@
 		entry.sampler.setVersion(entry.job.spec.Model, event.Version)
 		return false
 	}
-	versions := entry.versions
-	if !slices.Contains(versions, event.Version) {
-		versions = ledger.MergeVersions(versions, []uint64{event.Version})
-	}
-	if !entry.job.fits(versions) {
-		entry.restart()
+	if !entry.take(event) {
 		return false
 	}
-	if entry.events > 0 {
-		entry.text = append(entry.text, '\n')
-	}
-	entry.text = append(entry.text, event.Data...)
-	entry.events++
-	entry.versions = versions
 	entry.milestones.Spent.gap(now.Sub(entry.lastEvent), entry.lastEvent.Equal(entry.startedAt))
 	if entry.lastEvent != entry.startedAt {
 		s.observe(entry.sampler, now.Sub(entry.lastEvent))
@@ -52,6 +40,14 @@
 	return true
 }
 
+// take adds an event to the item's text, or counts it where a worker holds the text.
+func (i *item) take(event Event) bool {
+	if i.job.policy.Remote {
+		return i.count(event, i.job.accepted())
+	}
+	return i.Take(event, i.job.accepted())
+}
+
 func (s *Scheduler) observe(state *samplerState, gap time.Duration) {
 	state.observe(gap, s.fleetPace)
 	s.fleetPace += time.Duration(fleetWeight * float64(gap-s.fleetPace))
@@ -76,12 +72,14 @@
 	Reward   *pathbendv1.RewardCall
 	// Tenant is who submitted the job.
 	Tenant string
+	// Remote is set if the job's worker holds the text.
+	Remote bool
 	// Score is set if the text was scored by the same call before.
 	Score string
 }
 
 func (i *item) finished() Finished {
-	return Finished{Key: i.key, Text: i.text, Versions: i.versions, Reward: i.spec.Reward, Tenant: i.job.spec.Tenant}
+	return Finished{Key: i.key, Text: i.text, Versions: i.versions, Reward: i.spec.Reward, Tenant: i.job.spec.Tenant, Remote: i.job.policy.Remote}
 }
 
 // Ending is how a run ended.
--- a/internal/schedule/saved.go
+++ b/internal/schedule/saved.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
@@ -33,26 +32,16 @@
 	unsaved := make(map[string][]Part)
 	for _, key := range s.runningKeys() {
 		entry := s.items[key]
-		if !entry.saved.settle(log, key.Item, now) || entry.events < entry.saved.events+entry.worthSaving(minEvents) {
+		if entry.job.policy.Remote {
 			continue
 		}
-		unsaved[key.Job] = append(unsaved[key.Job], entry.save(s.newID(), now))
+		if part, ok := entry.Unsaved(key.Item, minEvents, log, s.newID, now); ok {
+			unsaved[key.Job] = append(unsaved[key.Job], part)
+		}
 	}
 	return unsaved
 }
 
-// furtherPart is the part of minEvents that is worth saving of an item that was
-// saved before: it is a long one, and its step waits for what has to be made again.
-const furtherPart = 3
-
-// worthSaving returns how many new events of the item are worth saving.
-func (i *item) worthSaving(minEvents uint64) uint64 {
-	if i.saved.events > 0 {
-		return max(minEvents/furtherPart, 1)
-	}
-	return minEvents
-}
-
 // settle reports whether a further part may be sent.
 func (t *savedText) settle(log Saved, itemID string, now time.Time) bool {
 	if t.id == 0 {
@@ -69,16 +58,3 @@
 	*t = savedText{}
 	return true
 }
-
-// save returns the part of the text that was not sent yet.
-func (i *item) save(id uint64, now time.Time) Part {
-	fresh := i.text[i.saved.bytes:]
-	if i.saved.events > 0 {
-		fresh = fresh[1:] // the line feed between two events
-	}
-	part := Part{Text: slices.Clone(fresh), Progress: &pathbendv1.ItemProgress{
-		ItemId: i.key.Item, Id: id, Previous: i.saved.id, Versions: i.versions, Events: i.events - i.saved.events,
-	}}
-	i.saved = savedText{id: id, events: i.events, bytes: len(i.text), at: now}
-	return part
-}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -136,7 +136,7 @@
 		return completed, true
 	}
 	if partial, ok := kept.Partial(i.key.Item); ok {
-		i.resume(partial)
+		i.Resume(partial, i.job.accepted())
 	}
 	return Finished{}, false
 }
