Let nodes of the right region carry the runs of work bound to regions

Cause: the one node that runs the batch jobs reads every item's body and holds every text, wherever it stands. Ruled out: an executor for each set of regions with a slice of the samplers (two views of one sampler's room, versions and cold budget); forwarding jobs whole (no one place decides on the samplers of both). Change: a node in the regions is the worker of such jobs (hosted/worker.go): it reads the bodies, holds streams and texts, saves parts, makes the reward calls and lists results. The node that decides (hosted/remote.go) sends starts and stops by ids and gets counts back, over package peer. Nodes announce zone and address in the topic of nodes. Jobs whose regions allow the deciding node, and all without regions, stay as they were. A new configuration takes jobs in anew whose regions it changed. Events 403, 404, 721 to 725.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,8 @@
 	SelfDeclaredDead     Number = 306
 	PeerRejected         Number = 401
 	PeerProtocol         Number = 402
+	PeerListening        Number = 403
+	PeerPortsTaken       Number = 404
 	EndpointAdded        Number = 501
 	EndpointLeaving      Number = 502
 	EndpointGone         Number = 503
@@ -91,6 +93,11 @@
 	ExecutorStopped      Number = 718
 	JobUnread            Number = 719
 	ExecutorYielded      Number = 720
+	WorkerChosen         Number = 721
+	WorkerLost           Number = 722
+	WorkerMissing        Number = 723
+	WorkerServes         Number = 724
+	RunsOrphaned         Number = 725
 	BatchRead            Number = 730
 	LogThroughPeer       Number = 731
 	GroupShareChanged    Number = 801
@@ -135,6 +142,8 @@
 	{SelfDeclaredDead, "self_declared_dead", slog.LevelWarn, "Peers took this node for dead; it refutes the statement.", "Look for pauses of the process."},
 	{PeerRejected, "peer_rejected", slog.LevelWarn, "A connection to the peer port sent bytes that are no valid frame.", "Find what connects to the peer port."},
 	{PeerProtocol, "peer_protocol", slog.LevelWarn, "A peer speaks another protocol version.", "Upgrade the older node."},
+	{PeerListening, "peer_listening", slog.LevelInfo, "This node takes calls of other nodes.", "None."},
+	{PeerPortsTaken, "peer_ports_taken", slog.LevelWarn, "No port of the range for calls between nodes is free; it is tried again.", "Check what holds the ports."},
 	{EndpointAdded, "endpoint_added", slog.LevelInfo, "An engine or back end appeared in the machine list.", "None."},
 	{EndpointLeaving, "endpoint_leaving", slog.LevelInfo, "An engine or back end is leaving and gets no new work.", "None."},
 	{EndpointGone, "endpoint_gone", slog.LevelInfo, "An engine or back end disappeared from the machine list.", "None."},
@@ -178,6 +187,11 @@
 	{ExecutorStopped, "executor_stopped", slog.LevelInfo, "This node no longer runs the batch jobs.", "None."},
 	{JobUnread, "job_unread", slog.LevelWarn, "The items of a job, or the text that was made of one, could not be read from the log; the items are read again, the text is made again.", "Check the log service."},
 	{ExecutorYielded, "executor_yielded", slog.LevelInfo, "This node ran the batch jobs without its share, and samplers have work of another node, so it gives them up.", "Check the node's way to the log service."},
+	{WorkerChosen, "worker_chosen", slog.LevelInfo, "The node that runs the batch jobs lets another one, in the regions that jobs are bound to, carry their runs.", "None."},
+	{WorkerLost, "worker_lost", slog.LevelWarn, "A node that carries runs was given up; the line tells why. Its jobs go to another one.", "Look at that node, and at the way to it."},
+	{WorkerMissing, "worker_missing", slog.LevelWarn, "Jobs wait as no node in their regions takes calls.", "Start nodes in these regions, or check their ports for calls between nodes."},
+	{WorkerServes, "worker_serves", slog.LevelInfo, "This node carries runs for another one, from now on or for a successor.", "None."},
+	{RunsOrphaned, "runs_orphaned", slog.LevelWarn, "The node that decides was silent for too long; the runs that this node carried for it were stopped.", "Check the way between the two nodes."},
 	{BatchRead, "batch_read", slog.LevelDebug, "A page of results was read; the line tells its positions, how long the answer was held and what the texts took.", "None."},
 	{LogThroughPeer, "log_reached_through_peer", slog.LevelInfo, "The log service does not answer this node, and a peer that it answers makes this node's calls.", "Check the node's way to the log service."},
 	{GroupShareChanged, "group_share_changed", slog.LevelInfo, "The log service dealt partitions anew; the line tells the generation and this node's part.", "None."},
--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -12,6 +12,7 @@
 	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/wait"
 )
@@ -45,6 +46,9 @@
 // adopted is a job's items with the text that was made of them. It implements
 // schedule.Kept.
 type adopted struct {
+	// regions are those of the job, remote is set if a worker carries it.
+	regions  locality.Regions
+	remote   bool
 	items    []*pathbendv1.BatchItem
 	partial  map[string]schedule.Partial
 	finished map[string]ledger.Result
@@ -65,17 +69,36 @@
 // read reads a job's items and the partial texts. Text that
 // cannot be read is made again.
 func (e *executor) read(ctx context.Context, job *ledger.Job) (adopted, error) {
-	var found adopted
+	found := adopted{regions: e.node.regionsOfJob(job.Spec)}
+	found.remote = e.node.remote(found.regions)
 	var err error
-	if found.items, err = e.node.jobs.contents.GetItems(ctx, job.Spec); err != nil {
+	if found.remote {
+		found.items, err = e.outline(ctx, job, found.regions)
+	} else {
+		found.items, err = e.node.jobs.contents.GetItems(ctx, job.Spec)
+	}
+	if err != nil {
 		return found, err
 	}
 	var partial map[string]ledger.Progress
 	e.node.jobs.withLedger(func(known *ledger.Ledger) { found.finished, partial = textsOf(known, found.items) })
+	if found.remote {
+		found.partial = countsOf(partial)
+		return found, nil
+	}
 	found.partial = e.readPartial(ctx, job, partial)
 	return found, nil
 }
 
+// countsOf returns partial texts without their bytes, which a worker reads.
+func countsOf(partial map[string]ledger.Progress) map[string]schedule.Partial {
+	counts := make(map[string]schedule.Partial, len(partial))
+	for itemID, progress := range partial {
+		counts[itemID] = schedule.Partial{Events: progress.Events, Versions: progress.Versions}
+	}
+	return counts
+}
+
 // readsTogether is how many texts are read at once: a step's long items wait for
 // all of them.
 const readsTogether = 8
@@ -89,7 +112,7 @@
 		readers.Go(func() {
 			parts, err := e.node.jobs.contents.Get(ctx, progress.Parts)
 			if err != nil {
-				e.node.logger.Log(event.JobUnread, "job_id", job.ID, "item_id", itemID, "detail", err.Error())
+				e.logUnread(job.ID, itemID, err)
 				return
 			}
 			mutex.Lock()
@@ -103,6 +126,10 @@
 	return texts
 }
 
+func (e *executor) logUnread(jobID, itemID string, err error) {
+	e.node.logger.Log(event.JobUnread, "job_id", jobID, "item_id", itemID, "detail", err.Error())
+}
+
 // textsOf finds what the log holds of items: texts that an earlier job listed, and
 // partial texts. An item may have both, if its listed text was too old for
 // a later job that began it anew.
@@ -129,6 +156,10 @@
 	e.takeVersions()
 	e.roll.Allow(job.Spec.Model, job.Spec.Step, e.slackOf(job.Spec))
 	policy := e.policyOf(job)
+	policy.Regions, policy.Topology, policy.Remote = found.regions, e.node.settings.Topology, found.remote
+	if found.remote {
+		e.remote.jobs[job.ID] = &remoteJob{regions: found.regions, link: e.linkTo(found.regions)}
+	}
 	var finished []schedule.Finished
 	var stopped []schedule.Key
 	e.node.jobs.withLedger(func(*ledger.Ledger) {
@@ -139,6 +170,9 @@
 	for _, run := range stopped {
 		e.cancel(run)
 	}
+	if found.remote {
+		e.scheduler.Hold(job.ID, e.remote.jobs[job.ID].link == nil)
+	}
 	for _, completed := range finished {
 		e.finish(completed)
 	}
@@ -164,10 +198,6 @@
 		return policy
 	}
 	policy.Services = servicesOf(route)
-	policy.Topology = e.node.settings.Topology
-	if current := e.node.Catalog(); current != nil {
-		policy.Regions = regionsOf(current, route, job.Spec.Tenant)
-	}
 	policy.MaxFailures = route.MaxAttempts
 	policy.SingleVersion = route.SingleVersion
 	policy.Priority = e.node.rankOf(job.Spec.Tenant, route)
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/carry"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/relay"
 	"github.com/pathbend/pathbend/internal/sharedlog"
@@ -53,7 +55,9 @@
 type announcedNode struct {
 	// millicores is the processor time a second that it may use.
 	millicores uint64
-	// zone and address are where it makes calls for others.
+	// zone is where it stands, address where it makes calls for others, worker where it
+	// takes calls to carry runs.
+	worker  string
 	zone    string
 	address string
 	// readAt is when this process read of it.
@@ -81,7 +85,8 @@
 			continue
 		}
 		d.nodes[record.Key] = announcedNode{
-			millicores: announced.Millicores, zone: announced.Zone, address: announced.Address, readAt: now,
+			millicores: announced.Millicores, zone: announced.Zone, address: announced.Address, worker: announced.WorkerAddress,
+			readAt: now,
 		}
 	}
 }
@@ -164,15 +169,36 @@
 	return peers
 }
 
-// Peers lists the nodes that make calls to the log service for others.
-func (n *Node) Peers() []relay.Peer { return n.directory.peers(time.Now()) }
+// Peers lists the nodes that make calls to the log service for this one: those of its own
+// region, as what passes through them may be bound to it.
+func (n *Node) Peers() []relay.Peer {
+	region := n.settings.Topology.Region(n.settings.Zone)
+	return slices.DeleteFunc(n.directory.peers(time.Now()), func(peer relay.Peer) bool {
+		return n.settings.Topology.Region(peer.Zone) != region
+	})
+}
+
+// workers lists the nodes that carry runs for others.
+func (d *directory) workers() []carry.Node {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var workers []carry.Node
+	for name, node := range d.nodes {
+		if node.worker != "" && now.Sub(node.readAt) <= announcedFor {
+			workers = append(workers, carry.Node{Name: name, Zone: node.zone, Address: node.worker, Millicores: node.millicores})
+		}
+	}
+	return workers
+}
 
 // current reports whether a node's entry says what it would announce.
-func (d *directory) current(settings *Settings) bool {
+func (d *directory) current(settings *Settings, worker string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	entry := d.nodes[settings.Name]
-	return entry.millicores == settings.Millicores && entry.address == settings.PeerAddress() && entry.zone == settings.Zone
+	return entry.millicores == settings.Millicores && entry.address == settings.PeerAddress() &&
+		entry.zone == settings.Zone && entry.worker == worker
 }
 
 // announce tells the other nodes this node's capacity, again and again. A process
@@ -184,7 +210,9 @@
 	}
 	for !n.directoryRead() && wait.For(ctx, unreadPause) {
 	}
-	if n.directory.current(&n.settings) {
+	for n.settings.takesCalls() && n.peerAddress.Load() == nil && wait.For(ctx, unreadPause) {
+	}
+	if n.directory.current(&n.settings, n.calledAt()) {
 		wait.For(ctx, rand.N(announceInterval))
 	}
 	for ctx.Err() == nil {
@@ -197,6 +225,14 @@
 	}
 }
 
+// calledAt is where other nodes call this one, empty if they do not.
+func (n *Node) calledAt() string {
+	if address := n.peerAddress.Load(); address != nil {
+		return *address
+	}
+	return ""
+}
+
 func (n *Node) directoryRead() bool {
 	_, read := n.directory.Announced()
 	return read
@@ -205,6 +241,7 @@
 func (n *Node) announceOnce(ctx context.Context) error {
 	value, err := proto.Marshal(&pathbendv1.NodeCapacity{
 		Node: n.settings.Name, Millicores: n.settings.Millicores, Zone: n.settings.Zone, Address: n.settings.PeerAddress(),
+		WorkerAddress: n.calledAt(),
 	})
 	if err != nil {
 		return err
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
@@ -49,8 +50,11 @@
 	mutex     sync.Mutex
 	scheduler *schedule.Scheduler // nil while this node does not execute
 	runs      map[schedule.Key]context.CancelFunc
-	// session ends when the node stops to execute.
+	// remote is the work that is not for this node's region.
+	remote remoteWork
+	// session ends when the node stops to execute; sessionID tells it from others.
 	session      context.Context
+	sessionID    uint64
 	endSession   context.CancelFunc
 	progressedAt time.Time
 	reviewedAt   time.Time
@@ -62,7 +66,9 @@
 	coldBefore int
 	coldToldAt time.Time
 	// evacuated is the list of evacuated zones that the scheduler took in last.
-	evacuated  *evacuation.Zones
+	evacuated *evacuation.Zones
+	// configured is the configuration by which the jobs were taken in.
+	configured *catalog.Catalog
 	rewards    *rewarder
 	splitBrain splitBrainDetector
 	work       conc.WaitGroup
@@ -148,6 +154,8 @@
 		e.takeVersions()
 		e.takeSamplers(now)
 		e.stopMoved(now)
+		e.takeConfiguration()
+		e.reviewRemote()
 	}
 	for _, start := range e.scheduler.Starts(now) {
 		e.start(start)
@@ -195,6 +203,8 @@
 	defer e.mutex.Unlock()
 	e.scheduler = schedule.New(rand.Uint64)
 	e.session, e.endSession = context.WithCancel(ctx)
+	e.sessionID, e.remote = rand.Uint64(), newRemoteWork()
+	e.configured = e.node.Catalog()
 	e.roll.Forget()
 	e.takeVersions()
 	e.listed, e.evacuated = nil, nil
@@ -239,6 +249,7 @@
 	}
 	e.endSession()
 	e.stopRuns()
+	e.remote = newRemoteWork()
 	e.scheduler = nil
 	e.node.logger.Log(event.ExecutorStopped, "generation", e.node.ownership.current())
 	e.node.metrics.executing.Set(0)
@@ -270,6 +281,31 @@
 	e.scheduler.Samplers(*listed, now)
 }
 
+// takeConfiguration takes in anew the jobs whose regions a new configuration changed. It is
+// called under the lock.
+func (e *executor) takeConfiguration() {
+	current := e.node.Catalog()
+	if current == e.configured {
+		return
+	}
+	e.configured = current
+	for _, job := range e.node.jobs.open() {
+		was, known := e.scheduler.Regions(job.ID)
+		if !known || was.String() == e.node.regionsOfJob(job.Spec).String() {
+			continue
+		}
+		e.scheduler.WorkerLost(job.ID)
+		e.scheduler.DropJob(job.ID, time.Now())
+		for key := range e.runs {
+			if key.Job == job.ID {
+				e.cancel(key)
+			}
+		}
+		delete(e.remote.jobs, job.ID)
+		e.adopt(job)
+	}
+}
+
 func (e *executor) applyChange(change ledger.Change) {
 	switch change.Kind {
 	case ledger.Submitted:
@@ -333,15 +369,19 @@
 	}
 }
 
-// start runs an item at its sampler in a goroutine.
+// start runs an item at its sampler in a goroutine, or lets the job's worker carry the run.
 func (e *executor) start(start schedule.Start) {
-	ctx, cancel := context.WithCancel(e.session)
-	e.runs[start.Key] = cancel
-	scheduler := e.scheduler
 	e.node.metrics.started.Inc()
 	e.node.logger.Log(event.ItemStarted, "job_id", start.Key.Job, "item_id", start.Key.Item,
 		"sampler", start.Sampler.ID, "running", start.Running, "candidates", start.Candidates,
 		"pace_ms", start.Pace.Milliseconds(), "after_event", start.AfterEvent, "ahead", start.Key.Ahead)
+	if job := e.remote.jobs[start.Key.Job]; job != nil {
+		e.startRemote(job, start)
+		return
+	}
+	ctx, cancel := context.WithCancel(e.session)
+	e.runs[start.Key] = cancel
+	scheduler := e.scheduler
 	e.work.Go(func() {
 		defer cancel()
 		run := Run{
@@ -365,13 +405,19 @@
 	if e.scheduler != scheduler {
 		return
 	}
-	verdict := scheduler.RunEnded(start.Key, start.Run, end.Ending, time.Now())
+	e.endRun(start, end, time.Now())
+}
+
+// endRun records the end of a run. It is called under the lock.
+func (e *executor) endRun(start schedule.Start, end RunEnd, now time.Time) {
+	verdict := e.scheduler.RunEnded(start.Key, start.Run, end.Ending, now)
 	e.node.metrics.runEnded(end.Ending)
 	if end.Ending != schedule.Complete {
 		e.node.logger.Log(event.ItemRunEnded, "job_id", start.Key.Job, "item_id", start.Key.Item,
 			"sampler", start.Sampler.ID, "ending", end.Ending.String(), "detail", end.Detail, "failures", verdict.Failures)
 	}
-	if verdict.Finished != nil {
+	// A worker goes on to score and list what it completed.
+	if verdict.Finished != nil && !verdict.Finished.Remote {
 		e.finish(*verdict.Finished)
 	}
 	if verdict.Dead {
@@ -385,15 +431,20 @@
 	e.lister.addResult(key.Job, &pathbendv1.BatchResult{ItemId: key.Item, Dead: true}, nil)
 }
 
-// finish scores a complete text and lists it.
+// finish scores a complete text and lists it. It is called under the lock.
 func (e *executor) finish(completed schedule.Finished) {
+	scored := completed.Kept != nil && (completed.Score != "" || completed.Reward == nil)
+	if completed.Remote && !scored {
+		e.finishRemote(completed)
+		return
+	}
 	session, scheduler := e.session, e.scheduler
 	e.work.Go(func() {
 		stamp, alive := completed.Score, true
 		if stamp == "" && completed.Reward != nil {
 			stamp, alive = e.rewards.score(session, completed, func() bool { return e.wants(completed.Key) })
 		}
-		if session.Err() != nil {
+		if session.Err() != nil || completed.Unscored(stamp, alive) {
 			return
 		}
 		e.mutex.Lock()
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -103,6 +103,7 @@
 			continue
 		}
 		b.node.executor.jobChanged(change)
+		b.node.worker.jobChanged(change)
 	}
 	close(b.changed)
 	b.changed = make(chan struct{})
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -37,6 +37,10 @@
 	coldUsed    prometheus.Gauge
 	coldWaiting prometheus.Gauge
 	peerCalls   *prometheus.CounterVec
+	carried     *prometheus.CounterVec
+	remoteRuns  *prometheus.CounterVec
+	boundJobs   prometheus.Gauge
+	workersLost prometheus.Counter
 }
 
 // PeerCallAsked counts a call to the log that a peer was asked to make.
@@ -80,6 +84,15 @@
 	m.coldUsed = prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_cold_requests_last_second", Help: "Items sent to cold samplers in the last second, while this node executes."})
 	m.coldWaiting = prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_items_waiting_for_warmth", Help: "Items that wait while samplers with free slots got all that they may get in a second, while this node executes."})
 	m.registry.MustRegister(m.coldCount, m.coldUsed, m.coldWaiting)
+	m.carried = counters("pathbend_carried_runs_total", "Runs that this node carried for another, by the node that decides.", "decider")
+	m.remoteRuns = counters("pathbend_remote_runs_total", "Runs that another node carried for this one, by that node.", "worker")
+	m.boundJobs = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "pathbend_remote_jobs", Help: "Open jobs that nodes of other regions carry for this one.",
+	})
+	m.workersLost = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pathbend_workers_lost_total", Help: "Nodes given up that carried runs for this one.",
+	})
+	m.registry.MustRegister(m.carried, m.remoteRuns, m.boundJobs, m.workersLost)
 	m.peerCalls = counters("pathbend_log_peer_calls_total", "Calls to the log through peers, by whether this node asked for them or made them, and whether the log answered.", "role", "answered")
 	m.registry.MustRegister(m.peerCalls, m.reports, m.reportAge, m.orders, m.reserve)
 	m.registry.MustRegister(m.requests, m.duration, m.submissions, m.submitting, m.appends, m.appending, m.runEnds,
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -17,6 +17,7 @@
 	"github.com/pathbend/pathbend/internal/fleet"
 	"github.com/pathbend/pathbend/internal/metering"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/peer"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -52,6 +53,8 @@
 	jobs       *jobBook
 	ownership  *ownership
 	executor   *executor
+	worker     *worker
+	peers      *peer.Pool
 	claims     *claims
 	usage      *usage
 	scaler     *scaler
@@ -61,6 +64,8 @@
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	samplers atomic.Pointer[[]schedule.Sampler]
+	// peerAddress is where other nodes ask this one to carry runs, nil while they cannot.
+	peerAddress atomic.Pointer[string]
 	// evacuated holds the zones whose samplers get nothing new.
 	evacuated atomic.Pointer[evacuation.Zones]
 
@@ -99,6 +104,8 @@
 	n.directory = newDirectory(n.log, settings.NodesTopic, n, logger)
 	n.jobs = newJobBook(n)
 	n.executor = newExecutor(n)
+	n.worker = newWorker(n)
+	n.peers = peer.NewPool(ports.Network, settings.Name)
 	n.claims = &claims{node: n}
 	n.usage = newUsage(n)
 	n.scaler = &scaler{node: n}
@@ -116,6 +123,8 @@
 	n.loops.Go(func() { n.joinGroup(ctx) })
 	n.loops.Go(func() { n.announce(ctx) })
 	n.loops.Go(func() { n.executor.run(ctx) })
+	n.loops.Go(func() { n.worker.run(ctx) })
+	n.loops.Go(func() { n.listen(ctx) })
 	n.usage.start(ctx)
 	n.loops.Go(func() { n.scaler.run(ctx) })
 }
@@ -173,6 +182,7 @@
 		return
 	}
 	n.logger.Log(event.NodeDraining, "active", n.active.Load())
+	n.worker.drain(ctx)
 	n.ownership.leave(ctx)
 }
 
@@ -180,6 +190,7 @@
 func (n *Node) Stop() {
 	n.stop()
 	n.loops.Wait()
+	n.peers.Close()
 	n.exchanger.Close()
 	n.logger.Log(event.NodeStopped)
 }
--- a/internal/hosted/regions.go
+++ b/internal/hosted/regions.go
@@ -55,3 +55,32 @@
 	}
 	return nil
 }
+
+// remote reports whether this node may not hold the bodies and texts of work that is bound
+// to regions.
+func (n *Node) remote(regions locality.Regions) bool {
+	return regions.Bound() && !regions.Allow(n.settings.Topology.Region(n.settings.Zone))
+}
+
+// regionsOfJob returns the regions in which a job's items may be served.
+func (n *Node) regionsOfJob(spec *pathbendv1.BatchJob) locality.Regions {
+	current := n.Catalog()
+	if current == nil {
+		return locality.Regions{}
+	}
+	route := current.Find(spec.Host, spec.Path)
+	if route == nil {
+		return locality.Regions{}
+	}
+	return regionsOf(current, route, spec.Tenant)
+}
+
+// permitsRun returns an error if, by the configuration in force here, this node may not
+// carry a run of a job, or a sampler of the zone not serve it.
+func (n *Node) permitsRun(spec *pathbendv1.BatchJob, zone string) error {
+	regions := n.regionsOfJob(spec)
+	if n.remote(regions) || regions.Bound() && !regions.Allow(n.settings.Topology.Region(zone)) {
+		return result.New(result.RegionUnavailable, "the job is bound to %v", regions)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/hosted/remote.go
@@ -0,0 +1,367 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/carry"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/locality"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/wait"
+)
+
+const (
+	// reportHold is how long a worker holds a call that asks for reports.
+	reportHold = 250 * time.Millisecond
+	// callPatience is how much longer a call to a worker may take (chosen: the bound for
+	// regions 120 ms apart, one way, and as much for a busy machine).
+	callPatience = 500 * time.Millisecond
+	// callPause is the pause after a call that failed.
+	callPause = 30 * time.Millisecond
+	// workerPatience is how long a worker may be silent before another one takes its
+	// place: two calls that fail and the next one's way.
+	workerPatience = 1200 * time.Millisecond
+	// avoidFor is how long a worker that failed is passed over.
+	avoidFor = 5 * time.Second
+	// outlinePatience bounds the wait for the outline of a job.
+	outlinePatience = 2 * time.Second
+	// mostOrders bounds the orders of one call.
+	mostOrders = 256
+)
+
+// remoteWork is the work of the executor whose bodies and texts are not for this node:
+// workers in its regions carry it. It is used under the executor's lock.
+type remoteWork struct {
+	jobs  map[string]*remoteJob
+	links map[string]*link
+	// avoided tells until when a worker is passed over.
+	avoided map[string]time.Time
+	// missing is set while a job has no worker.
+	missing bool
+}
+
+func newRemoteWork() remoteWork {
+	return remoteWork{jobs: make(map[string]*remoteJob), links: make(map[string]*link), avoided: make(map[string]time.Time)}
+}
+
+// remoteJob is a job that a worker carries.
+type remoteJob struct {
+	regions locality.Regions
+	// link is the way to its worker, nil while there is none.
+	link *link
+}
+
+// link is the way to a worker, for one session of the executor.
+type link struct {
+	executor *executor
+	worker   carry.Node
+	session  carry.Session
+	cancel   context.CancelFunc
+	woken    chan struct{}
+
+	mutex  sync.Mutex
+	orders []*pathbendv1.CarryOrder
+	// outlines are those who wait for a job's outline.
+	outlines map[string][]chan *pathbendv1.JobOutline
+	// runs are those under way, used under the executor's lock.
+	runs map[uint64]schedule.Start
+}
+
+// linkTo returns the way to the worker for some regions, nil if no node may be it. It is
+// called under the lock.
+func (e *executor) linkTo(regions locality.Regions) *link {
+	now := time.Now()
+	chosen, found := carry.Choose(e.node.directory.workers(), e.node.settings.Topology, regions, func(name string) bool {
+		return now.Before(e.remote.avoided[name])
+	})
+	if !found {
+		return nil
+	}
+	if known, ok := e.remote.links[chosen.Name]; ok && known.worker == chosen {
+		return known
+	}
+	ctx, cancel := context.WithCancel(e.session)
+	opened := &link{
+		executor: e, worker: chosen, cancel: cancel, woken: make(chan struct{}, 1),
+		session: carry.Session{
+			Decider: e.node.settings.Name, Generation: e.node.ownership.current(), ID: e.sessionID,
+		},
+		outlines: make(map[string][]chan *pathbendv1.JobOutline), runs: make(map[uint64]schedule.Start),
+	}
+	if former := e.remote.links[chosen.Name]; former != nil {
+		e.dropLink(former, "it has another address", now)
+	}
+	e.remote.links[chosen.Name] = opened
+	e.node.logger.Log(event.WorkerChosen, "worker", chosen.Name, "zone", chosen.Zone, "regions", regions.String(), "generation", opened.session.Generation)
+	e.work.Go(func() { opened.poll(ctx) })
+	e.work.Go(func() { opened.send(ctx) })
+	return opened
+}
+
+// dropLink gives a worker up: its jobs wait for another one. It is called under the lock.
+func (e *executor) dropLink(l *link, detail string, now time.Time) {
+	if e.remote.links[l.worker.Name] != l {
+		return
+	}
+	delete(e.remote.links, l.worker.Name)
+	l.cancel()
+	e.remote.avoided[l.worker.Name] = now.Add(avoidFor)
+	e.node.metrics.workersLost.Inc()
+	e.node.logger.Log(event.WorkerLost, "worker", l.worker.Name, "runs", len(l.runs), "detail", detail)
+	for id, job := range e.remote.jobs {
+		if job.link != l {
+			continue
+		}
+		job.link = nil
+		for key := range e.runs {
+			if key.Job == id {
+				delete(e.runs, key)
+			}
+		}
+		e.scheduler.WorkerLost(id)
+		e.scheduler.Hold(id, true)
+	}
+	e.wake()
+}
+
+// lost gives a worker up whose calls fail.
+func (l *link) lost(detail string) {
+	e := l.executor
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler != nil && e.sessionID == l.session.ID {
+		e.dropLink(l, detail, time.Now())
+	}
+}
+
+// reviewRemote gives jobs without a worker one, forgets jobs that are over, and takes in
+// jobs anew whose regions changed. It is called under the lock.
+func (e *executor) reviewRemote() {
+	missing := false
+	for id, job := range e.remote.jobs {
+		if !e.scheduler.HasJob(id) {
+			delete(e.remote.jobs, id)
+			continue
+		}
+		if job.link == nil {
+			if job.link = e.linkTo(job.regions); job.link != nil {
+				e.scheduler.Hold(id, false)
+			} else {
+				missing = true
+			}
+		}
+	}
+	if missing && !e.remote.missing {
+		e.node.logger.Log(event.WorkerMissing, "jobs", len(e.remote.jobs))
+	}
+	e.remote.missing = missing
+	e.node.metrics.boundJobs.Set(float64(len(e.remote.jobs)))
+}
+
+// outline asks the worker of some regions for the items of a job without bodies.
+func (e *executor) outline(ctx context.Context, job *ledger.Job, regions locality.Regions) ([]*pathbendv1.BatchItem, error) {
+	e.mutex.Lock()
+	var asked *link
+	if e.scheduler != nil {
+		asked = e.linkTo(regions)
+	}
+	e.mutex.Unlock()
+	if asked == nil {
+		return nil, result.New(result.RegionUnavailable, "no node in %v takes calls", regions)
+	}
+	ctx, cancel := context.WithTimeout(ctx, outlinePatience)
+	defer cancel()
+	answer := make(chan *pathbendv1.JobOutline, 1)
+	asked.mutex.Lock()
+	asked.outlines[job.ID] = append(asked.outlines[job.ID], answer)
+	asked.mutex.Unlock()
+	asked.order(&pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Open{Open: job.ID}})
+	select {
+	case outline := <-answer:
+		if outline.Failure == "" {
+			return outline.Items, nil
+		}
+		asked.lost(outline.Failure)
+		return nil, result.New(result.PeerLost, "%s cannot read the job: %s", asked.worker.Name, outline.Failure)
+	case <-ctx.Done():
+		asked.lost("it gave no outline")
+		return nil, result.Wrap(result.PeerLost, ctx.Err(), "await the outline of "+asked.worker.Name)
+	}
+}
+
+// startRemote lets the job's worker carry a run. It is called under the lock.
+func (e *executor) startRemote(job *remoteJob, start schedule.Start) {
+	l := job.link
+	l.runs[start.Run] = start
+	e.runs[start.Key] = func() {
+		delete(l.runs, start.Run)
+		l.order(&pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Stop{Stop: start.Run}})
+	}
+	e.node.metrics.remoteRuns.WithLabelValues(l.worker.Name).Inc()
+	l.order(&pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Start{Start: &pathbendv1.StartRun{
+		Run: start.Run, JobId: start.Key.Job, ItemId: start.Key.Item, Ahead: start.Key.Ahead,
+		SamplerId: start.Sampler.ID, Address: start.Sampler.Address, Zone: start.Sampler.Zone,
+		MinVersion: start.Job.MinVersion, SingleVersion: start.SingleVersion,
+	}}})
+}
+
+// finishRemote lets the job's worker score a text that the log has, or that the worker
+// holds. It is called under the lock.
+func (e *executor) finishRemote(completed schedule.Finished) {
+	job := e.remote.jobs[completed.Key.Job]
+	if job == nil || job.link == nil {
+		e.scheduler.Reopen(completed.Key)
+		return
+	}
+	job.link.order(&pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Finish{Finish: &pathbendv1.FinishItem{
+		JobId: completed.Key.Job, ItemId: completed.Key.Item, Text: completed.Kept, Versions: completed.Versions,
+		MinVersion: completed.MinVersion, SingleVersion: completed.SingleVersion,
+	}}})
+}
+
+func (l *link) order(order *pathbendv1.CarryOrder) {
+	l.mutex.Lock()
+	l.orders = append(l.orders, order)
+	l.mutex.Unlock()
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
+// call makes one call to the worker.
+func (l *link) call(ctx context.Context, call *pathbendv1.CarryCall) (*pathbendv1.CarryReply, error) {
+	call.Decider, call.Generation, call.Session = l.session.Decider, l.session.Generation, l.session.ID
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.HoldMs)*time.Millisecond+callPatience)
+	defer cancel()
+	reply, err := l.executor.node.peers.Call(ctx, l.worker.Address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_CarryCall{CarryCall: call}})
+	if err != nil {
+		return nil, err
+	}
+	carried := reply.GetCarryReply()
+	if carried == nil {
+		return nil, result.New(result.FrameMalformed, "no answer to a call to a worker")
+	}
+	return carried, nil
+}
+
+// send gives the worker its orders, in order, until ctx ends.
+func (l *link) send(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.mutex.Lock()
+		orders := l.orders[:min(len(l.orders), mostOrders)]
+		l.mutex.Unlock()
+		if len(orders) == 0 {
+			select {
+			case <-l.woken:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if _, err := l.call(ctx, &pathbendv1.CarryCall{Orders: orders}); err != nil {
+			wait.For(ctx, callPause)
+			continue
+		}
+		l.mutex.Lock()
+		l.orders = l.orders[len(orders):]
+		l.mutex.Unlock()
+	}
+}
+
+// poll asks the worker for reports until ctx ends or the worker is lost.
+func (l *link) poll(ctx context.Context) {
+	heardAt, acknowledged, process := time.Now(), uint64(0), uint64(0)
+	for ctx.Err() == nil {
+		reply, err := l.call(ctx, &pathbendv1.CarryCall{Acknowledged: acknowledged, HoldMs: uint32(reportHold.Milliseconds())})
+		now := time.Now()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case result.Is(err, result.LeaseConflict) || err != nil && now.Sub(heardAt) > workerPatience:
+			l.lost(err.Error())
+			return
+		case err != nil:
+			wait.For(ctx, callPause)
+			continue
+		}
+		if process != 0 && reply.Process != process {
+			l.lost("it started anew")
+			return
+		}
+		heardAt, process = now, reply.Process
+		for _, report := range reply.Reports {
+			if report.Sequence > acknowledged {
+				acknowledged = report.Sequence
+				l.take(report, now)
+			}
+		}
+		switch {
+		case reply.Leaving:
+			l.lost("it is leaving")
+			return
+		case reply.OutOfTouch && l.executor.node.jobs.inTouch():
+			l.lost("the log does not serve it")
+			return
+		}
+	}
+}
+
+// take applies a report.
+func (l *link) take(report *pathbendv1.CarryReport, now time.Time) {
+	switch told := report.Report.(type) {
+	case *pathbendv1.CarryReport_Outline:
+		l.mutex.Lock()
+		waiting := l.outlines[told.Outline.JobId]
+		delete(l.outlines, told.Outline.JobId)
+		l.mutex.Unlock()
+		for _, answer := range waiting {
+			answer <- told.Outline
+		}
+	case *pathbendv1.CarryReport_Run:
+		l.executor.takeRun(l, told.Run, now)
+	case *pathbendv1.CarryReport_Lost:
+		l.executor.reopen(l, told.Lost)
+	}
+}
+
+func (e *executor) reopen(l *link, lost *pathbendv1.LostItem) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler != nil && e.remote.links[l.worker.Name] == l {
+		e.scheduler.Reopen(schedule.Key{Job: lost.JobId, Item: lost.ItemId})
+		e.wake()
+	}
+}
+
+// takeRun applies the state of a run.
+func (e *executor) takeRun(l *link, state *pathbendv1.RunState, now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler == nil || e.remote.links[l.worker.Name] != l {
+		return
+	}
+	start, known := l.runs[state.Run]
+	if !known {
+		return
+	}
+	e.scheduler.Seen(start.Key, start.Run, state.Version)
+	if state.Version == 0 {
+		e.scheduler.Resumed(start.Key, start.Run, state.Events, state.Versions)
+	} else {
+		e.scheduler.Advanced(start.Key, start.Run, state.Events, state.Versions, now)
+	}
+	if state.Ending == 0 {
+		return
+	}
+	delete(l.runs, state.Run)
+	delete(e.runs, start.Key)
+	e.endRun(start, RunEnd{Ending: schedule.Ending(state.Ending), Detail: state.Detail}, now)
+	if state.Unserved {
+		e.dropLink(l, state.Detail, now)
+	}
+}
--- /dev/null
+++ b/internal/hosted/worker.go
@@ -0,0 +1,357 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/carry"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/wait"
+)
+
+const (
+	// workerLease is how long a worker goes on without a call of the node that decides:
+	// longer than it takes another node to take the jobs over, and with a job's end just
+	// before within the users' bound of 3 s for runs of ended jobs (chosen).
+	workerLease = 2 * time.Second
+	// workerTick is how often a worker looks at what no call announces.
+	workerTick = 50 * time.Millisecond
+	// reportLinger lets reports of a moment share an answer (chosen: half of the time
+	// between two events of a text).
+	reportLinger = 15 * time.Millisecond
+	// mostHold bounds how long a call may wait for reports.
+	mostHold = time.Second
+	// textMemory is how long a text is held that no run goes on with: as long as a group
+	// may take to come again in a later job.
+	textMemory = 2 * time.Minute
+)
+
+// worker carries runs of items for the node that decides: it reads the bodies, holds the
+// streams and the texts, makes the reward calls and lists the results.
+type worker struct {
+	node *Node
+	// process tells this start of the node from others.
+	process uint64
+	// active is set once any call came.
+	active atomic.Bool
+	woken  chan struct{}
+
+	changesMutex sync.Mutex
+	changes      []ledger.Change
+
+	mutex   sync.Mutex
+	session carry.Session
+	heardAt time.Time
+	reports carry.Reports
+	// news is closed and replaced at every report.
+	news      chan struct{}
+	lastRun   uint64
+	runs      map[uint64]*carriedRun
+	jobs      map[string]*carriedJob
+	texts     map[textKey]*carriedText
+	finishing map[schedule.Key]struct{}
+	savedAt   time.Time
+	leaving   bool
+
+	// lifetime ends with the node.
+	lifetime context.Context
+	work     conc.WaitGroup
+}
+
+// carriedRun is a run under way.
+type carriedRun struct {
+	key  schedule.Key
+	stop context.CancelFunc
+}
+
+// carriedJob is a job whose items were read.
+type carriedJob struct {
+	spec  *pathbendv1.BatchJob
+	items map[string]*pathbendv1.BatchItem
+	// over is when the job ended or was complete, as far as this node knows.
+	over time.Time
+}
+
+// textKey names a text: an item may have a second one, made ahead for a later job.
+type textKey struct {
+	item  string
+	ahead bool
+}
+
+// carriedText is a text that the worker holds.
+type carriedText struct {
+	schedule.Text
+	job string
+	// run is the run that may add to it, 0 if none does.
+	run      uint64
+	complete bool
+	usedAt   time.Time
+}
+
+func newWorker(n *Node) *worker {
+	return &worker{
+		node: n, process: rand.Uint64(), woken: make(chan struct{}, 1), news: make(chan struct{}), runs: make(map[uint64]*carriedRun),
+		jobs: make(map[string]*carriedJob), texts: make(map[textKey]*carriedText), finishing: make(map[schedule.Key]struct{}),
+		lifetime: context.Background(),
+	}
+}
+
+// run looks after the runs until ctx ends.
+func (w *worker) run(ctx context.Context) {
+	w.mutex.Lock()
+	w.lifetime = ctx
+	w.mutex.Unlock()
+	ticker := time.NewTicker(workerTick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-w.woken:
+		case <-ctx.Done():
+		}
+		if w.active.Load() {
+			w.step(time.Now())
+		}
+	}
+	w.mutex.Lock()
+	w.stopRuns(func(*carriedRun) bool { return true })
+	w.mutex.Unlock()
+	w.work.Wait()
+}
+
+// jobChanged records a change of the ledger. It is called under the ledger's lock.
+func (w *worker) jobChanged(change ledger.Change) {
+	if !w.active.Load() || change.Kind != ledger.Ended && change.Kind != ledger.Listed {
+		return
+	}
+	w.changesMutex.Lock()
+	defer w.changesMutex.Unlock()
+	w.changes = append(w.changes, change)
+	select {
+	case w.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) step(now time.Time) {
+	w.changesMutex.Lock()
+	changes := w.changes
+	w.changes = nil
+	w.changesMutex.Unlock()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, change := range changes {
+		w.applyChange(change, now)
+	}
+	if len(w.runs) > 0 && now.Sub(w.heardAt) > workerLease {
+		w.node.logger.Log(event.RunsOrphaned, "decider", w.session.Decider, "generation", w.session.Generation,
+			"runs", len(w.runs), "silent_ms", now.Sub(w.heardAt).Milliseconds())
+		w.stopRuns(func(*carriedRun) bool { return true })
+	}
+	if now.Sub(w.savedAt) >= progressInterval {
+		w.savedAt = now
+		w.saveProgress(progressEvents, now)
+	}
+	w.forget(now)
+}
+
+func (w *worker) applyChange(change ledger.Change, now time.Time) {
+	for _, listed := range change.Listed {
+		w.stopRuns(func(run *carriedRun) bool { return run.key.Item == listed.ItemID })
+		delete(w.texts, textKey{item: listed.ItemID})
+		delete(w.texts, textKey{item: listed.ItemID, ahead: true})
+	}
+	if change.Kind != ledger.Ended && !change.Complete {
+		return
+	}
+	w.stopRuns(func(run *carriedRun) bool { return run.key.Job == change.Job.ID && !run.key.Ahead })
+	if job, known := w.jobs[change.Job.ID]; known && job.over.IsZero() {
+		job.over = now
+	}
+}
+
+// stopRuns stops the runs that are chosen. It is called under the lock.
+func (w *worker) stopRuns(chosen func(*carriedRun) bool) {
+	for number, run := range w.runs {
+		if chosen(run) {
+			run.stop()
+			delete(w.runs, number)
+		}
+	}
+}
+
+// forget drops the bodies of jobs that are over, with the runs ahead of them that go on
+// for too long, and texts that nothing goes on with.
+func (w *worker) forget(now time.Time) {
+	for id, job := range w.jobs {
+		if !job.over.IsZero() && now.Sub(job.over) > schedule.AheadPatience {
+			w.stopRuns(func(run *carriedRun) bool { return run.key.Job == id })
+			delete(w.jobs, id)
+		}
+	}
+	for key, text := range w.texts {
+		if _, running := w.runs[text.run]; !running && now.Sub(text.usedAt) > textMemory {
+			delete(w.texts, key)
+		}
+	}
+}
+
+// saveProgress saves what running items made. It is called under the lock.
+func (w *worker) saveProgress(minEvents uint64, now time.Time) {
+	unsaved := make(partsByJob)
+	w.node.jobs.withLedger(func(known *ledger.Ledger) {
+		for _, run := range w.runs {
+			text := w.texts[textKey{item: run.key.Item, ahead: run.key.Ahead}]
+			if run.key.Ahead || text == nil || text.complete {
+				continue
+			}
+			if part, ok := text.Unsaved(run.key.Item, minEvents, known, rand.Uint64, now); ok {
+				unsaved[run.key.Job] = append(unsaved[run.key.Job], part)
+			}
+		}
+	})
+	w.node.executor.lister.addProgress(unsaved)
+}
+
+// drain saves what running items made and sends the callers elsewhere.
+func (w *worker) drain(ctx context.Context) {
+	if !w.active.Load() {
+		return
+	}
+	w.mutex.Lock()
+	w.leaving = true
+	w.saveProgress(1, time.Now())
+	w.announceNews()
+	w.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, flushPatience)
+	defer cancel()
+	w.node.executor.lister.flush(ctx)
+}
+
+// announceNews wakes the calls that wait for reports. It is called under the lock.
+func (w *worker) announceNews() {
+	close(w.news)
+	w.news = make(chan struct{})
+}
+
+// report tells the caller something. It is called under the lock.
+func (w *worker) report(session carry.Session, report *pathbendv1.CarryReport) {
+	if w.session != session {
+		return
+	}
+	w.reports.Add(report)
+	w.announceNews()
+}
+
+// HandlePeer implements peer.Handler.
+func (w *worker) HandlePeer(ctx context.Context, call *pathbendv1.Envelope) (*pathbendv1.Envelope, error) {
+	carried := call.GetCarryCall()
+	if carried == nil {
+		return nil, result.New(result.FrameMalformed, "not a call for a worker")
+	}
+	reply, err := w.carry(ctx, carried)
+	if err != nil {
+		return nil, err
+	}
+	return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_CarryReply{CarryReply: reply}}, nil
+}
+
+func (w *worker) carry(ctx context.Context, call *pathbendv1.CarryCall) (*pathbendv1.CarryReply, error) {
+	session := carry.Session{Decider: call.Decider, Generation: call.Generation, ID: call.Session}
+	news, err := w.obey(session, call)
+	if err != nil {
+		return nil, err
+	}
+	if call.HoldMs > 0 {
+		w.awaitReports(ctx, news, min(time.Duration(call.HoldMs)*time.Millisecond, mostHold))
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.session != session {
+		return nil, result.New(result.LeaseConflict, "%s decides since generation %d", w.session.Decider, w.session.Generation)
+	}
+	reply := &pathbendv1.CarryReply{Process: w.process, Leaving: w.leaving, OutOfTouch: !w.node.jobs.inTouch()}
+	if call.HoldMs > 0 {
+		reply.Reports = w.reports.Pending()
+	}
+	return reply, nil
+}
+
+// obey carries a call's orders out. It returns a channel that is closed at the next report,
+// nil if there is one already.
+func (w *worker) obey(session carry.Session, call *pathbendv1.CarryCall) (<-chan struct{}, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	begins, err := w.session.Admit(session)
+	if err != nil {
+		return nil, err
+	}
+	if begins {
+		w.begin(session)
+	}
+	w.heardAt = time.Now()
+	w.reports.Acknowledge(call.Acknowledged)
+	for _, order := range call.Orders {
+		w.order(session, order)
+	}
+	if len(w.reports.Pending()) > 0 {
+		return nil, nil
+	}
+	return w.news, nil
+}
+
+// begin takes orders of another session: the runs of the former one end, their texts are
+// gone on with.
+func (w *worker) begin(session carry.Session) {
+	w.active.Store(true)
+	w.stopRuns(func(*carriedRun) bool { return true })
+	w.node.logger.Log(event.WorkerServes, "decider", session.Decider, "generation", session.Generation,
+		"former", w.session.Decider, "texts", len(w.texts))
+	w.session, w.reports, w.lastRun = session, carry.Reports{}, 0
+}
+
+func (w *worker) awaitReports(ctx context.Context, news <-chan struct{}, hold time.Duration) {
+	if news != nil {
+		timer := time.NewTimer(hold)
+		defer timer.Stop()
+		select {
+		case <-news:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+	wait.For(ctx, reportLinger)
+}
+
+// order carries one order out. Orders that come twice are harmless: runs are numbered in
+// the order of their starts.
+func (w *worker) order(session carry.Session, order *pathbendv1.CarryOrder) {
+	switch ordered := order.Order.(type) {
+	case *pathbendv1.CarryOrder_Open:
+		w.work.Go(func() { w.outline(session, ordered.Open) })
+	case *pathbendv1.CarryOrder_Start:
+		if ordered.Start.Run <= w.lastRun {
+			return
+		}
+		w.lastRun = ordered.Start.Run
+		w.startRun(session, ordered.Start)
+	case *pathbendv1.CarryOrder_Stop:
+		if run, known := w.runs[ordered.Stop]; known {
+			run.stop()
+			delete(w.runs, ordered.Stop)
+		}
+	case *pathbendv1.CarryOrder_Finish:
+		w.work.Go(func() { w.finishOrdered(session, ordered.Finish) })
+	}
+}
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -18,8 +18,8 @@
 const (
 	// aheadPart is the part of the slots that runs ahead may take.
 	aheadPart = 8
-	// aheadPatience is how long a run ahead goes on after its job has ended.
-	aheadPatience = 3 * time.Second
+	// AheadPatience is how long a run ahead goes on after its job has ended.
+	AheadPatience = 3 * time.Second
 	// longRatio is how many times as long as a usual item one must be to be run
 	// ahead.
 	longRatio = 2.0
@@ -215,7 +215,7 @@
 		}
 		move := Move{Key: copied.key, Run: copied.run, From: copied.sampler.ID, Silent: now.Sub(copied.lastEvent), Pace: copied.sampler.pace}
 		switch {
-		case left && now.Sub(copied.leftAt) > aheadPatience:
+		case left && now.Sub(copied.leftAt) > AheadPatience:
 			move.Reason = "not brought again"
 		case move.Silent > silenceLimit && !copied.sampler.isLoading(copied.job.spec.Model):
 			move.Reason = "silent"
--- a/internal/schedule/ahead_test.go
+++ b/internal/schedule/ahead_test.go
@@ -118,7 +118,7 @@
 	require.True(t, b.feed(ahead, 1, 2, 3))
 	b.s.DropJob("k", b.now)
 	require.Empty(t, b.starts())
-	for passed := time.Duration(0); passed < aheadPatience; passed += time.Second {
+	for passed := time.Duration(0); passed < AheadPatience; passed += time.Second {
 		require.Empty(t, b.s.Moves(b.now))
 		b.now = b.now.Add(time.Second)
 		require.True(t, b.feed(ahead, uint64(3+passed/time.Second), uint64(3+passed/time.Second), 3))
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -18,6 +18,8 @@
 	Item    *pathbendv1.BatchItem
 	// AfterEvent is the event to continue after, 0 to begin.
 	AfterEvent uint64
+	// SingleVersion wants the text made by one weight version.
+	SingleVersion bool
 	// Candidates and Running tell what the choice was made from.
 	Candidates int
 	Running    int
@@ -175,7 +177,7 @@
 	entry.startedAt, entry.lastEvent = now, now
 	started := Start{
 		Key: entry.key, Run: s.runs, Sampler: chosen.Sampler, Job: entry.job.spec, Item: entry.spec,
-		AfterEvent: entry.events, Candidates: candidates, Running: chosen.running, Pace: chosen.pace,
+		AfterEvent: entry.events, SingleVersion: entry.job.policy.SingleVersion, Candidates: candidates, Running: chosen.running, Pace: chosen.pace,
 	}
 	chosen.running++
 	chosen.budget.Sent(now)
--- a/internal/schedule/remote.go
+++ b/internal/schedule/remote.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/pathbend/pathbend/internal/locality"
 )
 
 // The runs of a job whose policy is Remote are carried by a worker, which holds the items'
@@ -53,6 +55,16 @@
 	return true
 }
 
+// Regions returns those by whose samplers the items of a job may be generated, false if
+// the job is not known.
+func (s *Scheduler) Regions(jobID string) (locality.Regions, bool) {
+	open, known := s.jobs[jobID]
+	if !known {
+		return locality.Regions{}, false
+	}
+	return open.policy.Regions, true
+}
+
 // mostMade bounds the events of one report: more are another text's.
 const mostMade = 1000
 
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -74,12 +74,20 @@
 	Tenant string
 	// Remote is set if the job's worker holds the text.
 	Remote bool
+	// Acceptance tells which versions the text may have.
+	Acceptance
 	// Score is set if the text was scored by the same call before.
 	Score string
 }
 
+// Unscored reports whether a text that wants a score has none and was not given up: its job
+// was dropped while the call was under way.
+func (f *Finished) Unscored(stamp string, alive bool) bool {
+	return alive && stamp == "" && f.Reward != nil
+}
+
 func (i *item) finished() Finished {
-	return Finished{Key: i.key, Text: i.text, Versions: i.versions, Reward: i.spec.Reward, Tenant: i.job.spec.Tenant, Remote: i.job.policy.Remote}
+	return Finished{Key: i.key, Text: i.text, Versions: i.versions, Reward: i.spec.Reward, Tenant: i.job.spec.Tenant, Remote: i.job.policy.Remote, Acceptance: i.job.accepted()}
 }
 
 // Ending is how a run ended.
