Judge the regions of bound work in the simulation

Cause: nothing told whether work that regions bind stays there under faults. Change: a world of two regions, 8 ms apart, zone c and the rest; a rollout route bound to the one, a tenant to the other. HOME is judged where a request or item reaches a sampler and where the store hands a machine records with bodies. Faults as before, each that changes who decides or carries on every node in turn, and a cut between the regions. Ruled out: judging bodies on peer connections (the outline is a type of its own without them; a unit test is left to do). Tests changed: the mutant of VERSION edits the checks in schedule/text.go, where they moved.

--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -37,6 +37,8 @@
 	host   string
 	// tenant is whose keys the caller shows; none if it is empty.
 	tenant string
+	// prefix is that of the route of the caller's jobs.
+	prefix string
 }
 
 func (w *World) newCaller(name, zone, host string, seed uint64) *caller {
@@ -44,7 +46,7 @@
 	transport.DisableKeepAlives = true
 	return &caller{
 		world: w, client: &http.Client{Transport: transport},
-		random: rand.New(rand.NewPCG(seed, 11)), host: host,
+		random: rand.New(rand.NewPCG(seed, 11)), host: host, prefix: rolloutPrefix,
 	}
 }
 
@@ -103,6 +105,7 @@
 		body := []byte("body of " + id)
 		header := http.Header{platform.HeaderRequestID: {id}, platform.HeaderDeadline: {"1500"}, platform.HeaderTenant: {"forged"}}
 		c.world.Truth.Claims(id, c.tenant)
+		c.world.Truth.Bind(id, c.home(""))
 		got, err := c.call(ctx, http.MethodPost, path, header, body)
 		switch {
 		case err != nil && ctx.Err() != nil:
@@ -178,6 +181,8 @@
 		_, out, _ := strings.Cut(item.Headers[platform.HeaderTokens], ",")
 		events, _ := strconv.Atoi(out)
 		c.world.Truth.Claims(item.ID, c.tenant)
+		c.world.Truth.Bind(item.ID, c.home(c.prefix))
+		c.world.Truth.Bind(item.Scorer.ID, c.home(""))
 		known[item.ID] = &itemTruth{events: events, reward: item.Scorer.ID, body: item.Body}
 	}
 	c.world.Truth.Submitted(job, known)
@@ -191,9 +196,9 @@
 		events *= 4
 	}
 	return platform.ItemDocument{
-		ID: id, Path: rolloutPrefix + "run/" + id, Group: group, Tokens: uint64(events),
+		ID: id, Path: c.prefix + "run/" + id, Group: group, Tokens: uint64(events),
 		Headers: map[string]string{platform.HeaderModel: model, platform.HeaderTokens: fmt.Sprintf("100,%d", events)},
-		Body:    base64.StdEncoding.EncodeToString([]byte("prompt of " + id)),
+		Body:    base64.StdEncoding.EncodeToString([]byte(bodyOf + id)),
 		Scorer: &platform.ScorerDocument{
 			ID: fmt.Sprintf("w%x", c.random.Uint64()), Host: c.host, Path: applicationPrefix + "score",
 			Body: base64.StdEncoding.EncodeToString([]byte("score " + id)),
@@ -209,7 +214,7 @@
 	}
 	header := http.Header{platform.HeaderRequestID: {job.id}, "Content-Type": {"application/json"}}
 	for limit := time.Now().Add(stepPatience); ctx.Err() == nil && time.Now().Before(limit); wait.For(ctx, retryInterval) {
-		got, err := c.call(ctx, http.MethodPost, rolloutPrefix+job.id, header, content)
+		got, err := c.call(ctx, http.MethodPost, c.prefix+job.id, header, content)
 		accepted := err == nil && got.status == http.StatusAccepted
 		c.world.Truth.Update(job, func() {
 			switch {
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -45,6 +45,8 @@
 	SamplersTurnCold
 	Evacuate
 	faultKinds
+	// RegionCut needs two regions and is not drawn.
+	RegionCut = faultKinds
 )
 
 var faultNames = [...]string{
@@ -54,6 +56,7 @@
 	"config_change", "store_forgets", "node_replaced", "keys_taken",
 	"cloud_down", "cloud_slow", "cloud_lost",
 	"cold_return", "samplers_turn_cold", "evacuate",
+	"region_cut",
 }
 
 // String implements fmt.Stringer.
@@ -117,6 +120,8 @@
 		w.PutConfig(int(fault.Target % 50))
 	case StoreRebalance:
 		w.Store.Rebalance()
+	case RegionCut:
+		w.cutRegion(fault)
 	case NodeReplaced:
 		w.replaceNode(fault, w.lastToOrder(node))
 	case Evacuate:
@@ -285,6 +290,41 @@
 	w.healed(name)
 }
 
+// cutRegion cuts the machines of the region without the store off from all others.
+func (w *World) cutRegion(fault Fault) {
+	var inside, outside []string
+	place := func(machine, zone string) {
+		if w.options.Regions[zone] == w.options.Regions[zones[0]] {
+			outside = append(outside, machine)
+			return
+		}
+		inside = append(inside, machine)
+	}
+	place(storeMachine, zones[0])
+	place(cloudMachine, zones[0])
+	for _, machine := range w.present() {
+		place(machine.name, machine.zone)
+		w.disturb(fault, machine.name)
+	}
+	for _, machine := range w.samplers {
+		place(machine.host, machine.spec.Zone)
+	}
+	each := func(act func(from, to string)) {
+		for _, one := range inside {
+			for _, other := range outside {
+				act(one, other)
+				act(other, one)
+			}
+		}
+	}
+	each(w.network.Hold)
+	time.Sleep(fault.For)
+	each(w.network.Release)
+	for _, machine := range w.present() {
+		w.healed(machine.name)
+	}
+}
+
 func (w *World) troubleStore(fault Fault, faults StoreFaults) {
 	w.disturb(fault, "")
 	w.Store.SetFaults(faults)
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -16,7 +16,8 @@
 	{Promise: "VERSION: no text of old weights", Edits: []mutation.Edit{
 		mutation.Replace("internal/schedule/runs.go", "if event.Version < entry.job.spec.MinVersion {", "if false {"),
 		mutation.Replace("internal/schedule/placement.go", "if !known || version < entry.job.spec.MinVersion ||", "if !known ||"),
-		mutation.Replace("internal/schedule/item.go", "return versions[0] >= j.spec.MinVersion", "return true"),
+		mutation.Replace("internal/schedule/text.go", "event.ID != t.events+1 || event.Version < accepted.MinVersion", "event.ID != t.events+1"),
+		mutation.Replace("internal/schedule/text.go", "return versions[0] >= a.MinVersion", "return true"),
 	}},
 	{Promise: "ORDER: parts of two runs are not joined", Test: "TestPartsOfTwoRunsAreNeverJoined", Package: "./internal/ledger", Edits: []mutation.Edit{
 		mutation.Replace("internal/ledger/ledger.go", "if item.Previous != 0 && item.Previous != kept.ID {", "if false {"),
@@ -67,6 +68,18 @@
 	{Promise: "CONFIG: a key is asked about before every attempt", Test: "TestKeyThatWasTakenAwayIsDeniedBeforeTheNextAttempt", Package: "./internal/hosted", Edits: []mutation.Edit{
 		mutation.Replace("internal/hosted/admission.go", "tenant, err := current.Admit(admitted.Route, key)\n\t\tif err != nil {\n\t\t\treturn n.deny(err)", "tenant, err := current.Admit(admitted.Route, key)\n\t\tif err != nil {\n\t\t\treturn nil"),
 	}},
+	{Promise: "HOME: the tenant's regions bind beside the route's", Test: "TestCalmDayOfTwoRegions", Package: "./internal/platformsim", Edits: []mutation.Edit{
+		mutation.Replace("internal/hosted/regions.go", "return route.Regions.And(tenant.Regions)", "_ = tenant\n\treturn route.Regions"),
+	}},
+	{Promise: "HOME: regions bind every attempt", Test: "TestRegionsBindEveryAttempt", Package: "./internal/dispatch", Edits: []mutation.Edit{
+		mutation.Replace("internal/dispatch/dispatcher.go", "route.Excluded = append(route.Excluded, failed.endpoint.ID)", "route.Excluded, route.Regions = append(route.Excluded, failed.endpoint.ID), locality.Regions{}"),
+	}},
+	{Promise: "HOME: a node elsewhere reads no body", Test: "TestCalmDayOfTwoRegions", Package: "./internal/platformsim", Edits: []mutation.Edit{
+		mutation.Replace("internal/hosted/regions.go", "return regions.Bound() && !regions.Allow(n.settings.Topology.Region(n.settings.Zone))", "return false && regions.Bound()"),
+	}},
+	{Promise: "HOME: items go to samplers of their regions", Test: "TestItemsStayInTheirRegions", Package: "./internal/schedule", Edits: []mutation.Edit{
+		mutation.Replace("internal/schedule/item.go", "if p.Regions.Bound() && !p.Regions.Allow(p.Topology.Region(sampler.Zone)) {", "if false {"),
+	}},
 	{Promise: "UNASKED: a run ahead is its tenant's", Test: "TestLongItemRunsAheadAndGoesOnInTheJobThatBringsIt", Package: "./internal/schedule", Edits: []mutation.Edit{
 		mutation.Replace("internal/schedule/ahead.go", "\t\tTenant: i.job.spec.Tenant,\n", ""),
 	}},
--- /dev/null
+++ b/internal/platformsim/regions_test.go
@@ -0,0 +1,74 @@
+package platformsim
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// twoRegions is a world whose farZone is a region of its own, 8 ms from the others and the
+// store, with a route that is bound to one region and a tenant that is bound to the other.
+func twoRegions(seed uint64, logs io.Writer) Options {
+	options := example(seed, logs)
+	options.Regions = map[string]string{"a": "north", "b": "north", farZone: "south"}
+	options.Distance = 8 * time.Millisecond
+	options.Applications = 6
+	return options
+}
+
+func TestCalmDayOfTwoRegions(t *testing.T) {
+	world := play(t, twoRegions(1, nil), nil)
+	require.Empty(t, world.Truth.Violations())
+	counts := world.Truth.counts
+	require.Zero(t, counts["requests refused"]+counts["requests lost"], counts)
+	require.Positive(t, counts["bound arrivals"], counts)
+	require.Positive(t, counts["bound bodies"], counts)
+	require.GreaterOrEqual(t, counts["steps"], 30)
+	require.Equal(t, counts["steps"], counts["steps whole"], counts)
+}
+
+// Each fault that changes who decides or who carries, alone, twice.
+func TestEachFaultOfTwoRegions(t *testing.T) {
+	kinds := []FaultKind{
+		NodeKill, NodeFreeze, NodeCutFromStore, NodeCutFromAll, NodeTerm, HerdKill, KillAll, NodeReplaced, ConfigChange,
+		StoreSilent, StoreLost, StoreRebalance, SamplerCrash, RegionCut,
+	}
+	for _, kind := range kinds {
+		for target := range uint64(3) {
+			t.Run(fmt.Sprintf("%v at %d", kind, target), func(t *testing.T) {
+				t.Parallel()
+				faults := []Fault{
+					{Kind: kind, At: 6 * time.Second, For: 4 * time.Second, Target: 2 * target},
+					{Kind: kind, At: 25 * time.Second, For: 6 * time.Second, Target: 2*target + 1},
+				}
+				world := play(t, twoRegions(uint64(kind)+200, nil), faults)
+				require.Empty(t, world.Truth.Violations())
+				require.Positive(t, world.Truth.counts["steps whole of m1"], "the bound tenant's")
+				require.Positive(t, world.Truth.counts["steps whole of m2"], "the bound route's")
+			})
+		}
+	}
+}
+
+func TestSeedsOfTwoRegions(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			var logs io.Writer
+			if *traceRun {
+				logs = os.Stdout
+			}
+			faults := Draw(seed, faultTime, *faultsRun)
+			world := play(t, twoRegions(seed, logs), faults)
+			for _, violation := range world.Truth.Violations() {
+				t.Error(violation)
+			}
+			t.Logf("faults %v, counts %v", faults, world.Truth.counts)
+			require.Positive(t, world.Truth.counts["steps whole"])
+		})
+	}
+}
--- a/internal/platformsim/store.go
+++ b/internal/platformsim/store.go
@@ -44,6 +44,8 @@
 	groups  map[string]*group
 	faults  StoreFaults
 	changed chan struct{}
+	// handed is told which records a machine gets; it may be nil.
+	handed func(machine string, records []byte)
 }
 
 // NewStore returns an empty store.
@@ -207,7 +209,11 @@
 			return
 		}
 		if from < len(records) || !waiting {
-			writeRecords(writer, records, from, min(kilobytes<<10, maxReadBytes))
+			answer := recordsFrom(records, from, min(kilobytes<<10, maxReadBytes))
+			if s.handed != nil {
+				s.handed(hostOf(request.RemoteAddr), answer)
+			}
+			_, _ = writer.Write(answer)
 			return
 		}
 		select {
@@ -220,7 +226,7 @@
 	}
 }
 
-func writeRecords(writer http.ResponseWriter, records [][]byte, from, maxBytes int) {
+func recordsFrom(records [][]byte, from, maxBytes int) []byte {
 	answer := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	answer = binary.BigEndian.AppendUint64(answer, 0)
 	empty := len(answer)
@@ -231,7 +237,7 @@
 		answer = binary.BigEndian.AppendUint32(answer, uint32(len(record)))
 		answer = append(answer, record...)
 	}
-	_, _ = writer.Write(answer)
+	return answer
 }
 
 func (s *Store) serveNewest(writer http.ResponseWriter, request *http.Request) {
--- a/internal/platformsim/tenants.go
+++ b/internal/platformsim/tenants.go
@@ -36,6 +36,8 @@
 	names []string
 	keys  map[string]*keyTruth
 	drawn int
+	// bound is set where the first tenant is bound to a region.
+	bound bool
 }
 
 func newTenantBook() *tenantBook {
@@ -78,6 +80,9 @@
 	var documents []platform.TenantDocument
 	for i, name := range b.names {
 		documents = append(documents, platform.TenantDocument{Name: name, Keys: b.held(name), Priority: i % 2})
+		if b.bound && i == 0 {
+			documents[i].Regions = []string{tenantRegion}
+		}
 	}
 	return documents
 }
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -54,6 +54,10 @@
 	evacuatedAt map[string]time.Time
 	// tenants tells for whom a request or an item runs.
 	tenants map[string]string
+	// homes tells to which region a request or an item is bound, regions the region of
+	// each zone.
+	homes   map[string]string
+	regions map[string]string
 	cloud   cloudTruth
 	// nameless is set where nobody can tell from which node a call comes.
 	nameless bool
@@ -100,7 +104,7 @@
 	return &Truth{
 		items: make(map[string]*itemTruth), jobs: make(map[string]*jobTruth), stamps: make(map[string]stampTruth),
 		orders: make(map[string]orderTruth), disturbed: make(map[string]time.Time), gone: make(map[string]time.Time),
-		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(), held: make(map[string]time.Time),
+		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(), homes: make(map[string]string), held: make(map[string]time.Time),
 		evacuatedAt: make(map[string]time.Time),
 		started:     time.Now(),
 	}
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -34,8 +34,16 @@
 	host              = "app.example"
 	applicationPrefix = "/app/"
 	rolloutPrefix     = "/roll/"
-	modelService      = "llm"
-	applicationName   = "api"
+	// boundPrefix is that of a rollout route which is bound to routeRegion; the first
+	// tenant is bound to tenantRegion.
+	boundPrefix   = "/bound/"
+	routeRegion   = "north"
+	tenantRegion  = "south"
+	firstPeerPort = 7000
+	lastPeerPort  = 7003
+
+	modelService    = "llm"
+	applicationName = "api"
 )
 
 var zones = []string{"a", "b", farZone}
@@ -53,6 +61,9 @@
 	// Distance is how far away farZone lies, with its nodes, samplers and callers, from the
 	// store and all else, one way; next door if it is 0.
 	Distance time.Duration
+	// Regions tells the region of each zone where there are two; then a route and a tenant
+	// are bound to one region each.
+	Regions map[string]string
 	// Nameless is set where samplers cannot tell from which node a request comes:
 	// then trouble of one machine counts as trouble of all.
 	Nameless bool
@@ -118,6 +129,7 @@
 	w.storeAddress = address
 	w.serve(listener, w.Store)
 	w.cloudFaults.Store(&CloudFaults{})
+	w.Truth.regions, w.Store.handed = options.Regions, w.Truth.judgeHanded
 	w.Truth.nameless = options.Nameless
 	listener, w.cloudAddress = w.listen(cloudMachine, zones[0], cloudPort)
 	w.serve(listener, http.HandlerFunc(w.serveCloud))
@@ -196,6 +208,9 @@
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = w.storeAddress, 32<<10, 256<<10
 	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
+	if w.options.Regions != nil {
+		settings.Zones, settings.PortRange = w.options.Regions, []int{firstPeerPort, lastPeerPort}
+	}
 	settings.Bounds.ReportWindowS, settings.Bounds.UsageLateS = reportWindow.Seconds(), usageLate.Seconds()
 	settings.Cloud.Address, settings.Cloud.Duties = w.cloudAddress, []string{platform.DutyUsage, platform.DutyScale}
 	return settings
@@ -259,6 +274,7 @@
 func (w *World) PutConfig(extraRoutes int) {
 	w.config += 2
 	document := platform.ConfigDocument{Version: w.config}
+	w.tenants.bound = w.options.Regions != nil
 	add := func(name, prefix, kind, service string, dueMS float64) {
 		document.Routes = append(document.Routes, platform.RouteDocument{
 			Name: name, Host: host, Prefix: prefix, Kind: kind, TimeoutMS: 1500, ObjectiveMS: 150,
@@ -267,6 +283,10 @@
 	}
 	add("application", applicationPrefix, platform.KindSafe, applicationName, 0)
 	add("rollout", rolloutPrefix, platform.KindRollout, modelService, 7500)
+	if w.options.Regions != nil {
+		add("bound", boundPrefix, platform.KindRollout, modelService, 7500)
+		document.Routes[len(document.Routes)-1].Regions = []string{routeRegion}
+	}
 	for i := range extraRoutes {
 		add(fmt.Sprint("extra", i), fmt.Sprintf("/extra%d/", i), platform.KindSafe, applicationName, 0)
 	}
@@ -324,6 +344,9 @@
 	for i, model := range w.options.Models {
 		trainer := w.newCaller("trainer-"+model, zones[i%len(zones)], host, w.options.Seed+uint64(i)*17)
 		trainer.tenant = w.tenants.names[i%tenantCount]
+		if w.options.Regions != nil && i > 0 {
+			trainer.prefix = boundPrefix
+		}
 		callers.Go(func() { trainer.runTrainer(ctx, model, 6, 4) })
 	}
 	for i, zone := range zones {
