--- /dev/null
+++ b/internal/hosted/worker_test.go
@@ -0,0 +1,219 @@
+package hosted
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/locality"
+	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
+)
+
+// eventPace is the time between two events of a pacedGenerator.
+const eventPace = 10 * time.Millisecond
+
+// pacedGenerator makes an event now and again until the run is stopped, or length events.
+type pacedGenerator struct {
+	length uint64
+	// begun are the events after which runs began, ended counts those that ended.
+	begun chan uint64
+	ended chan struct{}
+}
+
+func (g *pacedGenerator) Generate(ctx context.Context, run Run, take func(schedule.Event) bool) RunEnd {
+	g.begun <- run.AfterEvent
+	defer func() { g.ended <- struct{}{} }()
+	for id := run.AfterEvent + 1; id <= g.length; id++ {
+		select {
+		case <-time.After(eventPace):
+		case <-ctx.Done():
+			return RunEnd{Ending: schedule.Broken}
+		}
+		if !take(schedule.Event{ID: id, Version: 1, Data: []byte("event")}) {
+			return RunEnd{Ending: schedule.Stopped}
+		}
+	}
+	return RunEnd{Ending: schedule.Complete}
+}
+
+// workerBench is a worker in the north that holds the bodies of a job "j" with an item "i",
+// and what its caller knows.
+type workerBench struct {
+	*worker
+	t            *testing.T
+	generator    *pacedGenerator
+	acknowledged uint64
+	outlines     []*pathbendv1.JobOutline
+	lost         int
+	// states are the last ones of runs, by number.
+	states map[uint64]*pathbendv1.RunState
+}
+
+func withWorker(t *testing.T, bound locality.Regions, test func(b *workerBench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		const many, long = 100, 1000
+		generator := &pacedGenerator{length: long, begun: make(chan uint64, many), ended: make(chan struct{}, many)}
+		node := New(Settings{Name: "w", Zone: "a", Topology: twoRegions, MaxRecordBytes: 1 << 15, MaxCallBytes: 1 << 18},
+			Ports{Network: network.TCP{}, Log: emptyLog{}, Generator: generator}, event.Discard())
+		built, err := catalog.New(1, []catalog.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: catalog.Rollout, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Regions: bound,
+		}}, nil, catalog.Limits{}, nil)
+		require.NoError(t, err)
+		node.TakeCatalog(built)
+		spec := &pathbendv1.BatchJob{Host: "h", Path: "/", ItemIds: []string{"i"}}
+		entry := &pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}
+		records, err := ledger.Encode(entry, 1, 1<<10)
+		require.NoError(t, err)
+		node.jobs.apply(0, records)
+		w := node.worker
+		w.jobs["j"] = &carriedJob{spec: spec, items: map[string]*pathbendv1.BatchItem{
+			"i": {Id: "i", Body: []byte("secret"), Group: "g", Reward: &pathbendv1.RewardCall{Id: "c", Body: []byte("secret")}},
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); w.run(ctx) }()
+		synctest.Wait()
+		test(&workerBench{worker: w, t: t, generator: generator, states: make(map[uint64]*pathbendv1.RunState)})
+		cancel()
+		<-done
+	})
+}
+
+// call makes a call of a session with a generation and takes its reports.
+func (b *workerBench) call(generation uint64, orders ...*pathbendv1.CarryOrder) error {
+	reply, err := b.carry(b.t.Context(), &pathbendv1.CarryCall{
+		Decider: "d", Generation: generation, Session: generation, Orders: orders, Acknowledged: b.acknowledged, HoldMs: 1,
+	})
+	if err != nil {
+		return err
+	}
+	for _, report := range reply.Reports {
+		b.acknowledged = max(b.acknowledged, report.Sequence)
+		switch told := report.Report.(type) {
+		case *pathbendv1.CarryReport_Run:
+			b.states[told.Run.Run] = told.Run
+		case *pathbendv1.CarryReport_Outline:
+			b.outlines = append(b.outlines, told.Outline)
+		case *pathbendv1.CarryReport_Lost:
+			b.lost++
+		}
+	}
+	return nil
+}
+
+func startOrder(run uint64) *pathbendv1.CarryOrder {
+	return &pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Start{Start: &pathbendv1.StartRun{
+		Run: run, JobId: "j", ItemId: "i", SamplerId: "s", Zone: "a", MinVersion: 1,
+	}}}
+}
+
+func TestOutlineOfAJobHasNoBodies(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, &pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Open{Open: "j"}}))
+		synctest.Wait()
+		require.NoError(t, b.call(1))
+		require.Len(t, b.outlines, 1)
+		require.Len(t, b.outlines[0].Items, 1)
+		item := b.outlines[0].Items[0]
+		require.Equal(t, "g", item.Group)
+		require.Equal(t, "c", item.Reward.Id)
+		require.Empty(t, item.Body)
+		require.Empty(t, item.Reward.Body)
+	})
+}
+
+func TestRunsEndWhenTheirDeciderIsSilent(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, startOrder(1)))
+		require.Zero(t, <-b.generator.begun)
+		called := time.Now()
+		<-b.generator.ended
+		require.LessOrEqual(t, time.Since(called), workerLease+2*workerTick)
+		require.Greater(t, time.Since(called), workerLease-eventPace)
+	})
+}
+
+func TestSuccessorGoesOnWithTheTextsThatAWorkerHolds(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, startOrder(1)))
+		require.Zero(t, <-b.generator.begun)
+		time.Sleep(20*eventPace + time.Millisecond)
+		require.NoError(t, b.call(2, startOrder(1)))
+		<-b.generator.ended
+		b.acknowledged = 0
+		require.InDelta(t, 20, <-b.generator.begun, 3)
+		require.True(t, result.Is(b.call(1), result.LeaseConflict), "the former decider is replaced")
+		time.Sleep(10 * eventPace)
+		require.NoError(t, b.call(2))
+		require.Greater(t, b.states[1].Events, uint64(25))
+	})
+}
+
+// A start that came twice, as its answer was lost, would run beside itself.
+func TestStartThatComesTwiceRunsOnce(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, startOrder(1)))
+		require.NoError(t, b.call(1, startOrder(1)))
+		time.Sleep(10 * eventPace)
+		require.Len(t, b.generator.begun, 1)
+	})
+}
+
+func TestRunsOfAnEndedJobEndWithoutTheDecider(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, startOrder(1)))
+		require.Zero(t, <-b.generator.begun)
+		entry := &pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}
+		records, err := ledger.Encode(entry, 2, 1<<10)
+		require.NoError(t, err)
+		ended := time.Now()
+		b.node.jobs.apply(1, records)
+		<-b.generator.ended
+		require.LessOrEqual(t, time.Since(ended), workerTick)
+	})
+}
+
+// The configuration that the worker knows counts too: a decider may know an older one.
+func TestWorkerCarriesNothingThatIsBoundElsewhere(t *testing.T) {
+	withWorker(t, locality.Only("south"), func(b *workerBench) {
+		require.NoError(t, b.call(1, startOrder(1)))
+		synctest.Wait()
+		require.NoError(t, b.call(1))
+		require.Empty(t, b.generator.begun)
+		require.EqualValues(t, schedule.Refused, b.states[1].Ending)
+	})
+}
+
+func TestTextThatAWorkerLacksIsReportedAsLost(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, &pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Finish{
+			Finish: &pathbendv1.FinishItem{JobId: "j", ItemId: "i"},
+		}}))
+		synctest.Wait()
+		require.NoError(t, b.call(1))
+		require.Equal(t, 1, b.lost)
+	})
+}
+
+// Reports are sent until the caller has them, also if an answer is lost.
+func TestReportsOfALostAnswerComeAgain(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, startOrder(1)))
+		time.Sleep(5 * eventPace)
+		require.NoError(t, b.call(1))
+		before := b.states[1].Events
+		b.states, b.acknowledged = make(map[uint64]*pathbendv1.RunState), 0
+		require.NoError(t, b.call(1))
+		require.GreaterOrEqual(t, b.states[1].Events, before)
+	})
+}
