--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -155,3 +155,21 @@
 	require.Contains(t, l.tell(t, "i").Cause, "evacuated meanwhile: z1")
 	require.Equal(t, "none", l.tell(t, "later").Cause)
 }
+
+func TestRefusalNamesTheRegions(t *testing.T) {
+	l := &log{}
+	l.add(5, "a", event.RequestRefused, `"request_id":"r1","code":2011,"detail":"no region of this deployment is in [west]"`)
+	story := l.tell(t, "r1")
+	require.Contains(t, story.Cause, "bound to regions")
+	require.Contains(t, story.Cause, "[west]")
+	l.add(9, "a", event.RequestGivenUp, `"request_id":"r2","code":2011,"attempts":0,"detail":"no live back end in pool \"p\" in [south]"`)
+	require.Contains(t, l.tell(t, "r2").Cause, "[south]")
+}
+
+func TestJobWithoutANodeInItsRegionsIsExplained(t *testing.T) {
+	l := &log{}
+	l.add(0, "a", event.BatchSubmitted, `"job_id":"j1"`)
+	l.add(40, "a", event.WorkerMissing, `"jobs":1`)
+	l.add(900, "a", event.BatchEnded, `"job_id":"j1","listed":0,"items":4`)
+	require.Contains(t, l.tell(t, "j1").Cause, "no node in the regions")
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -50,6 +50,7 @@
 var beliefs = []event.Number{
 	event.NodeStarting, event.NodeReady, event.NodeDraining, event.NodeStopped, event.LogReadFailed,
 	event.LogReadRecovered, event.ExecutorStarted, event.ExecutorStopped, event.ColdWorkWaits, event.GroupContactLost,
+	event.WorkerMissing, event.WorkerLost,
 	event.GroupContactRegained, event.CatalogApplied, event.CatalogRejected, event.LinesDropped, event.StandingChanged,
 	event.PageCut, event.LogDistanceChanged,
 	event.ZoneEvacuated, event.ZoneTakenBack,
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -57,6 +57,9 @@
 		if still := standstill(last, all); still != "" {
 			return outcome, still
 		}
+		if region := outsideRegions(last); region != "" && failed == 0 {
+			return outcome, region
+		}
 		if failed > 0 {
 			return outcome, withReason("its attempts failed: "+endings(story.Lines), out)
 		}
@@ -81,6 +84,9 @@
 
 // refusal says why a node refused a request before any attempt.
 func refusal(line Line, all []Line) string {
+	if region := outsideRegions(line); region != "" {
+		return region
+	}
 	if started, ok := lastBefore(all, line, event.NodeStarting); ok && line.Time.Sub(started.Time) < before {
 		return fmt.Sprintf("the node had started %d ms before", line.Time.Sub(started.Time).Milliseconds())
 	}
@@ -93,6 +99,15 @@
 	return "see the result code"
 }
 
+// outsideRegions tells that the regions of a request were the reason, empty if they were
+// not.
+func outsideRegions(line Line) string {
+	if result.Code(line.Fields.Count("code")) != result.RegionUnavailable {
+		return ""
+	}
+	return "its route and tenant are bound to regions: " + line.Fields.Text("detail")
+}
+
 // standstill recognises a node that wrote nothing for long before a line.
 func standstill(line Line, all []Line) string {
 	const long = 2 * time.Second
@@ -174,6 +189,12 @@
 	if executors > 0 {
 		told = append(told, fmt.Sprintf("the jobs passed to another executor %d time(s)", executors))
 	}
+	if missing := count(story.Around, event.WorkerMissing); missing > 0 {
+		told = append(told, fmt.Sprintf("no node in the regions of bound jobs took calls, %d time(s)", missing))
+	}
+	if lost := count(story.Around, event.WorkerLost); lost > 0 {
+		told = append(told, fmt.Sprintf("nodes that carry runs for the regions of bound jobs were lost %d time(s)", lost))
+	}
 	if cold > 0 {
 		told = append(told, fmt.Sprintf("items waited in %d second(s) for samplers that are cold, or may be, and had all that they may get", cold))
 	}
