Pass over starts that were held up on their way to a worker

Cause: a start that waited in a cut link, or at a worker that was frozen, would reach its sampler seconds after it was decided on: after the end of its job, or in another second of a cold sampler's budget. Change: calls tell when they were sent on the session's own clock, carry.Way how much longer than the quickest each was on its way; beyond 300 ms its starts count as stopped. A worker sends nothing once it has not heard for its lease. A worker that cannot read the log is given up only if this node can.

--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -98,3 +99,21 @@
 		require.Zero(t, lost)
 	})
 }
+
+// Whatever the offset of the two clocks, a call that was held up is told, and one that
+// follows it is not.
+func TestCallThatWasHeldUpIsTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var way Way
+		arrived := time.Unix(1000, 0).Add(time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "offset")))
+		const usual = 8 * time.Millisecond
+		sent := time.Duration(0)
+		for range rapid.IntRange(1, 20).Draw(t, "calls") {
+			sent += time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "pause"))
+			require.Zero(t, way.HeldUp(arrived.Add(sent+usual), sent))
+		}
+		held := time.Duration(rapid.Int64Range(1, 1e10).Draw(t, "held"))
+		require.Equal(t, held, way.HeldUp(arrived.Add(sent+usual+held), sent))
+		require.Zero(t, way.HeldUp(arrived.Add(sent+held+usual), sent+held))
+	})
+}
--- a/internal/carry/session.go
+++ b/internal/carry/session.go
@@ -1,6 +1,10 @@
 package carry
 
-import "github.com/pathbend/pathbend/internal/result"
+import (
+	"time"
+
+	"github.com/pathbend/pathbend/internal/result"
+)
 
 // Session is one time that a node runs the batch jobs.
 type Session struct {
@@ -22,3 +26,22 @@
 	}
 	return true, nil
 }
+
+// Way tells how long calls of a session were held up, by their times of sending on the
+// caller's clock and of arrival on the own one; the two need not agree. Its zero value has
+// seen no call.
+type Way struct {
+	began time.Time
+	// least is the smallest difference of the two clocks that was seen.
+	least time.Duration
+}
+
+// HeldUp returns how much longer a call was on its way than the quickest one.
+func (w *Way) HeldUp(arrived time.Time, sent time.Duration) time.Duration {
+	if w.began.IsZero() {
+		w.began, w.least = arrived, -sent
+	}
+	passed := arrived.Sub(w.began) - sent
+	w.least = min(w.least, passed)
+	return passed - w.least
+}
--- a/internal/hosted/remote.go
+++ b/internal/hosted/remote.go
@@ -62,6 +62,7 @@
 	worker   carry.Node
 	session  carry.Session
 	cancel   context.CancelFunc
+	began    time.Time
 	woken    chan struct{}
 
 	mutex  sync.Mutex
@@ -87,7 +88,7 @@
 	}
 	ctx, cancel := context.WithCancel(e.session)
 	opened := &link{
-		executor: e, worker: chosen, cancel: cancel, woken: make(chan struct{}, 1),
+		executor: e, worker: chosen, cancel: cancel, began: now, woken: make(chan struct{}, 1),
 		session: carry.Session{
 			Decider: e.node.settings.Name, Generation: e.node.ownership.current(), ID: e.sessionID,
 		},
@@ -139,6 +140,14 @@
 	}
 }
 
+// unserved gives a worker up that could not begin. Where the log does not serve this node
+// either, another worker would do no better.
+func (l *link) unserved(detail string) {
+	if l.executor.node.jobs.inTouch() {
+		l.lost(detail)
+	}
+}
+
 // reviewRemote gives jobs without a worker one, forgets jobs that are over, and takes in
 // jobs anew whose regions changed. It is called under the lock.
 func (e *executor) reviewRemote() {
@@ -186,7 +195,7 @@
 		if outline.Failure == "" {
 			return outline.Items, nil
 		}
-		asked.lost(outline.Failure)
+		asked.unserved(outline.Failure)
 		return nil, result.New(result.PeerLost, "%s cannot read the job: %s", asked.worker.Name, outline.Failure)
 	case <-ctx.Done():
 		asked.lost("it gave no outline")
@@ -237,6 +246,7 @@
 // call makes one call to the worker.
 func (l *link) call(ctx context.Context, call *pathbendv1.CarryCall) (*pathbendv1.CarryReply, error) {
 	call.Decider, call.Generation, call.Session = l.session.Decider, l.session.Generation, l.session.ID
+	call.SentMs = uint64(time.Since(l.began).Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.HoldMs)*time.Millisecond+callPatience)
 	defer cancel()
 	reply, err := l.executor.node.peers.Call(ctx, l.worker.Address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_CarryCall{CarryCall: call}})
@@ -361,7 +371,7 @@
 	delete(l.runs, state.Run)
 	delete(e.runs, start.Key)
 	e.endRun(start, RunEnd{Ending: schedule.Ending(state.Ending), Detail: state.Detail}, now)
-	if state.Unserved {
+	if state.Unserved && e.node.jobs.inTouch() {
 		e.dropLink(l, state.Detail, now)
 	}
 }
--- a/internal/hosted/worker.go
+++ b/internal/hosted/worker.go
@@ -28,6 +28,10 @@
 	// reportLinger lets reports of a moment share an answer (chosen: half of the time
 	// between two events of a text).
 	reportLinger = 15 * time.Millisecond
+	// heldUpLimit is how much longer than others a call may have been on its way for its
+	// starts to count: the budget of a cold sampler and the end of a job hold for the time
+	// at which the run was decided on (chosen; the users allow 300 ms after a thaw).
+	heldUpLimit = 300 * time.Millisecond
 	// mostHold bounds how long a call may wait for reports.
 	mostHold = time.Second
 	// textMemory is how long a text is held that no run goes on with: as long as a group
@@ -51,6 +55,8 @@
 	mutex   sync.Mutex
 	session carry.Session
 	heardAt time.Time
+	// way tells which calls were held up.
+	way     carry.Way
 	reports carry.Reports
 	// news is closed and replaced at every report.
 	news      chan struct{}
@@ -298,10 +304,12 @@
 	if begins {
 		w.begin(session)
 	}
-	w.heardAt = time.Now()
+	now := time.Now()
+	w.heardAt = now
+	late := w.way.HeldUp(now, time.Duration(call.SentMs)*time.Millisecond) > heldUpLimit
 	w.reports.Acknowledge(call.Acknowledged)
 	for _, order := range call.Orders {
-		w.order(session, order)
+		w.order(session, order, late)
 	}
 	if len(w.reports.Pending()) > 0 {
 		return nil, nil
@@ -316,7 +324,7 @@
 	w.stopRuns(func(*carriedRun) bool { return true })
 	w.node.logger.Log(event.WorkerServes, "decider", session.Decider, "generation", session.Generation,
 		"former", w.session.Decider, "texts", len(w.texts))
-	w.session, w.reports, w.lastRun = session, carry.Reports{}, 0
+	w.session, w.reports, w.way, w.lastRun = session, carry.Reports{}, carry.Way{}, 0
 }
 
 func (w *worker) awaitReports(ctx context.Context, news <-chan struct{}, hold time.Duration) {
@@ -335,8 +343,8 @@
 }
 
 // order carries one order out. Orders that come twice are harmless: runs are numbered in
-// the order of their starts.
-func (w *worker) order(session carry.Session, order *pathbendv1.CarryOrder) {
+// the order of their starts. A start that comes late is passed over.
+func (w *worker) order(session carry.Session, order *pathbendv1.CarryOrder, late bool) {
 	switch ordered := order.Order.(type) {
 	case *pathbendv1.CarryOrder_Open:
 		w.work.Go(func() { w.outline(session, ordered.Open) })
@@ -345,6 +353,12 @@
 			return
 		}
 		w.lastRun = ordered.Start.Run
+		if late {
+			w.reportRun(session, &pathbendv1.RunState{
+				Run: ordered.Start.Run, Ending: uint32(schedule.Stopped), Detail: "its start was held up on the way",
+			})
+			return
+		}
 		w.startRun(session, ordered.Start)
 	case *pathbendv1.CarryOrder_Stop:
 		if run, known := w.runs[ordered.Stop]; known {
--- a/internal/hosted/worker_runs.go
+++ b/internal/hosted/worker_runs.go
@@ -135,6 +135,9 @@
 	if text.complete {
 		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Complete})
 	}
+	if !w.heard() {
+		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Stopped, Detail: "the node that decides is silent"})
+	}
 	run := Run{
 		Sampler: schedule.Sampler{ID: start.SamplerId, Address: start.Address, Zone: start.Zone}, Host: job.spec.Host,
 		Item: item, Tenant: job.spec.Tenant, AfterEvent: text.Events(),
@@ -162,6 +165,14 @@
 	return w.stateOf(text, start.Run, seen, end)
 }
 
+// heard reports whether the node that decides called of late: a worker that was frozen
+// between a start and its request does not send it any more.
+func (w *worker) heard() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return time.Since(w.heardAt) <= workerLease
+}
+
 // stateOf describes a run. It is called under the lock, but for a run that no one else
 // adds to.
 func (w *worker) stateOf(text *carriedText, run, seen uint64, end RunEnd) *pathbendv1.RunState {
--- a/internal/hosted/worker_test.go
+++ b/internal/hosted/worker_test.go
@@ -217,3 +217,15 @@
 		require.GreaterOrEqual(t, b.states[1].Events, before)
 	})
 }
+
+// A worker that wakes, or a link that is mended, must not begin what was wanted long ago.
+func TestStartThatWasHeldUpIsPassedOver(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1))
+		time.Sleep(heldUpLimit + time.Millisecond)
+		require.NoError(t, b.call(1, startOrder(1)))
+		synctest.Wait()
+		require.Empty(t, b.generator.begun)
+		require.EqualValues(t, schedule.Stopped, b.states[1].Ending)
+	})
+}
