--- a/internal/hosted/remote.go
+++ b/internal/hosted/remote.go
@@ -96,6 +96,7 @@
 	}
 	if former := e.remote.links[chosen.Name]; former != nil {
 		e.dropLink(former, "it has another address", now)
+		delete(e.remote.avoided, chosen.Name)
 	}
 	e.remote.links[chosen.Name] = opened
 	e.node.logger.Log(event.WorkerChosen, "worker", chosen.Name, "zone", chosen.Zone, "regions", regions.String(), "generation", opened.session.Generation)
--- a/internal/hosted/worker.go
+++ b/internal/hosted/worker.go
@@ -297,6 +297,9 @@
 func (w *worker) obey(session carry.Session, call *pathbendv1.CarryCall) (<-chan struct{}, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.lifetime.Err() != nil {
+		return nil, result.New(result.Draining, "the node stops")
+	}
 	begins, err := w.session.Admit(session)
 	if err != nil {
 		return nil, err
