Judge a refused job by the answer to the attempt under way

Ruled out: a fault of the product (trace: batch_submitted at 22.756 s, item_started at 22.764 s, the answer 8 ms on its way); waiting in the judge for a while (would excuse real ones). Test changed: items that run while an attempt has no answer are judged by that answer; as strict as before where none is under way, and where the attempt is refused (TestItemsMayRunBeforeTheAnswerToTheirJob).

--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -214,18 +214,10 @@
 	}
 	header := http.Header{platform.HeaderRequestID: {job.id}, "Content-Type": {"application/json"}}
 	for limit := time.Now().Add(stepPatience); ctx.Err() == nil && time.Now().Before(limit); wait.For(ctx, retryInterval) {
+		c.world.Truth.Update(job, func() { job.asking = true })
 		got, err := c.call(ctx, http.MethodPost, c.prefix+job.id, header, content)
 		accepted := err == nil && got.status == http.StatusAccepted
-		c.world.Truth.Update(job, func() {
-			switch {
-			case accepted:
-				job.accepted = time.Now()
-			case err == nil && promisesNotRun(got.status):
-				job.refused = true
-			default:
-				job.unsure = true
-			}
-		})
+		c.world.Truth.Update(job, func() { c.world.Truth.answered(job, accepted, err == nil && promisesNotRun(got.status)) })
 		if accepted {
 			return true
 		}
--- a/internal/platformsim/regions_test.go
+++ b/internal/platformsim/regions_test.go
@@ -72,3 +72,23 @@
 		})
 	}
 }
+
+// Far from the store, items run before their trainer hears that the job was taken. That is
+// no refused job's run, unless the attempt under way is refused too.
+func TestItemsMayRunBeforeTheAnswerToTheirJob(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		truth := NewTruth()
+		job := &jobTruth{id: "j", items: []string{"i"}}
+		truth.Submitted(job, map[string]*itemTruth{"i": {}})
+		truth.answered(job, false, true)
+		job.asking = true
+		truth.RunStarted("i", "s", "n")
+		truth.answered(job, !refused, refused)
+		require.Equal(t, refused, len(truth.Violations()) > 0)
+	}
+	truth := NewTruth()
+	job := &jobTruth{id: "j", items: []string{"i"}, refused: true}
+	truth.Submitted(job, map[string]*itemTruth{"i": {}})
+	truth.RunStarted("i", "s", "n")
+	require.NotEmpty(t, truth.Violations(), "no attempt is under way")
+}
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -84,6 +84,10 @@
 	// unsure is set once an attempt got no promise.
 	unsure  bool
 	refused bool
+	// asking is set while an attempt has no answer; early are the items that ran meanwhile,
+	// though all attempts before were refused: the attempt must not be refused either.
+	asking  bool
+	early   []string
 	ended   time.Time
 	results map[int]platform.ResultDocument
 }
@@ -188,7 +192,11 @@
 			wanted = true
 		}
 		lastEnd = maxTime(lastEnd, job.ended)
-		if job.refused && !job.unsure && job.accepted.IsZero() {
+		switch {
+		case !job.refused || job.unsure || !job.accepted.IsZero():
+		case job.asking:
+			job.early = append(job.early, item)
+		default:
 			t.broken("REFUSED", "item %s of refused job %s runs", item, job.id)
 		}
 	}
@@ -198,6 +206,22 @@
 	return t.runs
 }
 
+// answered notes the answer to an attempt to submit a job. It is called under the lock.
+func (t *Truth) answered(job *jobTruth, accepted, notRun bool) {
+	switch {
+	case accepted:
+		job.accepted = time.Now()
+	case notRun:
+		job.refused = true
+		for _, item := range job.early {
+			t.broken("REFUSED", "item %s ran before its job %s was refused", item, job.id)
+		}
+	default:
+		job.unsure = true
+	}
+	job.asking, job.early = false, nil
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
