--- a/internal/hosted/directory_test.go
+++ b/internal/hosted/directory_test.go
@@ -240,3 +240,17 @@
 		node.Stop()
 	})
 }
+
+// What is bound to a region must not pass through a node of another one on its way to the
+// log service.
+func TestCallsToTheLogGoThroughPeersOfTheOwnRegion(t *testing.T) {
+	node := New(Settings{Name: "n", Zone: "a", Topology: twoRegions}, Ports{Network: network.TCP{}, Log: emptyLog{}}, event.Discard())
+	for name, zone := range map[string]string{"near": "a", "far": "b"} {
+		value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: name, Zone: zone, Address: name + ":1"})
+		require.NoError(t, err)
+		node.directory.apply([]sharedlog.KeyedRecord{{Key: name, Value: value}})
+	}
+	peers := node.Peers()
+	require.Len(t, peers, 1)
+	require.Equal(t, "near", peers[0].Name)
+}
