--- a/internal/platformsim/surroundings.go
+++ b/internal/platformsim/surroundings.go
@@ -81,11 +81,14 @@
 func (simulated) Front(node string) string     { return node + frontPort }
 func (simulated) Readiness(node string) string { return node + readinessPort }
 
-// peerPort is where nodes listen to each other.
-const peerPort = 7000
+// peerPort is the first port at which nodes may listen to each other, lastPeerPort the last.
+const (
+	peerPort     = 7000
+	lastPeerPort = 7003
+)
 
 func (s simulated) StartNode(settings platform.Settings, logs io.Writer) (NodeProcess, error) {
-	settings.PortRange = []int{peerPort, peerPort}
+	settings.PortRange = []int{peerPort, lastPeerPort}
 	logger := event.Discard()
 	if logs != nil {
 		logger = event.NewLogger(logs, slog.LevelDebug, "node", settings.Node)
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -36,11 +36,9 @@
 	rolloutPrefix     = "/roll/"
 	// boundPrefix is that of a rollout route which is bound to routeRegion; the first
 	// tenant is bound to tenantRegion.
-	boundPrefix   = "/bound/"
-	routeRegion   = "north"
-	tenantRegion  = "south"
-	firstPeerPort = 7000
-	lastPeerPort  = 7003
+	boundPrefix  = "/bound/"
+	routeRegion  = "north"
+	tenantRegion = "south"
 
 	modelService    = "llm"
 	applicationName = "api"
@@ -209,7 +207,7 @@
 	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
 	if w.options.Regions != nil {
-		settings.Zones, settings.PortRange = w.options.Regions, []int{firstPeerPort, lastPeerPort}
+		settings.Zones = w.options.Regions
 	}
 	settings.Bounds.ReportWindowS, settings.Bounds.UsageLateS = reportWindow.Seconds(), usageLate.Seconds()
 	settings.Cloud.Address, settings.Cloud.Duties = w.cloudAddress, []string{platform.DutyUsage, platform.DutyScale}
