Move silent runs after some of the gaps that are usual, and send one item at a time to a dark sampler

Cause: an item at a sampler that died waited 1.5 s, thirty gaps between events.

Change: a run with events is taken elsewhere after 12 gaps of its sampler, one without after 12 mean times to a first event, both at least 0.6 s and at most 1.5 s as before. A sampler of which a run fell silent is dearer, as one that fails its runs, and gets one item at a time until it makes an event.

Weighed and dropped: the same after a run that broke before its first event (a sampler that is merely cold refuses one and serves the others; TestSamplerThatDidNotAnswerIsTakenForCold).

--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -6,9 +6,16 @@
 )
 
 const (
-	// silenceLimit is how long a run may make no event before the item is taken
+	// silenceLimit is how long a run may make no event at most before the item is taken
 	// elsewhere.
 	silenceLimit = 1500 * time.Millisecond
+	// silencePaces is the same in times between two events of its sampler, silenceFirsts
+	// that until the first event in mean times to a first event, and shortestSilence the
+	// least of both: events come 35 to 70 ms apart, the first after 10 to 60, and gaps of
+	// 0.3 s are seen where a sampler reads prompts (chosen twice that).
+	silencePaces    = 12
+	silenceFirsts   = 12
+	shortestSilence = 600 * time.Millisecond
 	// moveRatio is how much faster another sampler must be for an item to move.
 	moveRatio = 1.8
 	// moveAfter is how long a run is watched before it may move.
@@ -38,9 +45,10 @@
 		silent := now.Sub(entry.lastEvent)
 		move := Move{Key: key, Run: entry.run, From: entry.sampler.ID, Silent: silent, Pace: entry.sampler.pace}
 		switch {
-		case silent > silenceLimit && !entry.sampler.isLoading(entry.job.spec.Model):
+		case silent > s.patience(entry) && !entry.sampler.isLoading(entry.job.spec.Model):
 			move.Reason = "silent"
 			entry.sampler.lost(now)
+			entry.sampler.dark = true
 		case float64(entry.sampler.pace) > moveRatio*float64(brisk) && !noRoom[entry.job]:
 			best, _ := s.choose(entry, now)
 			noRoom[entry.job] = best == nil
@@ -59,6 +67,15 @@
 	return append(moves, s.staleAhead(now)...)
 }
 
+// patience is how long a run may make no event.
+func (s *Scheduler) patience(entry *item) time.Duration {
+	usual := silencePaces * entry.sampler.expectedPace(s.fleetPace)
+	if entry.lastEvent.Equal(entry.startedAt) {
+		usual = silenceFirsts * s.firstGap
+	}
+	return min(max(usual, shortestSilence), silenceLimit)
+}
+
 // briskPart is the part of the samplers that may be faster than the pace with which
 // a slow one is compared. The very fastest of a large fleet is mostly one whose pace
 // was estimated too low, and few are in a fleet of two or three.
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -29,7 +29,12 @@
 	if !entry.take(event) {
 		return false
 	}
-	entry.milestones.Spent.gap(now.Sub(entry.lastEvent), entry.lastEvent.Equal(entry.startedAt))
+	first := entry.lastEvent.Equal(entry.startedAt)
+	entry.milestones.Spent.gap(now.Sub(entry.lastEvent), first)
+	entry.sampler.dark = false
+	if first {
+		s.firstGap += time.Duration(fleetWeight * float64(now.Sub(entry.lastEvent)-s.firstGap))
+	}
 	if entry.lastEvent != entry.startedAt {
 		s.observe(entry.sampler, now.Sub(entry.lastEvent))
 	}
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -43,6 +43,8 @@
 	// failure; failures counts those in a row.
 	notBefore time.Time
 	failures  int
+	// dark is set once a run fell silent, until the sampler makes an event.
+	dark bool
 	// failing is a moving average of the share of runs that it failed itself.
 	failing float64
 	// budget bounds what it gets while it is cold, or may be.
@@ -108,7 +110,7 @@
 
 // freeSlots is the number of items that the sampler has slots for.
 func (s *samplerState) freeSlots(fleet time.Duration) int {
-	if s.slow(fleet) || s.failing > failingShare {
+	if s.slow(fleet) || s.failing > failingShare || s.dark {
 		return max(1-s.running, 0)
 	}
 	return max(s.slots()-s.running, 0)
@@ -118,6 +120,9 @@
 func (s *samplerState) cost(group string, fleet time.Duration, now time.Time) float64 {
 	estimated := float64(s.expectedPace(fleet)) * (1 + loadSlowdown*float64(s.running))
 	estimated *= 1 + failingCost*s.failing
+	if s.dark {
+		estimated *= 1 + failingCost
+	}
 	if s.budget.Cold(now) {
 		estimated *= coldCost
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -30,8 +30,10 @@
 	seenGroups map[string]time.Time
 	// fleetPace is a moving average of the time to one event at any sampler.
 	fleetPace time.Duration
-	runs      uint64
-	newID     func() uint64
+	// firstGap is a moving average of the time to the first event of a run.
+	firstGap time.Duration
+	runs     uint64
+	newID    func() uint64
 
 	// named is the newest version of each model, slack what its latest job allows.
 	named map[string]uint64
@@ -51,6 +53,7 @@
 	return &Scheduler{
 		newID:      newID,
 		fleetPace:  initialPace,
+		firstGap:   silenceLimit / silenceFirsts,
 		lengths:    newLengths(),
 		jobs:       make(map[string]*job),
 		items:      make(map[Key]*item),
