--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -73,8 +73,6 @@
 	rank int
 	// carried is set if an earlier job brought the item's group already.
 	carried bool
-	// spare is set if the caller does not wait for the item's group.
-	spare bool
 	// latestStart is when the item must begin to be complete in time, as of the last
 	// look.
 	latestStart time.Time
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -72,23 +72,11 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *item) int {
-		return cmp.Or(compareSpare(a, b), a.latestStart.Compare(b.latestStart), cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.rank, b.rank))
+		return cmp.Or(a.latestStart.Compare(b.latestStart), cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.rank, b.rank))
 	})
 	return waiting
 }
 
-// compareSpare puts items for which nobody waits last.
-func compareSpare(a, b *item) int {
-	switch {
-	case a.spare == b.spare:
-		return 0
-	case b.spare:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func (s *Scheduler) latestStart(entry *item) time.Time {
 	needed := time.Duration(s.lengths.remaining(entry) * float64(s.fleetPace))
 	if entry.carried {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -110,7 +110,6 @@
 		}
 	}
 	s.rank(added)
-	added.markSpare(open)
 	s.noteGroups(items, open.ReceivedAt)
 	return finished, stopped
 }
