--- a/internal/schedule/milestones_test.go
+++ b/internal/schedule/milestones_test.go
@@ -97,23 +97,3 @@
 	require.True(t, b.s.Progress(probe[0].Key, probe[0].Run, Event{ID: 1, Version: 1}, b.now))
 	require.Len(t, b.starts(), 2)
 }
-
-// The longest item of a step ran 8.4 s at a sampler a third slower than others, which had
-// room soon.
-func TestItemThatWouldBeLateMovesToASamplerThatIsALittleFaster(t *testing.T) {
-	for _, test := range []struct {
-		due   time.Duration
-		moves int
-	}{{7 * time.Second, 1}, {60 * time.Second, 0}} {
-		b := newBench(t, sampler("far", 1, 1))
-		b.addJob(b.jobOf("j", 1, "g:6000"), policy(test.due), kept{})
-		start := b.starts()[0]
-		for id := range uint64(12) {
-			b.now = b.now.Add(62 * time.Millisecond)
-			require.True(t, b.s.Progress(start.Key, start.Run, Event{ID: id + 1, Version: 1}, b.now))
-		}
-		b.s.Samplers([]Sampler{sampler("far", 1, 1), sampler("near", 1, 1)}, b.now)
-		b.s.samplers["near"].observe(47*time.Millisecond, b.s.fleetPace)
-		require.Len(t, b.s.Moves(b.now), test.moves, "due in %v", test.due)
-	}
-}
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -18,10 +18,6 @@
 	shortestSilence = 600 * time.Millisecond
 	// moveRatio is how much faster another sampler must be for an item to move.
 	moveRatio = 1.8
-	// lateRatio is the same for an item that would be late where it runs: to begin again
-	// elsewhere reads its prompt once more, some 10 ms, and samplers of one service are up to
-	// a third slower than others (chosen above the spread of single samplers, 5 %).
-	lateRatio = 1.15
 	// moveAfter is how long a run is watched before it may move.
 	moveAfter = 400 * time.Millisecond
 	// moveWorth is the time that a move must save.
@@ -53,7 +49,7 @@
 			move.Reason = "silent"
 			entry.sampler.lost(now)
 			entry.sampler.dark = true
-		case float64(entry.sampler.pace) > s.ratioToMove(entry, now)*float64(brisk) && !noRoom[entry.job]:
+		case float64(entry.sampler.pace) > moveRatio*float64(brisk) && !noRoom[entry.job]:
 			best, _ := s.choose(entry, now)
 			noRoom[entry.job] = best == nil
 			if !s.worthMove(entry, best, brisk, now) {
@@ -118,14 +114,5 @@
 	there := max(best.expectedPace(s.fleetPace), brisk)
 	gain := float64(entry.sampler.pace) - float64(there)
 	saved := time.Duration(gain * s.lengths.remaining(entry))
-	return float64(entry.sampler.pace) > s.ratioToMove(entry, now)*float64(there) && saved > moveWorth
-}
-
-// ratioToMove is how much faster another sampler must be for an item to move.
-func (s *Scheduler) ratioToMove(entry *item, now time.Time) float64 {
-	left := time.Duration(s.lengths.remaining(entry) * float64(entry.sampler.expectedPace(s.fleetPace)))
-	if now.Add(left).After(entry.job.policy.Due) {
-		return lateRatio
-	}
-	return moveRatio
+	return float64(entry.sampler.pace) > moveRatio*float64(there) && saved > moveWorth
 }
