Read what scripted groups and logs recorded under their locks

TestSmallNodeLeavesTheJobsToLargerOnes, its neighbour that leaves a group, and TestSlowLogGetsNoMoreThanTwoAppends failed under -race: each read a field of its scripted service without the lock that the code under test writes it under. They read it through methods that lock now; what they assert is as it was. go test -race -count=3 ./internal/hosted: three reports before, none after.

--- a/internal/hosted/append_test.go
+++ b/internal/hosted/append_test.go
@@ -43,6 +43,12 @@
 	return 0, l.answer(ctx)
 }
 
+func (l *awayLog) sent() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.appends
+}
+
 func (l *awayLog) Read(ctx context.Context, _ sharedlog.Partition, _ uint64, _ time.Duration) (sharedlog.Batch, error) {
 	return sharedlog.Batch{}, l.answer(ctx)
 }
@@ -71,7 +77,7 @@
 		log := &awayLog{takes: time.Second}
 		node := New(Settings{Name: "n"}, Ports{Network: network.TCP{}, Log: log}, event.Discard())
 		require.NoError(t, node.jobs.appendOne(t.Context(), nil, nil))
-		require.Equal(t, 2, log.appends)
+		require.Equal(t, 2, log.sent())
 		synctest.Wait()
 		time.Sleep(time.Second)
 	})
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -172,11 +172,11 @@
 	own(t, func(o *ownership, group *scriptedGroup) {
 		time.Sleep(4 * time.Second)
 		o.leave(context.Background())
-		require.True(t, group.left)
+		require.True(t, group.hasLeft())
 		require.False(t, o.executes(0, time.Now()))
-		joined := group.joined
+		joined := group.joins()
 		time.Sleep(3 * time.Second)
-		require.LessOrEqual(t, group.joined, joined+1, "it does not join again")
+		require.LessOrEqual(t, group.joins(), joined+1, "it does not join again")
 		require.False(t, o.executes(0, time.Now()))
 	})
 }
@@ -203,6 +203,12 @@
 	return g.joined
 }
 
+func (g *scriptedGroup) hasLeft() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.left
+}
+
 func (g *scriptedGroup) lastGeneration() uint64 {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -227,7 +233,7 @@
 
 			group.set(func() { group.owners = []sharedlog.Owner{{Partition: jobs(3), Member: "large"}} })
 			time.Sleep(2 * time.Second)
-			require.True(t, group.left)
+			require.True(t, group.hasLeft())
 			require.False(t, o.executes(0, time.Now()))
 		})
 	})
