Tell runs of a worker apart, not only their numbers

Each session of a decider numbers its runs from 1. A worker took a run off its list by its number when it ended: the end of a run that a successor's first call had stopped took the successor's run of the same number off the list, with no ending reported. The owner of a text was told by number as well. Both are told by the run itself now. TestRunOfASuccessorIsStoppedThoughAFormerOneHadItsNumber fails without the change.

--- a/internal/hosted/worker.go
+++ b/internal/hosted/worker.go
@@ -73,10 +73,11 @@
 	work     conc.WaitGroup
 }
 
-// carriedRun is a run under way.
+// carriedRun is a run under way. Its number is its caller's, and each session counts from 1.
 type carriedRun struct {
-	key  schedule.Key
-	stop context.CancelFunc
+	number uint64
+	key    schedule.Key
+	stop   context.CancelFunc
 }
 
 // carriedJob is a job whose items were read.
@@ -97,8 +98,8 @@
 type carriedText struct {
 	schedule.Text
 	job string
-	// run is the run that may add to it, 0 if none does.
-	run      uint64
+	// run is the run that may add to it, nil if none does.
+	run      *carriedRun
 	complete bool
 	usedAt   time.Time
 }
@@ -185,6 +186,9 @@
 	}
 }
 
+// isUnderWay reports whether a run goes on. It is called under the lock.
+func (w *worker) isUnderWay(run *carriedRun) bool { return run != nil && w.runs[run.number] == run }
+
 // stopRuns stops the runs that are chosen. It is called under the lock.
 func (w *worker) stopRuns(chosen func(*carriedRun) bool) {
 	for number, run := range w.runs {
@@ -205,7 +209,7 @@
 		}
 	}
 	for key, text := range w.texts {
-		if _, running := w.runs[text.run]; !running && now.Sub(text.usedAt) > textMemory {
+		if !w.isUnderWay(text.run) && now.Sub(text.usedAt) > textMemory {
 			delete(w.texts, key)
 		}
 	}
--- a/internal/hosted/worker_runs.go
+++ b/internal/hosted/worker_runs.go
@@ -91,18 +91,20 @@
 // startRun begins a run. It is called under the lock.
 func (w *worker) startRun(session carry.Session, start *pathbendv1.StartRun) {
 	ctx, stop := context.WithCancel(w.lifetime)
-	key := schedule.Key{Job: start.JobId, Item: start.ItemId, Ahead: start.Ahead}
-	w.runs[start.Run] = &carriedRun{key: key, stop: stop}
+	run := &carriedRun{number: start.Run, key: schedule.Key{Job: start.JobId, Item: start.ItemId, Ahead: start.Ahead}, stop: stop}
+	w.runs[start.Run] = run
 	w.node.metrics.carried.WithLabelValues(session.Decider).Inc()
 	w.work.Go(func() {
 		defer stop()
-		state := w.carryRun(ctx, session, key, start)
+		state := w.carryRun(ctx, session, run, start)
 		w.mutex.Lock()
-		delete(w.runs, start.Run)
+		if w.isUnderWay(run) {
+			delete(w.runs, start.Run)
+		}
 		w.reportRun(session, state)
 		w.mutex.Unlock()
 		if state.Ending == uint32(schedule.Complete) && !start.Ahead {
-			w.finishOwn(session, key, start)
+			w.finishOwn(session, run.key, start)
 		}
 	})
 }
@@ -112,11 +114,11 @@
 }
 
 // carryRun carries a run to its end and returns how it ended.
-func (w *worker) carryRun(ctx context.Context, session carry.Session, key schedule.Key, start *pathbendv1.StartRun) *pathbendv1.RunState {
+func (w *worker) carryRun(ctx context.Context, session carry.Session, carried *carriedRun, start *pathbendv1.StartRun) *pathbendv1.RunState {
 	unserved := func(err error) *pathbendv1.RunState {
 		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Stopped), Unserved: true, Detail: err.Error()}
 	}
-	job, err := w.read(ctx, key.Job)
+	job, err := w.read(ctx, carried.key.Job)
 	if result.Is(err, result.JobUnknown) {
 		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Stopped), Detail: err.Error()}
 	}
@@ -126,12 +128,12 @@
 	if err := w.node.permitsRun(job.spec, start.Zone); err != nil {
 		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Refused), Detail: err.Error()}
 	}
-	item := job.items[key.Item]
+	item := job.items[carried.key.Item]
 	if item == nil {
-		return unserved(result.New(result.ItemUnknown, "no item %q", key.Item))
+		return unserved(result.New(result.ItemUnknown, "no item %q", carried.key.Item))
 	}
 	accepted := schedule.Acceptance{MinVersion: start.MinVersion, SingleVersion: start.SingleVersion}
-	text := w.claimText(ctx, session, key, start.Run, accepted)
+	text := w.claimText(ctx, session, carried, accepted)
 	if text.complete {
 		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Complete})
 	}
@@ -147,7 +149,7 @@
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		seen = made.Version
-		if ctx.Err() != nil || text.run != start.Run || time.Since(w.heardAt) > workerLease || !text.Take(made, accepted) {
+		if ctx.Err() != nil || text.run != carried || time.Since(w.heardAt) > workerLease || !text.Take(made, accepted) {
 			return false
 		}
 		text.usedAt = time.Now()
@@ -159,7 +161,7 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if text.run == start.Run {
+	if text.run == carried {
 		text.complete = end.Ending == schedule.Complete && text.Events() > 0
 	}
 	return w.stateOf(text, start.Run, seen, end)
@@ -183,7 +185,8 @@
 
 // claimText returns the text that a run goes on with: the longest that the job accepts of
 // those held here and the one in the log. It reports how far that is.
-func (w *worker) claimText(ctx context.Context, session carry.Session, key schedule.Key, run uint64, accepted schedule.Acceptance) *carriedText {
+func (w *worker) claimText(ctx context.Context, session carry.Session, run *carriedRun, accepted schedule.Acceptance) *carriedText {
+	key := run.key
 	kept := w.keptText(ctx, key, accepted)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -199,7 +202,7 @@
 		delete(w.texts, textKey{item: key.Item, ahead: true})
 	}
 	w.texts[textKey{item: key.Item, ahead: key.Ahead}] = best
-	w.reportRun(session, w.stateOf(best, run, 0, RunEnd{}))
+	w.reportRun(session, w.stateOf(best, run.number, 0, RunEnd{}))
 	return best
 }
 
--- a/internal/hosted/worker_test.go
+++ b/internal/hosted/worker_test.go
@@ -229,3 +229,19 @@
 		require.EqualValues(t, schedule.Stopped, b.states[1].Ending)
 	})
 }
+
+// Each decider numbers its runs from 1: the end of a run of the former one took the new run
+// of the same number off the list, and no order stopped it any more.
+func TestRunOfASuccessorIsStoppedThoughAFormerOneHadItsNumber(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, startOrder(1)))
+		<-b.generator.begun
+		require.NoError(t, b.call(2, startOrder(1)))
+		<-b.generator.ended
+		<-b.generator.begun
+		synctest.Wait()
+		require.NoError(t, b.call(2, &pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Stop{Stop: 1}}))
+		synctest.Wait()
+		require.Len(t, b.generator.ended, 1)
+	})
+}
