Read the bodies of a job once at a worker, and only where it may hold them

Four faults of one place, worker.read: - Each run read all bodies of its job by itself. A worker that takes a job over is told to start all runs at once (reviewRemote asks for no outline), and read the job as many times beside each other. - A worker read the bodies before it looked at its own configuration, which may be newer than the caller's: bodies of a job bound elsewhere came to it (HOME). - A job that ended while its bodies were read was kept for good, and runs of it could begin: the change that said so came before the job was known. - A run that the end of its job stopped during the read, and the outline of a job that had ended, were reported as the worker's own fault: the executor gave it up with the runs of all other jobs, for 5 s. An outline tells now whose fault it is.

--- a/internal/hosted/regions.go
+++ b/internal/hosted/regions.go
@@ -75,12 +75,21 @@
 	return regionsOf(current, route, spec.Tenant)
 }
 
+// permitsBodies returns an error if, by the configuration in force here, this node may not
+// hold the bodies of a job.
+func (n *Node) permitsBodies(spec *pathbendv1.BatchJob) error {
+	if regions := n.regionsOfJob(spec); n.remote(regions) {
+		return result.New(result.RegionUnavailable, "the job is bound to %v", regions)
+	}
+	return nil
+}
+
 // permitsRun returns an error if, by the configuration in force here, this node may not
 // carry a run of a job, or a sampler of the zone not serve it.
 func (n *Node) permitsRun(spec *pathbendv1.BatchJob, zone string) error {
 	regions := n.regionsOfJob(spec)
-	if n.remote(regions) || regions.Bound() && !regions.Allow(n.settings.Topology.Region(zone)) {
+	if regions.Bound() && !regions.Allow(n.settings.Topology.Region(zone)) {
 		return result.New(result.RegionUnavailable, "the job is bound to %v", regions)
 	}
-	return nil
+	return n.permitsBodies(spec)
 }
--- a/internal/hosted/remote.go
+++ b/internal/hosted/remote.go
@@ -196,7 +196,9 @@
 		if outline.Failure == "" {
 			return outline.Items, nil
 		}
-		asked.unserved(outline.Failure)
+		if outline.Unserved {
+			asked.unserved(outline.Failure)
+		}
 		return nil, result.New(result.PeerLost, "%s cannot read the job: %s", asked.worker.Name, outline.Failure)
 	case <-ctx.Done():
 		asked.lost("it gave no outline")
--- a/internal/hosted/worker.go
+++ b/internal/hosted/worker.go
@@ -63,6 +63,7 @@
 	lastRun   uint64
 	runs      map[uint64]*carriedRun
 	jobs      map[string]*carriedJob
+	reading   map[string]*jobRead
 	texts     map[textKey]*carriedText
 	finishing map[schedule.Key]struct{}
 	savedAt   time.Time
@@ -88,6 +89,14 @@
 	over time.Time
 }
 
+// jobRead is a read of a job's items for all that wait for it. job and err are set once
+// done is closed.
+type jobRead struct {
+	done chan struct{}
+	job  *carriedJob
+	err  error
+}
+
 // textKey names a text: an item may have a second one, made ahead for a later job.
 type textKey struct {
 	item  string
@@ -107,7 +116,7 @@
 func newWorker(n *Node) *worker {
 	return &worker{
 		node: n, process: rand.Uint64(), woken: make(chan struct{}, 1), news: make(chan struct{}), runs: make(map[uint64]*carriedRun),
-		jobs: make(map[string]*carriedJob), texts: make(map[textKey]*carriedText), finishing: make(map[schedule.Key]struct{}),
+		jobs: make(map[string]*carriedJob), reading: make(map[string]*jobRead), texts: make(map[textKey]*carriedText), finishing: make(map[schedule.Key]struct{}),
 		lifetime: context.Background(),
 	}
 }
--- a/internal/hosted/worker_runs.go
+++ b/internal/hosted/worker_runs.go
@@ -12,29 +12,66 @@
 	"github.com/pathbend/pathbend/internal/schedule"
 )
 
-// read returns a job with the bodies of its items.
+// read returns a job that is not over, with the bodies of its items.
 func (w *worker) read(ctx context.Context, jobID string) (*carriedJob, error) {
 	w.mutex.Lock()
-	job, known := w.jobs[jobID]
-	w.mutex.Unlock()
-	if known {
+	if job, known := w.jobs[jobID]; known {
+		defer w.mutex.Unlock()
+		if !job.over.IsZero() {
+			return nil, unknownJob(jobID)
+		}
 		return job, nil
 	}
+	reading, underWay := w.reading[jobID]
+	if !underWay {
+		reading = &jobRead{done: make(chan struct{})}
+		w.reading[jobID] = reading
+		w.work.Go(func() { w.readFor(reading, jobID) })
+	}
+	w.mutex.Unlock()
+	select {
+	case <-reading.done:
+		return reading.job, reading.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// readFor reads a job for all that wait for it.
+func (w *worker) readFor(reading *jobRead, jobID string) {
+	defer close(reading.done)
+	reading.job, reading.err = w.readOnce(w.lifetime, jobID)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.reading, jobID)
+	if reading.err != nil {
+		return
+	}
+	w.jobs[jobID] = reading.job
+	w.node.jobs.view(jobID, func(job *ledger.Job) {
+		if job == nil || !job.Open() {
+			// The change that said so found no job here.
+			reading.job.over = time.Now()
+		}
+	})
+}
+
+func (w *worker) readOnce(ctx context.Context, jobID string) (*carriedJob, error) {
 	spec, err := w.specOf(ctx, jobID)
 	if err != nil {
 		return nil, err
 	}
+	if err := w.node.permitsBodies(spec); err != nil {
+		return nil, err
+	}
 	items, err := w.node.jobs.contents.GetItems(ctx, spec)
 	if err != nil {
 		return nil, err
 	}
-	job = &carriedJob{spec: spec, items: make(map[string]*pathbendv1.BatchItem, len(items))}
+	job := &carriedJob{spec: spec, items: make(map[string]*pathbendv1.BatchItem, len(items))}
 	for _, item := range items {
 		job.items[item.Id] = item
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.jobs[jobID] = job
 	return job, nil
 }
 
@@ -54,7 +91,7 @@
 		w.node.jobs.view(jobID, look)
 	}
 	if spec == nil {
-		return nil, result.New(result.JobUnknown, "no open batch job %q", jobID)
+		return nil, unknownJob(jobID)
 	}
 	return spec, nil
 }
@@ -64,7 +101,7 @@
 	outline := &pathbendv1.JobOutline{JobId: jobID}
 	job, err := w.read(w.lifetime, jobID)
 	if err != nil {
-		outline.Failure = err.Error()
+		outline.Failure, outline.Unserved = err.Error(), !passing(err)
 	} else {
 		for _, id := range job.spec.ItemIds {
 			if item := job.items[id]; item != nil {
@@ -77,6 +114,12 @@
 	w.report(session, &pathbendv1.CarryReport{Report: &pathbendv1.CarryReport_Outline{Outline: outline}})
 }
 
+// passing reports whether a job cannot be read for a reason that another worker would have
+// too, and the caller will learn of: it is over, or bound elsewhere by now.
+func passing(err error) bool {
+	return result.Is(err, result.JobUnknown) || result.Is(err, result.RegionUnavailable)
+}
+
 // outlineOf returns what a decision needs to know of an item.
 func outlineOf(item *pathbendv1.BatchItem) *pathbendv1.BatchItem {
 	outline := &pathbendv1.BatchItem{
@@ -115,22 +158,22 @@
 
 // carryRun carries a run to its end and returns how it ended.
 func (w *worker) carryRun(ctx context.Context, session carry.Session, carried *carriedRun, start *pathbendv1.StartRun) *pathbendv1.RunState {
-	unserved := func(err error) *pathbendv1.RunState {
-		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Stopped), Unserved: true, Detail: err.Error()}
+	stopped := func(unserved bool, err error) *pathbendv1.RunState {
+		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Stopped), Unserved: unserved, Detail: err.Error()}
 	}
 	job, err := w.read(ctx, carried.key.Job)
-	if result.Is(err, result.JobUnknown) {
-		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Stopped), Detail: err.Error()}
-	}
-	if err != nil {
-		return unserved(err)
+	switch {
+	case result.Is(err, result.RegionUnavailable):
+		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Refused), Detail: err.Error()}
+	case err != nil:
+		return stopped(!passing(err) && ctx.Err() == nil, err)
 	}
 	if err := w.node.permitsRun(job.spec, start.Zone); err != nil {
 		return &pathbendv1.RunState{Run: start.Run, Ending: uint32(schedule.Refused), Detail: err.Error()}
 	}
 	item := job.items[carried.key.Item]
 	if item == nil {
-		return unserved(result.New(result.ItemUnknown, "no item %q", carried.key.Item))
+		return stopped(true, result.New(result.ItemUnknown, "no item %q", carried.key.Item))
 	}
 	accepted := schedule.Acceptance{MinVersion: start.MinVersion, SingleVersion: start.SingleVersion}
 	text := w.claimText(ctx, session, carried, accepted)
--- a/internal/hosted/worker_test.go
+++ b/internal/hosted/worker_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +19,7 @@
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
+	"github.com/pathbend/pathbend/internal/sharedlog"
 )
 
 // eventPace is the time between two events of a pacedGenerator.
@@ -45,12 +49,46 @@
 	return RunEnd{Ending: schedule.Complete}
 }
 
+// bodyLog keeps the records of its appends, and takes a time for each read of them.
+type bodyLog struct {
+	emptyLog
+
+	takes time.Duration
+
+	mutex   sync.Mutex
+	records [][]byte
+	reads   int
+}
+
+func (l *bodyLog) Append(_ context.Context, _ sharedlog.Partition, records [][]byte) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.records = append(l.records, records...)
+	return uint64(len(l.records) - len(records)), nil
+}
+
+func (l *bodyLog) ReadPart(_ context.Context, _ sharedlog.Partition, from uint64, _ int) (sharedlog.Batch, error) {
+	time.Sleep(l.takes)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.reads++
+	return sharedlog.Batch{Records: l.records[from:], End: uint64(len(l.records))}, nil
+}
+
+// readCount counts the reads of bodies.
+func (l *bodyLog) readCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.reads
+}
+
 // workerBench is a worker in the north that holds the bodies of a job "j" with an item "i",
 // and what its caller knows.
 type workerBench struct {
 	*worker
 	t            *testing.T
 	generator    *pacedGenerator
+	log          *bodyLog
 	acknowledged uint64
 	outlines     []*pathbendv1.JobOutline
 	lost         int
@@ -63,8 +101,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const many, long = 100, 1000
 		generator := &pacedGenerator{length: long, begun: make(chan uint64, many), ended: make(chan struct{}, many)}
-		node := New(Settings{Name: "w", Zone: "a", Topology: twoRegions, MaxRecordBytes: 1 << 15, MaxCallBytes: 1 << 18},
-			Ports{Network: network.TCP{}, Log: emptyLog{}, Generator: generator}, event.Discard())
+		log := &bodyLog{}
+		node := New(Settings{Name: "w", Zone: "a", Topology: twoRegions, MaxRecordBytes: 1 << 15, MaxCallBytes: 1 << 18, Partitions: 1},
+			Ports{Network: network.TCP{}, Log: log, Generator: generator}, event.Discard())
 		built, err := catalog.New(1, []catalog.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: catalog.Rollout, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Regions: bound,
 		}}, nil, catalog.Limits{}, nil)
@@ -83,12 +122,30 @@
 		done := make(chan struct{})
 		go func() { defer close(done); w.run(ctx) }()
 		synctest.Wait()
-		test(&workerBench{worker: w, t: t, generator: generator, states: make(map[uint64]*pathbendv1.RunState)})
+		test(&workerBench{worker: w, t: t, generator: generator, log: log, states: make(map[uint64]*pathbendv1.RunState)})
 		cancel()
 		<-done
 	})
 }
 
+// endJob lets the worker read of the end of the job.
+func (b *workerBench) endJob() {
+	entry := &pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}
+	records, err := ledger.Encode(entry, 2, 1<<10)
+	require.NoError(b.t, err)
+	b.node.jobs.apply(1, records)
+}
+
+// forgetBodies lets the worker read the bodies from the log again, for so long.
+func (b *workerBench) forgetBodies(takes time.Duration) {
+	job := b.jobs["j"]
+	delete(b.jobs, "j")
+	blobs, err := b.node.jobs.contents.PutItems(b.t.Context(), time.Second, slices.Collect(maps.Values(job.items)))
+	require.NoError(b.t, err)
+	b.node.jobs.view("j", func(known *ledger.Job) { known.Spec.Items = blobs })
+	b.log.takes = takes
+}
+
 // call makes a call of a session with a generation and takes its reports.
 func (b *workerBench) call(generation uint64, orders ...*pathbendv1.CarryOrder) error {
 	reply, err := b.carry(b.t.Context(), &pathbendv1.CarryCall{
@@ -173,11 +230,8 @@
 	withWorker(t, locality.Only("north"), func(b *workerBench) {
 		require.NoError(t, b.call(1, startOrder(1)))
 		require.Zero(t, <-b.generator.begun)
-		entry := &pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}
-		records, err := ledger.Encode(entry, 2, 1<<10)
-		require.NoError(t, err)
 		ended := time.Now()
-		b.node.jobs.apply(1, records)
+		b.endJob()
 		<-b.generator.ended
 		require.LessOrEqual(t, time.Since(ended), workerTick)
 	})
@@ -245,3 +299,59 @@
 		require.Len(t, b.generator.ended, 1)
 	})
 }
+
+// The body of a job that is bound elsewhere is not read either.
+func TestWorkerReadsNoBodiesOfAJobThatIsBoundElsewhere(t *testing.T) {
+	withWorker(t, locality.Only("south"), func(b *workerBench) {
+		b.forgetBodies(0)
+		require.NoError(t, b.call(1, &pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Open{Open: "j"}}))
+		synctest.Wait()
+		require.NoError(t, b.call(1))
+		require.Len(t, b.outlines, 1)
+		require.Contains(t, b.outlines[0].Failure, "bound")
+		require.Zero(t, b.log.readCount())
+	})
+}
+
+// A worker that takes a job over was told to start all its runs at once, and each of them
+// read all bodies of the job.
+func TestBodiesOfAJobAreReadOnceForAllRunsThatWait(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		b.forgetBodies(50 * time.Millisecond)
+		require.NoError(t, b.call(1, startOrder(1), startOrder(2), startOrder(3)))
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, b.generator.begun, 3)
+		require.Equal(t, 1, b.log.readCount())
+	})
+}
+
+// A worker was given up, with all its runs, as it knew sooner that a job had ended.
+func TestOutlineOfAnEndedJobIsNoFaultOfTheWorker(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		require.NoError(t, b.call(1, &pathbendv1.CarryOrder{Order: &pathbendv1.CarryOrder_Open{Open: "ended"}}))
+		synctest.Wait()
+		require.NoError(t, b.call(1))
+		require.Len(t, b.outlines, 1)
+		require.NotEmpty(t, b.outlines[0].Failure)
+		require.False(t, b.outlines[0].Unserved)
+	})
+}
+
+// A run that a job's end stopped while the bodies were read was reported as its worker's
+// fault, and the job's bodies were kept for good.
+func TestEndOfAJobWhoseBodiesAreReadIsNoFaultOfTheWorker(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		b.forgetBodies(100 * time.Millisecond)
+		require.NoError(t, b.call(1, startOrder(1)))
+		b.endJob()
+		time.Sleep(200 * time.Millisecond)
+		require.NoError(t, b.call(1))
+		require.EqualValues(t, schedule.Stopped, b.states[1].Ending)
+		require.False(t, b.states[1].Unserved)
+		require.Empty(t, b.generator.begun)
+		time.Sleep(2 * schedule.AheadPatience)
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		require.Empty(t, b.jobs)
+	})
+}
