Let the clock of a session go on with its next link to a worker

Calls to a worker carry the time of sending, by which it passes starts over that were held up for 300 ms. The clock began anew with each link. A worker that was given up once (1.2 s without an answer, say) and chosen again after the 5 s for which it is passed over obeyed the same session, and took each start of the rest of that session for one held up by as long as the first link had lasted: the executor started the items again at once, without a pause, for ever. The clock is that of the session now. TestTimeOfSendingGoesOnWithTheNextLinkOfASession fails without the change, by 5 s.

An outline is not awaited any longer than its worker: 1.2 s, before 2 s (TestNobodyWaitsForAWorkerThatWasGivenUp).

--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -55,6 +55,7 @@
 	// session ends when the node stops to execute; sessionID tells it from others.
 	session      context.Context
 	sessionID    uint64
+	beganAt      time.Time
 	endSession   context.CancelFunc
 	progressedAt time.Time
 	reviewedAt   time.Time
@@ -203,7 +204,7 @@
 	defer e.mutex.Unlock()
 	e.scheduler = schedule.New(rand.Uint64)
 	e.session, e.endSession = context.WithCancel(ctx)
-	e.sessionID, e.remote = rand.Uint64(), newRemoteWork()
+	e.sessionID, e.beganAt, e.remote = rand.Uint64(), time.Now(), newRemoteWork()
 	e.configured = e.node.Catalog()
 	e.roll.Forget()
 	e.takeVersions()
--- a/internal/hosted/remote.go
+++ b/internal/hosted/remote.go
@@ -62,8 +62,11 @@
 	worker   carry.Node
 	session  carry.Session
 	cancel   context.CancelFunc
-	began    time.Time
-	woken    chan struct{}
+	// began is when the session began.
+	began time.Time
+	woken chan struct{}
+	// given is closed once the worker is given up.
+	given <-chan struct{}
 
 	mutex  sync.Mutex
 	orders []*pathbendv1.CarryOrder
@@ -88,7 +91,7 @@
 	}
 	ctx, cancel := context.WithCancel(e.session)
 	opened := &link{
-		executor: e, worker: chosen, cancel: cancel, began: now, woken: make(chan struct{}, 1),
+		executor: e, worker: chosen, cancel: cancel, given: ctx.Done(), began: e.beganAt, woken: make(chan struct{}, 1),
 		session: carry.Session{
 			Decider: e.node.settings.Name, Generation: e.node.ownership.current(), ID: e.sessionID,
 		},
@@ -200,6 +203,8 @@
 			asked.unserved(outline.Failure)
 		}
 		return nil, result.New(result.PeerLost, "%s cannot read the job: %s", asked.worker.Name, outline.Failure)
+	case <-asked.given:
+		return nil, result.New(result.PeerLost, "%s was given up", asked.worker.Name)
 	case <-ctx.Done():
 		asked.lost("it gave no outline")
 		return nil, result.Wrap(result.PeerLost, ctx.Err(), "await the outline of "+asked.worker.Name)
@@ -246,10 +251,14 @@
 	}
 }
 
+// clock is what times of sending are told by. It is that of the session, which may have
+// several links to a worker one after the other.
+func (l *link) clock() time.Duration { return time.Since(l.began) }
+
 // call makes one call to the worker.
 func (l *link) call(ctx context.Context, call *pathbendv1.CarryCall) (*pathbendv1.CarryReply, error) {
 	call.Decider, call.Generation, call.Session = l.session.Decider, l.session.Generation, l.session.ID
-	call.SentMs = uint64(time.Since(l.began).Milliseconds())
+	call.SentMs = uint64(l.clock().Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.HoldMs)*time.Millisecond+callPatience)
 	defer cancel()
 	reply, err := l.executor.node.peers.Call(ctx, l.worker.Address, &pathbendv1.Envelope{Body: &pathbendv1.Envelope_CarryCall{CarryCall: call}})
--- /dev/null
+++ b/internal/hosted/remote_test.go
@@ -0,0 +1,111 @@
+package hosted
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/carry"
+	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/locality"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// noNetwork reaches nobody.
+type noNetwork struct{}
+
+func (noNetwork) Dial(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
+
+func (noNetwork) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+// withDecider runs a test with an executor in the north, in session, that knows of a worker
+// in the south which it does not reach.
+func withDecider(t *testing.T, route locality.Regions, test func(t *testing.T, e *executor)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		node := New(Settings{Name: "n", Zone: "a", Topology: twoRegions, MaxRecordBytes: 1 << 15, MaxCallBytes: 1 << 18, Partitions: 1},
+			Ports{Network: noNetwork{}, Log: &bodyLog{}}, event.Discard())
+		node.TakeCatalog(routeIn(t, 1, route))
+		value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: "w", Zone: "b", WorkerAddress: "w:1"})
+		require.NoError(t, err)
+		node.directory.apply([]sharedlog.KeyedRecord{{Key: "w", Value: value}})
+		e := node.executor
+		e.begin(t.Context())
+		require.True(t, e.executing())
+		test(t, e)
+		e.end()
+		e.work.Wait()
+	})
+}
+
+// routeIn is a configuration with one route, whose regions are those named.
+func routeIn(t *testing.T, version uint64, regions locality.Regions) *catalog.Catalog {
+	t.Helper()
+	built, err := catalog.New(version, []catalog.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: catalog.Rollout, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Regions: regions,
+	}}, nil, catalog.Limits{}, nil)
+	require.NoError(t, err)
+	return built
+}
+
+func (e *executor) linkNow(regions locality.Regions) *link {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.linkTo(regions)
+}
+
+// A worker that was given up and taken again within a session obeyed no start: it measured
+// how long calls are on their way by a clock that began anew.
+func TestTimeOfSendingGoesOnWithTheNextLinkOfASession(t *testing.T) {
+	withDecider(t, locality.Only("south"), func(t *testing.T, e *executor) {
+		var way carry.Way
+		heldUp := func(l *link) time.Duration { return way.HeldUp(time.Now(), l.clock()) }
+		first := e.linkNow(locality.Only("south"))
+		require.Zero(t, heldUp(first))
+		first.lost("test")
+		require.Nil(t, e.linkNow(locality.Only("south")), "it is passed over")
+		time.Sleep(avoidFor)
+		next := e.linkNow(locality.Only("south"))
+		require.NotSame(t, first, next)
+		require.Zero(t, heldUp(next))
+	})
+}
+
+func TestWorkerIsKeptThatCannotReadAJobForAReasonOfTheJob(t *testing.T) {
+	for _, unserved := range []bool{false, true} {
+		withDecider(t, locality.Only("south"), func(t *testing.T, e *executor) {
+			l := e.linkNow(locality.Only("south"))
+			answered := make(chan error, 1)
+			go func() {
+				_, err := e.outline(t.Context(), &ledger.Job{ID: "j"}, locality.Only("south"))
+				answered <- err
+			}()
+			synctest.Wait()
+			l.take(&pathbendv1.CarryReport{Report: &pathbendv1.CarryReport_Outline{
+				Outline: &pathbendv1.JobOutline{JobId: "j", Failure: "not open", Unserved: unserved},
+			}}, time.Now())
+			require.Error(t, <-answered)
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			require.Equal(t, !unserved, e.remote.links["w"] == l)
+		})
+	}
+}
+
+// The outline of a worker that was given up was awaited for as long as that of any other.
+func TestNobodyWaitsForAWorkerThatWasGivenUp(t *testing.T) {
+	withDecider(t, locality.Only("south"), func(t *testing.T, e *executor) {
+		began := time.Now()
+		_, err := e.outline(t.Context(), &ledger.Job{ID: "j"}, locality.Only("south"))
+		require.Error(t, err)
+		require.Less(t, time.Since(began), workerPatience+2*callPause)
+	})
+}
