Bind jobs by the configuration in force when they are taken in

- A job's regions were those of when its bodies were read.
The regions are compared where the job is taken in, under the lock under which a new configuration is.
- A job whose route was taken off the configuration was bound by nothing, also not by its tenant: the next node to execute read its bodies wherever it stood.
The tenant binds without a route too.
- A job that came while its route was not known was taken in without a service and never served, and its bodies were read before anyone knew where they may be.
It waits for its route, as the comment of add said.
The three tests fail without the change.

--- a/internal/hosted/adopt.go
+++ b/internal/hosted/adopt.go
@@ -22,6 +22,7 @@
 func (e *executor) adopt(job *ledger.Job) {
 	session, scheduler := e.session, e.scheduler
 	e.work.Go(func() {
+		e.awaitRoute(session, job)
 		for session.Err() == nil && e.open(job) {
 			found, err := e.read(session, job)
 			if err == nil {
@@ -34,6 +35,19 @@
 	})
 }
 
+// awaitRoute waits while no route leads to a job: nothing can serve it, and where its bodies
+// may be read is not known.
+func (e *executor) awaitRoute(session context.Context, job *ledger.Job) {
+	for told := false; e.routeOf(job.Spec) == nil && e.open(job); told = true {
+		if !told {
+			e.node.logger.Log(event.JobUnread, "job_id", job.ID, "detail", "no route leads to it")
+		}
+		if !wait.For(session, adoptPause) {
+			return
+		}
+	}
+}
+
 // adoptPause is the pause before the items of a job are read again.
 const adoptPause = 60 * time.Millisecond
 
@@ -146,13 +160,18 @@
 	return finished, partial
 }
 
-// add hands a job to the scheduler. Without a route it waits for one.
+// add hands a job to the scheduler, unless its regions changed since it was read: then it
+// is read anew.
 func (e *executor) add(scheduler *schedule.Scheduler, job *ledger.Job, found adopted) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.scheduler != scheduler {
 		return
 	}
+	if e.node.regionsOfJob(job.Spec).String() != found.regions.String() {
+		e.adopt(job)
+		return
+	}
 	e.takeVersions()
 	e.roll.Allow(job.Spec.Model, job.Spec.Step, e.slackOf(job.Spec))
 	policy := e.policyOf(job)
--- a/internal/hosted/regions.go
+++ b/internal/hosted/regions.go
@@ -16,9 +16,12 @@
 }
 
 // regionsOf returns the regions in which a tenant's work on a route may be served, by the
-// configuration in force.
+// configuration in force; those of the tenant where there is no route.
 func regionsOf(current *catalog.Catalog, route *catalog.Route, tenantName string) locality.Regions {
 	tenant, _ := current.Keys.Tenant(tenantName)
+	if route == nil {
+		return tenant.Regions
+	}
 	return route.Regions.And(tenant.Regions)
 }
 
@@ -38,10 +41,8 @@
 	if current == nil {
 		return nil
 	}
-	if route := current.Find(spec.Host, spec.Path); route != nil {
-		if err := n.servable(regionsOf(current, route, spec.Tenant)); err != nil {
-			return err
-		}
+	if err := n.servable(n.regionsOfJob(spec)); err != nil {
+		return err
 	}
 	for _, item := range items {
 		if item.Reward == nil {
@@ -68,11 +69,7 @@
 	if current == nil {
 		return locality.Regions{}
 	}
-	route := current.Find(spec.Host, spec.Path)
-	if route == nil {
-		return locality.Regions{}
-	}
-	return regionsOf(current, route, spec.Tenant)
+	return regionsOf(current, current.Find(spec.Host, spec.Path), spec.Tenant)
 }
 
 // permitsBodies returns an error if, by the configuration in force here, this node may not
--- a/internal/hosted/remote_test.go
+++ b/internal/hosted/remote_test.go
@@ -109,3 +109,74 @@
 		require.Less(t, time.Since(began), workerPatience+2*callPause)
 	})
 }
+
+// submitOne lets the executor read of a job "j" with one item.
+func submitOne(t *testing.T, e *executor) *bodyLog {
+	t.Helper()
+	item := &pathbendv1.BatchItem{Id: "i", Body: []byte("secret")}
+	blobs, err := e.node.jobs.contents.PutItems(t.Context(), time.Second, []*pathbendv1.BatchItem{item})
+	require.NoError(t, err)
+	spec := &pathbendv1.BatchJob{Host: "h", Path: "/", ItemIds: []string{"i"}, Items: blobs}
+	records, err := ledger.Encode(&pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}}, 1, 1<<10)
+	require.NoError(t, err)
+	e.node.jobs.apply(0, records)
+	e.mutex.Lock()
+	for _, change := range e.takeChanges() {
+		e.applyChange(change)
+	}
+	e.mutex.Unlock()
+	return e.node.ports.Log.(*bodyLog)
+}
+
+// emptyCatalog is a configuration without routes.
+func emptyCatalog(t *testing.T, version uint64) *catalog.Catalog {
+	t.Helper()
+	built, err := catalog.New(version, nil, nil, catalog.Limits{}, nil)
+	require.NoError(t, err)
+	return built
+}
+
+// A job was read by the configuration of before and taken in by that: its items went to
+// samplers in all regions until the next configuration.
+func TestJobWhoseRegionsChangeWhileItIsReadIsBound(t *testing.T) {
+	withDecider(t, locality.Regions{}, func(t *testing.T, e *executor) {
+		e.node.ports.Log.(*bodyLog).takes = 50 * time.Millisecond
+		submitOne(t, e)
+		time.Sleep(10 * time.Millisecond)
+		e.node.TakeCatalog(routeIn(t, 2, locality.Only("south")))
+		e.mutex.Lock()
+		e.takeConfiguration()
+		e.mutex.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		regions, known := e.scheduler.Regions("j")
+		require.True(t, !known || regions.Bound(), "it is taken in without a bound")
+		require.Empty(t, e.scheduler.Starts(time.Now()))
+	})
+}
+
+// A job whose route was taken off the configuration was no longer bound to its tenant's
+// regions, and the node that executes read its bodies.
+func TestTenantBindsAJobWithoutARoute(t *testing.T) {
+	node := boundNode(t, locality.Regions{}, locality.Only("south"), locality.Regions{})
+	regions := node.regionsOfJob(&pathbendv1.BatchJob{Host: "gone", Path: "/", Tenant: "T"})
+	require.Equal(t, locality.Only("south"), regions)
+}
+
+// A job that came while its route was not known was never served: it was taken in without
+// any service. Whether this node may read its bodies is not known before.
+func TestJobWithoutARouteIsReadOnceThereIsOne(t *testing.T) {
+	withDecider(t, locality.Regions{}, func(t *testing.T, e *executor) {
+		e.node.TakeCatalog(emptyCatalog(t, 2))
+		log := submitOne(t, e)
+		time.Sleep(time.Second)
+		require.Zero(t, log.readCount())
+		e.node.TakeCatalog(routeIn(t, 3, locality.Regions{}))
+		time.Sleep(2 * adoptPause)
+		require.Equal(t, 1, log.readCount())
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		require.True(t, e.scheduler.HasJob("j"))
+	})
+}
