Ask a quiet log when the entry asks whether a node is ready

Cause: while a zone was cut off, its nodes called themselves ready for 1.3 s after their last read, and the entry, which asks once a second and takes a node out after two misses, sent trainers there for some three seconds more. Their reads and steps were refused until then.

Ruled out: a shorter limit on the last read alone. Followers let the log hold a read for 600 ms, so a limit below that makes every quiet node unready. Built the other way too: not ready 800 ms after the last answer to any call, without a question.

Change: a node that is asked whether it is ready, and that the log has not answered for 200 ms, asks the log (through peers as every call) and is not ready without an answer in 400 ms, longer if the log is far away.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -195,19 +195,6 @@
 	n.logger.Log(event.NodeStopped)
 }
 
-// Ready reports whether the node takes new work. A node that is cut off from
-// the log can neither take nor show batch jobs, so it sends clients elsewhere;
-// if the log is down for all, all say so and the entry uses them all the same.
-func (n *Node) Ready() bool {
-	if n.draining.Load() || n.catalog.Load() == nil || n.samplers.Load() == nil {
-		return false
-	}
-	return !n.jobs.followed.Load() || n.jobs.inTouch()
-}
-
-// contactLimit is how long a node may be without the log and call itself ready.
-const contactLimit = 1300 * time.Millisecond
-
 // Draining reports whether the node is about to stop.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/pathbend/pathbend/internal/roundtrip"
@@ -28,12 +29,15 @@
 	// take turns in a partition.
 	way     *roundtrip.Estimator
 	appends *roundtrip.Estimator
+	// answeredAt is when the last call was answered, in nanoseconds since began.
+	began      time.Time
+	answeredAt atomic.Int64
 }
 
 // Measure returns a log service whose answers are timed.
 func Measure(log Log, group Group) *Measured {
 	bounds := roundtrip.Bounds{Floor: nextDoor, Ceiling: farthest}
-	return &Measured{log: log, group: group, way: roundtrip.New(bounds), appends: roundtrip.New(bounds)}
+	return &Measured{log: log, group: group, way: roundtrip.New(bounds), appends: roundtrip.New(bounds), began: time.Now()}
 }
 
 // Way estimates how far away the service is.
@@ -43,6 +47,19 @@
 // after the other.
 func (m *Measured) Appends() *roundtrip.Estimator { return m.appends }
 
+// AnsweredAt is when the service answered the last call that it answered, at first when
+// this was made.
+func (m *Measured) AnsweredAt() time.Time {
+	return m.began.Add(time.Duration(m.answeredAt.Load()))
+}
+
+// noteAnswer notes the end of a call.
+func (m *Measured) noteAnswer(err error) {
+	if err == nil {
+		m.answeredAt.Store(int64(time.Since(m.began)))
+	}
+}
+
 // observe tells an estimator how a call ended that began at a time. A call that its
 // caller did not want any more tells nothing.
 func observe(estimator *roundtrip.Estimator, began time.Time, err error) {
@@ -80,6 +97,7 @@
 func (m *Measured) Append(ctx context.Context, partition Partition, records [][]byte) (uint64, error) {
 	began := time.Now()
 	offset, err := m.log.Append(ctx, partition, records)
+	m.noteAnswer(err)
 	observe(m.appends, began, err)
 	return offset, err
 }
@@ -88,6 +106,7 @@
 func (m *Measured) AppendKeyed(ctx context.Context, partition Partition, records []KeyedRecord) error {
 	began := time.Now()
 	err := m.log.AppendKeyed(ctx, partition, records)
+	m.noteAnswer(err)
 	observe(m.appends, began, err)
 	return err
 }
@@ -96,6 +115,7 @@
 func (m *Measured) Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (Batch, error) {
 	began := time.Now()
 	batch, err := m.log.Read(ctx, partition, from, wait)
+	m.noteAnswer(err)
 	if wait == 0 {
 		observe(m.way, began, err)
 	}
@@ -106,6 +126,7 @@
 func (m *Measured) ReadPart(ctx context.Context, partition Partition, from uint64, maxBytes int) (Batch, error) {
 	began := time.Now()
 	batch, err := m.log.ReadPart(ctx, partition, from, maxBytes)
+	m.noteAnswer(err)
 	observe(m.way, began, err)
 	return batch, err
 }
@@ -114,6 +135,7 @@
 func (m *Measured) ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (KeyedBatch, error) {
 	began := time.Now()
 	batch, err := m.log.ReadKeyed(ctx, partition, from, wait)
+	m.noteAnswer(err)
 	if wait == 0 {
 		observe(m.way, began, err)
 	}
@@ -122,26 +144,32 @@
 
 // Newest implements Log. A page is large: its time tells more of its transfer.
 func (m *Measured) Newest(ctx context.Context, partition Partition, after string) (KeyedPage, error) {
-	return m.log.Newest(ctx, partition, after)
+	page, err := m.log.Newest(ctx, partition, after)
+	m.noteAnswer(err)
+	return page, err
 }
 
 // Join implements Group.
 func (m *Measured) Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation uint64) (Share, error) {
 	began := time.Now()
 	share, err := m.group.Join(ctx, group, member, topic, ttl, generation)
+	m.noteAnswer(err)
 	observe(m.way, began, err)
 	return share, err
 }
 
 // Leave implements Group.
 func (m *Measured) Leave(ctx context.Context, group, member string) error {
-	return m.group.Leave(ctx, group, member)
+	err := m.group.Leave(ctx, group, member)
+	m.noteAnswer(err)
+	return err
 }
 
 // Owners implements Group.
 func (m *Measured) Owners(ctx context.Context, group string) ([]Owner, error) {
 	began := time.Now()
 	owners, err := m.group.Owners(ctx, group)
+	m.noteAnswer(err)
 	observe(m.way, began, err)
 	return owners, err
 }
