--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -244,3 +244,81 @@
 	targets["a"] = 4
 	require.Equal(t, 150, play(roll, now, members, targets), "its even share, if that is less")
 }
+
+// A zone was lost: its samplers were idle, so every order of the next three seconds went to
+// them first, and too few others had the newest version.
+func TestSamplersOfAZoneThatFellSilentAreLeftAlone(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(3)
+	members := membersOf(12, map[string]uint64{"m": 1})
+	for i := range members {
+		members[i].Zone = "lost"
+		if i >= 6 {
+			members[i].Zone, members[i].Running = "well", 1
+		}
+	}
+	targets := map[string]uint64{"m": 2}
+	lost := roll.Next(now, members, targets)
+	require.Len(t, lost, 3)
+	for _, step := range lost {
+		require.Equal(t, "lost", roll.zoneOf[step.SamplerID], "the idle ones come first while nothing is known")
+		roll.Done(step.SamplerID, false, now)
+	}
+	next := roll.Next(now, members, targets)
+	require.Len(t, next, 3)
+	for _, step := range next {
+		require.Equal(t, "well", roll.zoneOf[step.SamplerID])
+	}
+}
+
+func TestZoneCountsAgainOnceOneOfItsSamplersAnswers(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(1)
+	roll.zoneOf = map[string]string{"1": "z", "2": "z", "3": "z", "4": "z"}
+	for _, id := range []string{"1", "1", "1", "2"} {
+		roll.Done(id, false, now)
+	}
+	require.False(t, roll.silent("z", now), "two samplers may fail beside each other")
+	roll.Done("3", false, now)
+	require.True(t, roll.silent("z", now))
+	require.False(t, roll.silent("z", now.Add(silenceMemory)), "it may be back")
+	roll.Done("4", true, now)
+	require.False(t, roll.silent("z", now))
+}
+
+func TestOrderUnderWayInASilentZoneIsNotCountedOn(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(4)
+	members := membersOf(8, map[string]uint64{"m": 1})
+	for i := range members {
+		members[i].Zone, members[i].Slots = "lost", 1
+		if i >= 4 {
+			members[i].Zone, members[i].Running = "well", 1
+		}
+	}
+	roll.Want(map[string]int{"m": 2})
+	steps := roll.Next(now, members, map[string]uint64{"m": 2})
+	require.Len(t, steps, 4)
+	for _, step := range steps[:3] {
+		roll.Done(step.SamplerID, false, now)
+	}
+	next := roll.Next(now, members, map[string]uint64{"m": 2})
+	require.Len(t, next, 3, "the fourth is under way, where nobody answers")
+	for _, step := range next {
+		require.Equal(t, "well", roll.zoneOf[step.SamplerID])
+	}
+}
+
+func TestRollGoesOnWhereAllZonesAreSilent(t *testing.T) {
+	now := time.Unix(100, 0)
+	roll := NewRoll(3)
+	members := membersOf(6, map[string]uint64{"m": 1})
+	for i := range members {
+		members[i].Zone = "z"
+	}
+	for _, step := range roll.Next(now, members, map[string]uint64{"m": 2}) {
+		roll.Done(step.SamplerID, false, now)
+	}
+	require.True(t, roll.silent("z", now))
+	require.Len(t, roll.Next(now, members, map[string]uint64{"m": 2}), 3, "it may be this node that is cut off")
+}
