--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		members = append(members, weights.Member{
-			ID: load.ID, Zone: load.Zone, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
+			ID: load.ID, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
 			Wait: e.node.claims.recent(load.ID, now),
 		})
 	}
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -144,7 +144,6 @@
 // Load tells how loaded a sampler is.
 type Load struct {
 	ID      string
-	Zone    string
 	Running int
 	// Slots is the number of items that it generates at once.
 	Slots   int
@@ -162,7 +161,7 @@
 	loads := make([]Load, 0, len(s.samplers))
 	for _, state := range s.ordered {
 		loads = append(loads, Load{
-			ID: state.ID, Zone: state.Zone, Running: state.running, Slots: state.slots(), Pace: state.pace, Leaving: state.Leaving,
+			ID: state.ID, Running: state.running, Slots: state.slots(), Pace: state.pace, Leaving: state.Leaving,
 			Evacuated: state.evacuated,
 			Versions:  state.Versions,
 		})
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -9,8 +9,7 @@
 
 // Member is one sampler in a roll of weight versions.
 type Member struct {
-	ID   string
-	Zone string
+	ID string
 	// Versions maps a model to the version served, as far as is known.
 	Versions map[string]uint64
 	// Running is the work that it has, Slots how much it does at once; 0 if that is
@@ -37,8 +36,7 @@
 // Where jobs allow the version before the newest, a model has twice as many replicas
 // if there are so many, and they take turns: half of them serve the newest
 // version, half the one before. No model has many more replicas than its work needs:
-// an order to a sampler that then has nothing to do is of no use. Samplers of a zone that
-// seems to be out of reach follow nothing for a while. A Roll is pure and not safe for concurrent use.
+// an order to a sampler that then has nothing to do is of no use. A Roll is pure and not safe for concurrent use.
 type Roll struct {
 	// Least is the number of changes that may be under way in the smallest fleet.
 	Least int
@@ -55,9 +53,6 @@
 	moving    map[string]Step
 	notBefore map[string]time.Time
 	failures  map[string]int
-	// zoneOf holds the zones of the members, silences those whose samplers fail.
-	zoneOf   map[string]string
-	silences map[string]*silence
 }
 
 const (
@@ -106,7 +101,6 @@
 // model. The samplers that are furthest behind come first, then those with the
 // least work.
 func (r *Roll) Next(now time.Time, members []Member, targets map[string]uint64) []Step {
-	r.noteZones(members)
 	r.settle(now, members, targets)
 	byID := make(map[string]Member, len(members))
 	var behind []Step
@@ -202,7 +196,6 @@
 			able[member.ID] = member
 		}
 	}
-	able = r.reachable(able, now)
 	for id := range r.replicas {
 		if _, ok := able[id]; !ok {
 			delete(r.replicas, id)
@@ -326,7 +319,6 @@
 // seen to serve the version.
 func (r *Roll) Done(samplerID string, reached bool, now time.Time) {
 	delete(r.moving, samplerID)
-	r.noteEnd(samplerID, reached, now)
 	if reached {
 		delete(r.failures, samplerID)
 		return
@@ -352,6 +344,4 @@
 	r.moving = make(map[string]Step)
 	r.notBefore = make(map[string]time.Time)
 	r.failures = make(map[string]int)
-	r.zoneOf = make(map[string]string)
-	r.silences = make(map[string]*silence)
 }
