Choose replicas and orders of a large fleet by one sort

Cause: a new executor settles the replicas of every model before it starts an item. It chose them one after the other, each time looking at the entire fleet, and a model of which it had seen no job takes its even share: at 3,000 samplers and four models some 18 million looks, under the executor's lock.

Ruled out: the reading of the jobs (executor_started comes after it) and the gone endpoints' lines and the fleet's table (5 ms an update of 3,000 on one core here).

Change: replicas to add and to drop are sorted once and taken from the front, orders are taken from a queue a model.

--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -117,10 +117,10 @@
 			cmp.Compare(a.Model, b.Model),
 		)
 	})
-	fresh := r.fresh(members, targets)
+	fresh, left := r.fresh(members, targets), queuesOf(behind)
 	var steps []Step
 	for room := r.together(members) - len(r.moving); room > 0; room-- {
-		step, ok := r.neediest(behind, fresh, lag)
+		step, ok := r.neediest(left, fresh, lag)
 		if !ok {
 			break
 		}
@@ -131,22 +131,58 @@
 	return steps
 }
 
+// queues are the steps to choose from, by model, each in the order of Next.
+type queues struct {
+	steps []Step
+	// of holds the places of a model's steps that were not passed over.
+	of map[string][]int
+}
+
+func queuesOf(behind []Step) queues {
+	q := queues{steps: behind, of: make(map[string][]int)}
+	for place, step := range behind {
+		q.of[step.Model] = append(q.of[step.Model], place)
+	}
+	return q
+}
+
+// head returns the place of a model's first step whose sampler does not move yet.
+func (q queues) head(model string, moving map[string]Step) (place int, ok bool) {
+	places := q.of[model]
+	for len(places) > 0 {
+		if _, moves := moving[q.steps[places[0]].SamplerID]; !moves {
+			break
+		}
+		places = places[1:]
+	}
+	q.of[model] = places
+	if len(places) == 0 {
+		return 0, false
+	}
+	return places[0], true
+}
+
 // neediest returns the first step of the model that the fewest samplers serve in
 // its newest version, among those that want more. A sampler that is too old for
 // the jobs to come is brought up whoever has the newest version already: after an
-// outage more than one turn may be.
-func (r *Roll) neediest(behind []Step, fresh map[string]int, lag func(Step) uint64) (Step, bool) {
-	best, found := Step{}, false
-	for _, step := range behind {
-		_, moving := r.moving[step.SamplerID]
-		if moving || fresh[step.Model] >= r.share[step.Model] && !r.tooOld(step, lag(step)) {
+// outage more than one turn may be. The first of a model's steps is the one that is
+// furthest behind.
+func (r *Roll) neediest(behind queues, fresh map[string]int, lag func(Step) uint64) (Step, bool) {
+	best, found := 0, false
+	for model := range behind.of {
+		place, ok := behind.head(model, r.moving)
+		if !ok || fresh[model] >= r.share[model] && !r.tooOld(behind.steps[place], lag(behind.steps[place])) {
 			continue
 		}
-		if !found || fresh[step.Model] < fresh[best.Model] {
-			best, found = step, true
+		fewer := cmp.Or(cmp.Compare(fresh[model], fresh[behind.steps[best].Model]), cmp.Compare(place, best))
+		if !found || fewer < 0 {
+			best, found = place, true
 		}
 	}
-	return best, found
+	if !found {
+		return Step{}, false
+	}
+	return behind.steps[best], true
 }
 
 // tooOld reports whether a sampler that is so many versions behind serves no job
@@ -246,43 +282,41 @@
 // addReplicas gives a model more replicas: samplers with the fewest models, then
 // those with the newest version.
 func (r *Roll) addReplicas(model string, hosts []string, able map[string]Member, target uint64, wanted int) {
-	for count := r.count(model, hosts); count < wanted; count++ {
-		best := ""
-		for _, id := range hosts {
-			if r.isReplica(id, model) {
-				continue
-			}
-			if best == "" || cmp.Or(
-				cmp.Compare(len(r.replicas[id]), len(r.replicas[best])),
-				cmp.Compare(target-able[id].Versions[model], target-able[best].Versions[model]),
-			) < 0 {
-				best = id
-			}
-		}
-		if r.replicas[best] == nil {
-			r.replicas[best] = make(map[string]struct{})
+	more := wanted - r.count(model, hosts)
+	if more <= 0 {
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(hosts), func(id string) bool { return r.isReplica(id, model) })
+	slices.SortStableFunc(others, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(len(r.replicas[a]), len(r.replicas[b])),
+			cmp.Compare(target-able[a].Versions[model], target-able[b].Versions[model]),
+		)
+	})
+	for _, id := range others[:min(more, len(others))] {
+		if r.replicas[id] == nil {
+			r.replicas[id] = make(map[string]struct{})
 		}
-		r.replicas[best][model] = struct{}{}
+		r.replicas[id][model] = struct{}{}
 	}
 }
 
 // dropReplicas takes replicas away from a model that has too many: samplers with the
 // most models, then those with the oldest version.
 func (r *Roll) dropReplicas(model string, hosts []string, able map[string]Member, wanted int) {
-	for count := r.count(model, hosts); count > wanted; count-- {
-		worst := ""
-		for _, id := range hosts {
-			if !r.isReplica(id, model) {
-				continue
-			}
-			if worst == "" || cmp.Or(
-				cmp.Compare(len(r.replicas[worst]), len(r.replicas[id])),
-				cmp.Compare(able[id].Versions[model], able[worst].Versions[model]),
-			) < 0 {
-				worst = id
-			}
-		}
-		delete(r.replicas[worst], model)
+	fewer := r.count(model, hosts) - wanted
+	if fewer <= 0 {
+		return
+	}
+	own := slices.DeleteFunc(slices.Clone(hosts), func(id string) bool { return !r.isReplica(id, model) })
+	slices.SortStableFunc(own, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(len(r.replicas[b]), len(r.replicas[a])),
+			cmp.Compare(able[a].Versions[model], able[b].Versions[model]),
+		)
+	})
+	for _, id := range own[:fewer] {
+		delete(r.replicas[id], model)
 	}
 }
 
