Begin no run at a worker later than a start may be held up on its way

A start counts for the second in which it was decided on, for the budget of a cold sampler and for an evacuation. A worker passed over starts that were 300 ms late on their way, but began a run at any time after that: once the bodies of its job and the parts of its text were read, up to the 2 s lease. The bound holds up to the request now. What was read is kept, so that the next start of the item begins at once. Replaces the look at the lease before the request, which the shorter bound contains. TestRunWhoseBodyWasReadForLongIsPassedOver fails without the change (its run began after 301 ms).

--- a/internal/hosted/worker.go
+++ b/internal/hosted/worker.go
@@ -29,7 +29,7 @@
 	// between two events of a text).
 	reportLinger = 15 * time.Millisecond
 	// heldUpLimit is how much longer than others a call may have been on its way for its
-	// starts to count: the budget of a cold sampler and the end of a job hold for the time
+	// starts to count, and how much later a run may begin: the budget of a cold sampler and the end of a job hold for the time
 	// at which the run was decided on (chosen; the users allow 300 ms after a thaw).
 	heldUpLimit = 300 * time.Millisecond
 	// mostHold bounds how long a call may wait for reports.
@@ -79,6 +79,8 @@
 	number uint64
 	key    schedule.Key
 	stop   context.CancelFunc
+	// orderedAt is when its start came.
+	orderedAt time.Time
 }
 
 // carriedJob is a job whose items were read.
--- a/internal/hosted/worker_runs.go
+++ b/internal/hosted/worker_runs.go
@@ -134,7 +134,7 @@
 // startRun begins a run. It is called under the lock.
 func (w *worker) startRun(session carry.Session, start *pathbendv1.StartRun) {
 	ctx, stop := context.WithCancel(w.lifetime)
-	run := &carriedRun{number: start.Run, key: schedule.Key{Job: start.JobId, Item: start.ItemId, Ahead: start.Ahead}, stop: stop}
+	run := &carriedRun{number: start.Run, key: schedule.Key{Job: start.JobId, Item: start.ItemId, Ahead: start.Ahead}, stop: stop, orderedAt: time.Now()}
 	w.runs[start.Run] = run
 	w.node.metrics.carried.WithLabelValues(session.Decider).Inc()
 	w.work.Go(func() {
@@ -180,8 +180,9 @@
 	if text.complete {
 		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Complete})
 	}
-	if !w.heard() {
-		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Stopped, Detail: "the node that decides is silent"})
+	if time.Since(carried.orderedAt) > heldUpLimit {
+		// What was read is kept: the next start finds it.
+		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Stopped, Detail: "it began too late"})
 	}
 	run := Run{
 		Sampler: schedule.Sampler{ID: start.SamplerId, Address: start.Address, Zone: start.Zone}, Host: job.spec.Host,
@@ -210,14 +211,6 @@
 	return w.stateOf(text, start.Run, seen, end)
 }
 
-// heard reports whether the node that decides called of late: a worker that was frozen
-// between a start and its request does not send it any more.
-func (w *worker) heard() bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return time.Since(w.heardAt) <= workerLease
-}
-
 // stateOf describes a run. It is called under the lock, but for a run that no one else
 // adds to.
 func (w *worker) stateOf(text *carriedText, run, seen uint64, end RunEnd) *pathbendv1.RunState {
--- a/internal/hosted/worker_test.go
+++ b/internal/hosted/worker_test.go
@@ -90,8 +90,10 @@
 	generator    *pacedGenerator
 	log          *bodyLog
 	acknowledged uint64
-	outlines     []*pathbendv1.JobOutline
-	lost         int
+	// sent is when the next call is sent, on the caller's clock.
+	sent     time.Duration
+	outlines []*pathbendv1.JobOutline
+	lost     int
 	// states are the last ones of runs, by number.
 	states map[uint64]*pathbendv1.RunState
 }
@@ -150,6 +152,7 @@
 func (b *workerBench) call(generation uint64, orders ...*pathbendv1.CarryOrder) error {
 	reply, err := b.carry(b.t.Context(), &pathbendv1.CarryCall{
 		Decider: "d", Generation: generation, Session: generation, Orders: orders, Acknowledged: b.acknowledged, HoldMs: 1,
+		SentMs: uint64(b.sent.Milliseconds()),
 	})
 	if err != nil {
 		return err
@@ -355,3 +358,19 @@
 		require.Empty(t, b.jobs)
 	})
 }
+
+// The bodies of a job were read for longer than a start may be on its way, and the run
+// began all the same: the second for which a cold sampler's budget counted it was over.
+func TestRunWhoseBodyWasReadForLongIsPassedOver(t *testing.T) {
+	withWorker(t, locality.Only("north"), func(b *workerBench) {
+		b.forgetBodies(heldUpLimit + time.Millisecond)
+		require.NoError(t, b.call(1, startOrder(1)))
+		b.sent = heldUpLimit + 100*time.Millisecond
+		time.Sleep(b.sent)
+		require.NoError(t, b.call(1))
+		require.Empty(t, b.generator.begun)
+		require.EqualValues(t, schedule.Stopped, b.states[1].Ending)
+		require.NoError(t, b.call(1, startOrder(2)))
+		require.Zero(t, <-b.generator.begun)
+	})
+}
