Forget the quickest call to a worker after a while

Which calls were held up is told by the quickest one of the session, on two machines' clocks. That was kept for good: with clocks that drift apart by 0.01 %, each start counts as 300 ms late after 50 minutes, and no item of the region is run any more. It is kept for 10 to 20 s of calls now; a pause of any length still counts by the calls before it. TestCallsAreNotHeldUpByADriftOfTheClocks fails without the change (after 100 s, 10 ms); TestCallAfterALongFreezeIsHeldUp holds what must not be lost by it.

--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -117,3 +117,30 @@
 		require.Zero(t, way.HeldUp(arrived.Add(sent+held+usual), sent+held))
 	})
 }
+
+// The two clocks need not run alike. A session of two hours whose worker's clock is 0.01 %
+// fast took every call for one that was held up.
+func TestCallsAreNotHeldUpByADriftOfTheClocks(t *testing.T) {
+	var way Way
+	const pause, usual, fast = 250 * time.Millisecond, 8 * time.Millisecond, 1e-4
+	arrived, sent := time.Unix(1000, 0), time.Duration(0)
+	for sent < 2*time.Hour {
+		sent += pause
+		at := arrived.Add(usual + sent + time.Duration(fast*float64(sent)))
+		require.Less(t, way.HeldUp(at, sent), 10*time.Millisecond)
+	}
+	held := arrived.Add(usual + sent + time.Duration(fast*float64(sent)) + time.Second)
+	require.Greater(t, way.HeldUp(held, sent), 900*time.Millisecond)
+}
+
+// After a freeze, however long, the calls that waited for its end are told.
+func TestCallAfterALongFreezeIsHeldUp(t *testing.T) {
+	var way Way
+	began := time.Unix(1000, 0)
+	for sent := time.Duration(0); sent < time.Minute; sent += time.Second {
+		require.Zero(t, way.HeldUp(began.Add(sent), sent))
+	}
+	for _, frozen := range []time.Duration{time.Second, 3 * time.Minute} {
+		require.Equal(t, frozen, way.HeldUp(began.Add(time.Minute+frozen), time.Minute))
+	}
+}
--- a/internal/carry/session.go
+++ b/internal/carry/session.go
@@ -27,21 +27,32 @@
 	return true, nil
 }
 
+// wayMemory is for how long the quickest call counts at least, twice that at most: the
+// clocks of two machines drift apart by up to 0.05 % (chosen; 10 ms in that time).
+const wayMemory = 10 * time.Second
+
 // Way tells how long calls of a session were held up, by their times of sending on the
-// caller's clock and of arrival on the own one; the two need not agree. Its zero value has
-// seen no call.
+// caller's clock and of arrival on the own one; the two need neither agree nor run quite
+// alike. Its zero value has seen no call.
 type Way struct {
 	began time.Time
-	// least is the smallest difference of the two clocks that was seen.
-	least time.Duration
+	// least is the smallest difference of the two clocks that was seen since renewedAt,
+	// former that of the time before.
+	least     time.Duration
+	former    time.Duration
+	renewedAt time.Time
 }
 
-// HeldUp returns how much longer a call was on its way than the quickest one.
+// HeldUp returns how much longer a call was on its way than the quickest one of late. The
+// calls before a pause count after it, however long it was.
 func (w *Way) HeldUp(arrived time.Time, sent time.Duration) time.Duration {
 	if w.began.IsZero() {
-		w.began, w.least = arrived, -sent
+		w.began, w.renewedAt, w.least, w.former = arrived, arrived, -sent, -sent
 	}
 	passed := arrived.Sub(w.began) - sent
+	if arrived.Sub(w.renewedAt) > wayMemory {
+		w.former, w.least, w.renewedAt = w.least, passed, arrived
+	}
 	w.least = min(w.least, passed)
-	return passed - w.least
+	return passed - min(w.least, w.former)
 }
