Leave answers that came through a peer out of the service's round trip

sharedlog.Measured timed every call from its start to its answer, also one that waited 0.15 s for the direct way and was then answered through another node, or that took two ways: a node that the service turned away for a second took it for a distant one, and lengthened its time-outs and hedges by up to 0.8 s after it was back. The store says now that a call went around; such an answer tells that the service answers, and nothing of the way. A direct attempt that was sent after a peer had been asked tells nothing either.

--- a/internal/roundtrip/estimator.go
+++ b/internal/roundtrip/estimator.go
@@ -79,6 +79,13 @@
 	e.backoff, e.answeredAt = 1, now
 }
 
+// Reached records that the service answered at a time, by a way whose length tells nothing.
+func (e *Estimator) Reached(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.answeredAt = now
+}
+
 // GivenUp records that a call was given up at a time, so long after it was sent. It was
 // lost if its answer was overdue. Calls that were under way together and are lost
 // together count once.
@@ -113,7 +120,7 @@
 func (e *Estimator) AnsweredSince(since time.Time) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.known && !e.answeredAt.Before(since)
+	return !e.answeredAt.IsZero() && !e.answeredAt.Before(since)
 }
 
 // timeout is called under the lock.
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -60,16 +60,39 @@
 	}
 }
 
-// observe tells an estimator how a call ended that began at a time. A call that its
-// caller did not want any more tells nothing.
-func observe(estimator *roundtrip.Estimator, began time.Time, err error) {
+// passage is how a call reached the service.
+type passage struct {
+	around atomic.Bool
+}
+
+type passageKey struct{}
+
+// WentAround notes that the call of ctx reached the service by another way than its own,
+// such as through another node, or after it had tried one: how long it took tells nothing
+// of the way.
+func WentAround(ctx context.Context) {
+	if passed, ok := ctx.Value(passageKey{}).(*passage); ok {
+		passed.around.Store(true)
+	}
+}
+
+// timed makes a call and tells an estimator how it ended. A call that its caller did not
+// want any more tells nothing.
+func (m *Measured) timed(ctx context.Context, estimator *roundtrip.Estimator, call func(context.Context) error) error {
+	passed := &passage{}
+	began := time.Now()
+	err := call(context.WithValue(ctx, passageKey{}, passed))
+	m.noteAnswer(err)
 	now := time.Now()
 	switch {
+	case err == nil && passed.around.Load():
+		estimator.Reached(now)
 	case err == nil:
 		estimator.Answered(now.Sub(began), now)
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded) && !passed.around.Load():
 		estimator.GivenUp(now.Sub(began), now)
 	}
+	return err
 }
 
 // Beyond is how much longer the service's answers take than those of one next door.
@@ -94,51 +117,53 @@
 }
 
 // Append implements Log.
-func (m *Measured) Append(ctx context.Context, partition Partition, records [][]byte) (uint64, error) {
-	began := time.Now()
-	offset, err := m.log.Append(ctx, partition, records)
-	m.noteAnswer(err)
-	observe(m.appends, began, err)
+func (m *Measured) Append(ctx context.Context, partition Partition, records [][]byte) (offset uint64, err error) {
+	err = m.timed(ctx, m.appends, func(ctx context.Context) (failed error) {
+		offset, failed = m.log.Append(ctx, partition, records)
+		return failed
+	})
 	return offset, err
 }
 
 // AppendKeyed implements Log.
 func (m *Measured) AppendKeyed(ctx context.Context, partition Partition, records []KeyedRecord) error {
-	began := time.Now()
-	err := m.log.AppendKeyed(ctx, partition, records)
-	m.noteAnswer(err)
-	observe(m.appends, began, err)
-	return err
+	return m.timed(ctx, m.appends, func(ctx context.Context) error { return m.log.AppendKeyed(ctx, partition, records) })
 }
 
 // Read implements Log. One that the service may hold tells nothing of the way.
-func (m *Measured) Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (Batch, error) {
-	began := time.Now()
-	batch, err := m.log.Read(ctx, partition, from, wait)
-	m.noteAnswer(err)
-	if wait == 0 {
-		observe(m.way, began, err)
+func (m *Measured) Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (batch Batch, err error) {
+	if wait > 0 {
+		batch, err = m.log.Read(ctx, partition, from, wait)
+		m.noteAnswer(err)
+		return batch, err
 	}
+	err = m.timed(ctx, m.way, func(ctx context.Context) (failed error) {
+		batch, failed = m.log.Read(ctx, partition, from, wait)
+		return failed
+	})
 	return batch, err
 }
 
 // ReadPart implements Log.
-func (m *Measured) ReadPart(ctx context.Context, partition Partition, from uint64, maxBytes int) (Batch, error) {
-	began := time.Now()
-	batch, err := m.log.ReadPart(ctx, partition, from, maxBytes)
-	m.noteAnswer(err)
-	observe(m.way, began, err)
+func (m *Measured) ReadPart(ctx context.Context, partition Partition, from uint64, maxBytes int) (batch Batch, err error) {
+	err = m.timed(ctx, m.way, func(ctx context.Context) (failed error) {
+		batch, failed = m.log.ReadPart(ctx, partition, from, maxBytes)
+		return failed
+	})
 	return batch, err
 }
 
 // ReadKeyed implements Log. One that the service may hold tells nothing of the way.
-func (m *Measured) ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (KeyedBatch, error) {
-	began := time.Now()
-	batch, err := m.log.ReadKeyed(ctx, partition, from, wait)
-	m.noteAnswer(err)
-	if wait == 0 {
-		observe(m.way, began, err)
+func (m *Measured) ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (batch KeyedBatch, err error) {
+	if wait > 0 {
+		batch, err = m.log.ReadKeyed(ctx, partition, from, wait)
+		m.noteAnswer(err)
+		return batch, err
 	}
+	err = m.timed(ctx, m.way, func(ctx context.Context) (failed error) {
+		batch, failed = m.log.ReadKeyed(ctx, partition, from, wait)
+		return failed
+	})
 	return batch, err
 }
 
@@ -150,11 +175,11 @@
 }
 
 // Join implements Group.
-func (m *Measured) Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation uint64) (Share, error) {
-	began := time.Now()
-	share, err := m.group.Join(ctx, group, member, topic, ttl, generation)
-	m.noteAnswer(err)
-	observe(m.way, began, err)
+func (m *Measured) Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation uint64) (share Share, err error) {
+	err = m.timed(ctx, m.way, func(ctx context.Context) (failed error) {
+		share, failed = m.group.Join(ctx, group, member, topic, ttl, generation)
+		return failed
+	})
 	return share, err
 }
 
@@ -166,10 +191,10 @@
 }
 
 // Owners implements Group.
-func (m *Measured) Owners(ctx context.Context, group string) ([]Owner, error) {
-	began := time.Now()
-	owners, err := m.group.Owners(ctx, group)
-	m.noteAnswer(err)
-	observe(m.way, began, err)
+func (m *Measured) Owners(ctx context.Context, group string) (owners []Owner, err error) {
+	err = m.timed(ctx, m.way, func(ctx context.Context) (failed error) {
+		owners, failed = m.group.Owners(ctx, group)
+		return failed
+	})
 	return owners, err
 }
