Hold how many appends a log gets that slows down

Asked by the review: whether the guard against a merely slow log was lost when overdue answers came to be told by the measured round trip.

--- a/internal/hosted/append_test.go
+++ b/internal/hosted/append_test.go
@@ -85,6 +85,26 @@
 	})
 }
 
+// A log that is merely slow, sixty times as slow as it was, would get slower by appends that
+// are sent again: only those that were under way as it slowed down are.
+func TestLogThatSlowsDownGetsFewAppendsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const usual, calls = 4 * time.Millisecond, 20
+		log := &awayLog{takes: usual}
+		node := New(Settings{Name: "n"}, Ports{Network: network.TCP{}, Log: log}, event.Discard())
+		for range calls {
+			require.NoError(t, node.jobs.appendOne(t.Context(), nil, nil))
+		}
+		log.takes = 60 * usual
+		before := log.sent()
+		for range calls {
+			require.NoError(t, node.jobs.appendOne(t.Context(), nil, nil))
+		}
+		require.LessOrEqual(t, log.sent()-before, calls+2)
+		time.Sleep(log.takes)
+	})
+}
+
 // losingLog answers all but the first of its appends.
 type losingLog struct {
 	sharedlog.Log
