Tell a new executor how much work the jobs that are over had

Cause: a model takes its even share of the fleet as replicas while no job of it was seen. A new executor has seen the open jobs only.

A model that nobody asked for in that time takes its even share as before.

Fleets whose work takes more than its even share are not touched.

--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -211,6 +211,7 @@
 	e.listed, e.evacuated = nil, nil
 	e.takeEvacuations()
 	e.takeSamplers(time.Now())
+	e.noteDemand(time.Now())
 	open := 0
 	for _, job := range e.node.jobs.open() {
 		e.adopt(job)
@@ -220,6 +221,16 @@
 	e.node.metrics.executing.Set(1)
 }
 
+// noteDemand tells the scheduler how much work the jobs had that are known, also those that
+// are over. It is called under the lock.
+func (e *executor) noteDemand(now time.Time) {
+	e.node.jobs.withLedger(func(known *ledger.Ledger) {
+		for _, job := range known.Jobs() {
+			e.scheduler.Wanted(job.Spec.Model, len(job.Spec.ItemIds), now)
+		}
+	})
+}
+
 // flush saves what running items made so far, hands over what is finished and
 // stops executing.
 func (e *executor) flush(ctx context.Context) {
--- a/internal/schedule/demand.go
+++ b/internal/schedule/demand.go
@@ -50,3 +50,10 @@
 	s.demand.take(wanted, now)
 	return s.demand.peaks()
 }
+
+// Wanted records that a job wanted so many items of a model. A new holder of the jobs
+// learns of those that are over that way: a model of which it knew nothing would take its
+// even share of a fleet, however little work it has.
+func (s *Scheduler) Wanted(model string, items int, now time.Time) {
+	s.demand.take(map[string]int{model: items}, now)
+}
--- a/internal/schedule/demand_test.go
+++ b/internal/schedule/demand_test.go
@@ -19,3 +19,16 @@
 	b.now = b.now.Add(demandWindow)
 	require.Empty(t, b.s.Demand(b.now))
 }
+
+// A new holder ordered 345 of 3,000 samplers to the newest versions at once, and no step
+// found a sampler that had loaded its version for six seconds.
+func TestJobsThatAreOverTellANewHolderOfDemand(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := New(func() uint64 { return 0 })
+	s.Wanted("m", 80, now)
+	s.Wanted("m", 60, now)
+	s.Wanted("n", 8, now)
+	require.Equal(t, map[string]int{"m": 80, "n": 8}, s.Demand(now))
+	s.Demand(now.Add(demandWindow))
+	require.Empty(t, s.Demand(now.Add(2*demandWindow)), "models without work are forgotten as ever")
+}
