--- a/internal/hosted/executor_test.go
+++ b/internal/hosted/executor_test.go
@@ -57,3 +57,17 @@
 	e.add(former, job, adopted{})
 	require.False(t, e.scheduler.HasJob("j"))
 }
+
+func TestNewExecutorKnowsTheWorkOfJobsThatAreOver(t *testing.T) {
+	e, _ := executorWith(t)
+	ended, err := ledger.Encode(&pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}, 2, 1<<10)
+	require.NoError(t, err)
+	e.node.jobs.withLedger(func(known *ledger.Ledger) {
+		_, err = known.Apply(ended[0], time.Now())
+	})
+	require.NoError(t, err)
+	e.scheduler = schedule.New(func() uint64 { return 1 })
+	require.Empty(t, e.scheduler.Demand(time.Now()))
+	e.noteDemand(time.Now())
+	require.Equal(t, map[string]int{"m": 2}, e.scheduler.Demand(time.Now()))
+}
