Let the test of hedged attempts leave once both have arrived

Cause: the caller left after 100 ms of the real clock, whether or not the second attempt had reached its back end by then, and the test then waited 10 s for the end of an attempt that never began. With the leave moved to 9 ms, before the second attempt, it fails each time with the same message.

Change: the caller leaves once both handlers hold their request. The request's deadline is an hour, so that nothing but the leave can end an attempt. With the leave switched off in tryHedged both forms fail: the old one after 5 s, the new one at the test's limit.

--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -60,25 +60,34 @@
 	require.Zero(t, quickRuns.Load())
 }
 
+// The caller leaves once both attempts have reached their back ends: it left after 100 ms
+// before, when the second attempt had not always begun on a busy machine.
 func TestBothAttemptsOfACallerThatLeftAreStopped(t *testing.T) {
-	release := make(chan struct{})
-	first, firstEnded := heldBackEnd(t, release)
-	second, secondEnded := heldBackEnd(t, release)
-	t.Cleanup(func() { close(release) })
+	arrived, ended := make(chan struct{}), make(chan struct{})
+	held := func(_ http.ResponseWriter, request *http.Request) {
+		// The server notices that its caller left only once the body is read.
+		_, _ = io.Copy(io.Discard, request.Body)
+		arrived <- struct{}{}
+		<-request.Context().Done()
+		ended <- struct{}{}
+	}
+	first, _ := backEnd(t, held)
+	second, _ := backEnd(t, held)
 	request := requestOf(false)
-	request.HedgeAfter = 10 * time.Millisecond
+	// Far beyond the test's own limit: only the caller's leave can end an attempt.
+	request.HedgeAfter, request.Deadline = 10*time.Millisecond, time.Now().Add(time.Hour)
 	ctx, leave := context.WithCancel(t.Context())
-	time.AfterFunc(100*time.Millisecond, leave)
-	_, err := dispatcherOver(t, balancerOf(first, second)).Do(ctx, request)
-	require.True(t, result.Is(err, result.CallerGone))
-	for _, ended := range []chan bool{firstEnded, secondEnded} {
-		select {
-		case whole := <-ended:
-			require.False(t, whole)
-		case <-time.After(10 * time.Second):
-			require.Fail(t, "an attempt goes on after its caller left")
-		}
-	}
+	dispatcher, done := dispatcherOver(t, balancerOf(first, second)), make(chan error)
+	go func() {
+		_, err := dispatcher.Do(ctx, request)
+		done <- err
+	}()
+	<-arrived
+	<-arrived
+	leave()
+	require.True(t, result.Is(<-done, result.CallerGone))
+	<-ended
+	<-ended
 }
 
 func TestBothAttemptsFailAndTheRequestGoesOn(t *testing.T) {
