--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -335,7 +335,9 @@
 func (c *caller) runIntruder(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, time.Second)
-		key, id := c.world.tenants.takenKey(), fmt.Sprintf("x%x", c.random.Uint64())
+		key, taken := c.world.tenants.takenKey()
+		id := fmt.Sprintf("x%x", c.random.Uint64())
+		c.world.Truth.Intrudes(id, taken)
 		header := http.Header{
 			platform.HeaderRequestID: {id}, platform.HeaderDeadline: {"1500"}, platform.HeaderAuthorization: {authorization(key)},
 		}
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -161,7 +161,7 @@
 	}
 	id := request.Header.Get(platform.HeaderRequestID)
 	s.truth.Arrived(s.ID, s.Zone, node, id)
-	s.truth.judgeTenant(id, request.Header)
+	s.truth.judgeTenant(id, node, request.Header)
 	s.truth.judgeHome(id, s.ID, s.Zone)
 	writer.Header().Set(platform.HeaderRequestID, id)
 	model := request.Header.Get(platform.HeaderModel)
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -54,6 +54,8 @@
 	evacuatedAt map[string]time.Time
 	// tenants tells for whom a request or an item runs.
 	tenants map[string]string
+	// intruders are the requests with keys that no tenant holds.
+	intruders map[string]intrusion
 	// homes tells to which region a request or an item is bound, regions the region of
 	// each zone.
 	homes   map[string]string
@@ -109,8 +111,8 @@
 		items: make(map[string]*itemTruth), jobs: make(map[string]*jobTruth), stamps: make(map[string]stampTruth),
 		orders: make(map[string]orderTruth), disturbed: make(map[string]time.Time), gone: make(map[string]time.Time),
 		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(), homes: make(map[string]string), held: make(map[string]time.Time),
-		evacuatedAt: make(map[string]time.Time),
-		started:     time.Now(),
+		evacuatedAt: make(map[string]time.Time), intruders: make(map[string]intrusion),
+		started: time.Now(),
 	}
 }
 
