--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -68,6 +68,19 @@
 	return exec.Command("go", append(arguments, s.Arguments...)...)
 }
 
+// Build builds a program with the mutant and returns its path.
+func (m Mutant) Build(t *testing.T, command string) string {
+	t.Helper()
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	program := filepath.Join(t.TempDir(), filepath.Base(command))
+	build := exec.Command("go", "build", "-overlay", writeOverlay(t, root, m.Edits), "-o", program, command)
+	build.Dir = root
+	output, err := build.CombinedOutput()
+	require.NoError(t, err, string(output))
+	return program
+}
+
 func writeOverlay(t *testing.T, root string, edits []Edit) string {
 	t.Helper()
 	contents := make(map[string]string)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,7 +30,7 @@
 	endTime   = 5 * time.Second
 	// A machine runs nodesPerZone processes in each of three zones.
 	nodesPerZone = 2
-	samplers     = 6
+	samplers     = 3
 	applications = 3
 )
 
