Call no machine of the simulation that was removed for good

Cause: a caller that knows no ready node drew among all nodes that ever were. A fault of the stand-in, hidden while losses had no cause. Before: the test draws 'gone'. After: it passes.

--- a/internal/platformsim/lost_test.go
+++ b/internal/platformsim/lost_test.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -93,3 +94,13 @@
 		require.Equal(t, 700*time.Millisecond, truth.Latest())
 	})
 }
+
+// Callers that found no ready node drew among all that ever were, and lost requests to
+// machines removed long before (soak, seed 61700332).
+func TestRemovedMachinesAreNotCalled(t *testing.T) {
+	w := &World{nodes: []*nodeMachine{{name: "gone", removed: true}, {name: "there"}, {name: "gone too", removed: true}}}
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		require.Equal(t, "there", w.pickNode(random))
+	}
+}
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -260,11 +260,12 @@
 // pickNode returns a node that calls itself ready, or any if none does.
 func (w *World) pickNode(random *rand.Rand) string {
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if len(w.ready) > 0 {
-		return w.ready[random.IntN(len(w.ready))]
+	ready := w.ready
+	w.mutex.Unlock()
+	if len(ready) == 0 {
+		ready = w.Nodes()
 	}
-	return w.nodes[random.IntN(len(w.nodes))].name
+	return ready[random.IntN(len(ready))]
 }
 
 // present returns the nodes whose machines were not removed.
