End a trouble of a link where it began

Cause: a trouble looked its node up by number at its begin and at its end; a machine replaced meanwhile shifted the numbers, and the hold was taken off another node.

Change: the link is looked up once; the test gives another link on each look.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -80,3 +81,18 @@
 		require.Less(t, number, firstPort+ports)
 	}
 }
+
+// A link stayed held for good whose node's number was another's by the end of the trouble:
+// a machine had been replaced meanwhile (seed 88104201).
+func TestTroubleEndsAtTheLinkWhereItBegan(t *testing.T) {
+	links := []*proxy{newTestProxy(t, "127.0.0.1:1"), newTestProxy(t, "127.0.0.1:1")}
+	var found, held []*proxy
+	find := func(*run, uint64) *proxy {
+		found = append(found, links[len(found)%len(links)])
+		return found[len(found)-1]
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	whileHeld(find, func(link *proxy, _ bool) { held = append(held, link) })(ctx, &run{}, 1)
+	require.Equal(t, []*proxy{links[0], links[0]}, held)
+}
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -34,50 +34,51 @@
 // outerTroubles are those that only real links and processes have; the others are
 // the faults of the simulation.
 var outerTroubles = []outerTrouble{
-	{name: "store_link_reset", last: whileHeld(func(r *run, target uint64, on bool) {
-		r.nodeAt(target).store.set(func(state *linkState) { state.reset = on })
-	})},
-	{name: "store_link_delayed", last: whileHeld(func(r *run, target uint64, on bool) {
-		r.nodeAt(target).store.set(func(state *linkState) { state.delay = delayWhile(on) })
-	})},
-	{name: "store_answers_held", last: whileHeld(func(r *run, target uint64, on bool) {
-		r.nodeAt(target).store.set(func(state *linkState) { state.holdBack = on })
-	})},
-	{name: "store_refuses_node", last: whileHeld(func(r *run, target uint64, on bool) { r.surroundings.refuse(r.nodeAt(target), on) })},
-	{name: "store_connections_silent", last: onceAndWait(func(r *run, target uint64) { r.nodeAt(target).store.silence() })},
-	{name: "callers_link_reset", last: whileHeld(func(r *run, target uint64, on bool) {
-		r.nodeAt(target).callers.set(func(state *linkState) { state.reset = on })
-	})},
-	{name: "callers_connections_silent", last: onceAndWait(func(r *run, target uint64) { r.nodeAt(target).callers.silence() })},
-	{name: "sampler_link_delayed", atSamplers: true, last: whileHeld(func(r *run, target uint64, on bool) {
-		r.samplerAt(target).set(func(state *linkState) { state.delay = delayWhile(on) })
-		// What is under way comes together with what is sent next.
-		r.world.Truth.Held("")
-	})},
-	{name: "sampler_answers_held", atSamplers: true, last: whileHeld(func(r *run, target uint64, on bool) {
-		r.samplerAt(target).set(func(state *linkState) { state.holdBack = on })
-	})},
-	{name: "sampler_connections_silent", atSamplers: true, last: onceAndWait(func(r *run, target uint64) { r.samplerAt(target).silence() })},
+	{name: "store_link_reset", last: whileHeld(storeLink, func(p *proxy, on bool) { p.set(func(state *linkState) { state.reset = on }) })},
+	{name: "store_link_delayed", last: whileHeld(storeLink, func(p *proxy, on bool) { p.set(func(state *linkState) { state.delay = delayWhile(on) }) })},
+	{name: "store_answers_held", last: whileHeld(storeLink, func(p *proxy, on bool) { p.set(func(state *linkState) { state.holdBack = on }) })},
+	{name: "store_refuses_node", last: func(ctx context.Context, r *run, target uint64) {
+		machine := r.nodeAt(target)
+		r.surroundings.refuse(machine, true)
+		<-ctx.Done()
+		r.surroundings.refuse(machine, false)
+	}},
+	{name: "store_connections_silent", last: whileHeld(storeLink, silenceOnce)},
+	{name: "callers_link_reset", last: whileHeld(callersLink, func(p *proxy, on bool) { p.set(func(state *linkState) { state.reset = on }) })},
+	{name: "callers_connections_silent", last: whileHeld(callersLink, silenceOnce)},
+	{name: "sampler_link_delayed", atSamplers: true, last: func(ctx context.Context, r *run, target uint64) {
+		whileHeld((*run).samplerAt, func(p *proxy, on bool) {
+			p.set(func(state *linkState) { state.delay = delayWhile(on) })
+			// What is under way comes together with what is sent next.
+			r.world.Truth.Held("")
+		})(ctx, r, target)
+	}},
+	{name: "sampler_answers_held", atSamplers: true, last: whileHeld((*run).samplerAt, func(p *proxy, on bool) { p.set(func(state *linkState) { state.holdBack = on }) })},
+	{name: "sampler_connections_silent", atSamplers: true, last: whileHeld((*run).samplerAt, silenceOnce)},
 	{name: "settings_signal", planned: true, last: func(_ context.Context, r *run, target uint64) {
 		r.surroundings.signal(r.nodeName(target), syscall.SIGHUP)
 	}},
 	{name: "processor_quota", last: quota},
 }
 
-// whileHeld switches something on, and off again when the context ends.
-func whileHeld(apply func(r *run, target uint64, on bool)) func(ctx context.Context, r *run, target uint64) {
+func storeLink(r *run, target uint64) *proxy   { return r.nodeAt(target).store }
+func callersLink(r *run, target uint64) *proxy { return r.nodeAt(target).callers }
+
+// whileHeld switches something on at a link, and off again when the context ends: at the
+// same link, though the target may stand for another one by then.
+func whileHeld(find func(r *run, target uint64) *proxy, apply func(link *proxy, on bool)) func(ctx context.Context, r *run, target uint64) {
 	return func(ctx context.Context, r *run, target uint64) {
-		apply(r, target, true)
+		link := find(r, target)
+		apply(link, true)
 		<-ctx.Done()
-		apply(r, target, false)
+		apply(link, false)
 	}
 }
 
-// onceAndWait does something once and waits until the context ends.
-func onceAndWait(apply func(r *run, target uint64)) func(ctx context.Context, r *run, target uint64) {
-	return func(ctx context.Context, r *run, target uint64) {
-		apply(r, target)
-		<-ctx.Done()
+// silenceOnce silences the connections that are open at the begin.
+func silenceOnce(link *proxy, on bool) {
+	if on {
+		link.silence()
 	}
 }
 
