Soak two regions with a distance between them on even seeds

Zone c is a region of its own: 8 ms are added to each piece on the links of its nodes to the store, of their callers, and of its samplers (for nodes of the same zone too: no proxy stands for a pair). A tenant and a route are bound to one region each. HOME is judged by the simulation's judge; each node calls the store from an address of its own, so that the judge knows who is handed a bound body. Calls between nodes have no distance.

--- a/internal/platformsim/homes.go
+++ b/internal/platformsim/homes.go
@@ -46,13 +46,30 @@
 
 var bodies = regexp.MustCompile(bodyOf + "(i[0-9a-f]+)")
 
+// sources knows whose calls come from an address, where machines share one.
+type sources interface {
+	// MachineAt returns the machine whose calls to the store come from an address, empty
+	// for none.
+	MachineAt(address string) string
+}
+
+// handed judges records that the store hands to the machine at an address.
+func (w *World) handed(address string, records []byte) {
+	if known, ok := w.network.(sources); ok {
+		address = known.MachineAt(address)
+	}
+	if address != "" {
+		w.Truth.judgeHanded(address, records)
+	}
+}
+
 // judgeHanded rules on records that the store hands to a node. No client of this world
 // asks for bodies.
 func (t *Truth) judgeHanded(node string, records []byte) {
 	if t.regions == nil {
 		return
 	}
-	zone := zoneOf(node)
+	zone := ZoneOf(node)
 	for _, found := range bodies.FindAllSubmatch(records, -1) {
 		id := string(found[1])
 		t.mutex.Lock()
@@ -66,8 +83,8 @@
 	}
 }
 
-// zoneOf is the zone in the name of a node.
-func zoneOf(node string) string {
+// ZoneOf is the zone in the name of a node.
+func ZoneOf(node string) string {
 	parts := strings.Split(node, "-")
 	if len(parts) < 2 {
 		return ""
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -156,7 +156,7 @@
 	w.storeAddress = address
 	w.serve(listener, w.Store)
 	w.cloudFaults.Store(&CloudFaults{})
-	w.Truth.regions, w.Store.handed = options.Regions, w.Truth.judgeHanded
+	w.Truth.regions, w.Store.handed = options.Regions, w.handed
 	w.Truth.nameless = options.Nameless
 	listener, w.cloudAddress = w.listen(cloudMachine, zones[0], cloudPort)
 	w.serve(listener, http.HandlerFunc(w.serveCloud))
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -30,6 +30,9 @@
 type surroundings struct {
 	program   string
 	directory string
+	// regions tells the region of each zone where there are two; the store is in nearZone.
+	regions  map[string]string
+	nearZone string
 
 	mutex sync.Mutex
 	nodes map[string]*nodeMachine
@@ -39,6 +42,8 @@
 	// refuser answers every call at an address as a store that turns its caller away.
 	refuser        *http.Server
 	refuserAddress string
+	// sources tell whose link to the store has an address.
+	sources map[string]string
 	// refused are the addresses of callers whose connection found no listener.
 	refused map[string]struct{}
 	// unasked tells of processes that ended by themselves.
@@ -58,14 +63,14 @@
 // storeMachine is the name of the store's machine in a world.
 const storeMachine = "store"
 
-func newSurroundings(program, directory string) (*surroundings, error) {
+func newSurroundings(program, directory string, regions map[string]string) (*surroundings, error) {
 	listener, err := network.TCP{}.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen as a store that refuses")
 	}
 	s := &surroundings{
-		program: program, directory: directory, refuserAddress: listener.Addr().String(),
-		nodes: make(map[string]*nodeMachine), backEnds: make(map[string]*proxy), refused: make(map[string]struct{}),
+		program: program, directory: directory, regions: regions, refuserAddress: listener.Addr().String(),
+		nodes: make(map[string]*nodeMachine), backEnds: make(map[string]*proxy), refused: make(map[string]struct{}), sources: make(map[string]string),
 		refuser: &http.Server{Handler: http.HandlerFunc(refuseCall), ReadHeaderTimeout: time.Second},
 	}
 	// It ends with the run, whatever its error.
@@ -82,7 +87,7 @@
 func (s *surroundings) refuse(machine *nodeMachine, refuses bool) {
 	target := s.refuserAddress
 	if !refuses {
-		target = s.links(storeMachine)[0].address()
+		target = s.links(storeMachine)[0].target
 	}
 	machine.store.retarget(target)
 	machine.store.set(func(state *linkState) { state.reset = true })
@@ -94,18 +99,21 @@
 
 // Listen implements platformsim.Surroundings. Others reach the machine through a
 // proxy, whose address stays.
-func (s *surroundings) Listen(machine, _, _ string) (net.Listener, string, error) {
+func (s *surroundings) Listen(machine, zone, _ string) (net.Listener, string, error) {
 	listener, err := network.TCP{}.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, "", err
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if machine == storeMachine {
+		s.nearZone = zone
+	}
 	if link, known := s.backEnds[machine]; known {
 		link.retarget(listener.Addr().String())
 		return listener, link.address(), nil
 	}
-	link, err := newProxy(listener.Addr().String())
+	link, err := newDistantProxy(listener.Addr().String(), s.distance(zone), nil)
 	if err != nil {
 		return nil, "", err
 	}
@@ -121,9 +129,12 @@
 		return machine
 	}
 	machine := &nodeMachine{front: freeAddress(), readiness: freeAddress(), peers: freePeerPorts()}
-	machine.callers = mustProxy(machine.front)
+	distance := s.distance(platformsim.ZoneOf(name))
+	machine.callers = mustProxy(machine.front, distance, nil)
 	machine.callers.heard = s.heard
-	machine.store = mustProxy(s.backEnds[storeMachine].address())
+	source := &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(len(s.nodes)+1))}
+	s.sources[source.IP.String()] = name
+	machine.store = mustProxy(s.backEnds[storeMachine].target, distance, source)
 	s.nodes[name] = machine
 	return machine
 }
@@ -148,8 +159,27 @@
 	return refused
 }
 
-func mustProxy(target string) *proxy {
-	made, err := newProxy(target)
+// regionDistance is the time between two regions, one way (the users' sheet says 8 ms).
+const regionDistance = 8 * time.Millisecond
+
+// distance is that of a zone from the store. Links of a zone in the other region are that
+// long also for callers and for nodes of the same zone.
+func (s *surroundings) distance(zone string) time.Duration {
+	if s.regions[zone] == s.regions[s.nearZone] {
+		return 0
+	}
+	return regionDistance
+}
+
+// MachineAt returns the node whose call to the store comes from an address.
+func (s *surroundings) MachineAt(address string) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.sources[address]
+}
+
+func mustProxy(target string, distance time.Duration, from *net.TCPAddr) *proxy {
+	made, err := newDistantProxy(target, distance, from)
 	if err != nil {
 		panic(errors.Wrap(err, "make a proxy"))
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -25,6 +25,10 @@
 type proxy struct {
 	listener net.Listener
 	work     conc.WaitGroup
+	// distance is added to each piece that passes, in both directions, for good.
+	distance time.Duration
+	// from is the address that the target sees; one of the system's choice if it is nil.
+	from *net.TCPAddr
 
 	mutex   sync.Mutex
 	target  string
@@ -39,12 +43,15 @@
 }
 
 // newProxy listens on a free port of the loopback interface.
-func newProxy(target string) (*proxy, error) {
+func newProxy(target string) (*proxy, error) { return newDistantProxy(target, 0, nil) }
+
+// newDistantProxy returns a proxy whose target is at a distance, and sees an address.
+func newDistantProxy(target string, distance time.Duration, from *net.TCPAddr) (*proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), open: make(map[net.Conn]struct{}), silent: make(map[net.Conn]struct{})}
+	p := &proxy{listener: listener, target: target, distance: distance, from: from, changed: make(chan struct{}), open: make(map[net.Conn]struct{}), silent: make(map[net.Conn]struct{})}
 	p.work.Go(p.accept)
 	return p, nil
 }
@@ -142,7 +149,11 @@
 	p.mutex.Lock()
 	address := p.target
 	p.mutex.Unlock()
-	target, err := net.DialTimeout("tcp", address, time.Second)
+	dialer := net.Dialer{Timeout: time.Second}
+	if p.from != nil {
+		dialer.LocalAddr = p.from
+	}
+	target, err := dialer.Dial("tcp", address)
 	p.tell(caller, err == nil)
 	if err != nil {
 		_ = network.Abort(caller)
@@ -209,7 +220,7 @@
 			return false
 		}
 		if !silent && !holds(state) {
-			time.Sleep(state.delay)
+			time.Sleep(p.distance + state.delay)
 			return true
 		}
 		<-changed
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -148,7 +148,7 @@
 }
 
 func TestCallerThatFindsNoListenerIsKnown(t *testing.T) {
-	s, err := newSurroundings("/bin/false", t.TempDir())
+	s, err := newSurroundings("/bin/false", t.TempDir(), nil)
 	require.NoError(t, err)
 	defer s.close()
 	p := newTestProxy(t, "127.0.0.1:1")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,8 +30,11 @@
 	endTime   = 5 * time.Second
 	// A machine runs nodesPerZone processes in each of three zones.
 	nodesPerZone = 2
+	// Each zone has one model sampler and one application, so that more work waits for each
+	// than a cold one bears; two of each where work is bound to one of two regions.
 	samplers     = 3
 	applications = 3
+	regionTimes  = 2
 )
 
 // Options are those of a run.
@@ -72,6 +75,15 @@
 	turns int
 }
 
+// regionsOf returns the regions of a run's zones: two for even seeds, with a tenant and a
+// route that are bound to one each, none for others.
+func regionsOf(seed uint64) map[string]string {
+	if seed%2 != 0 {
+		return nil
+	}
+	return map[string]string{"a": "north", "b": "north", "c": "south"}
+}
+
 // Run plays rounds of trouble until the time is over, and judges what was seen.
 func Run(ctx context.Context, options Options) (Report, error) {
 	directory, err := os.MkdirTemp("", "pathbend-soak-")
@@ -79,7 +91,11 @@
 		return Report{}, errors.Wrap(err, "make a directory for settings")
 	}
 	defer os.RemoveAll(directory)
-	around, err := newSurroundings(options.Program, directory)
+	regions, times := regionsOf(options.Seed), 1
+	if regions != nil {
+		times = regionTimes
+	}
+	around, err := newSurroundings(options.Program, directory, regions)
 	if err != nil {
 		return Report{}, err
 	}
@@ -88,8 +104,8 @@
 		report: Report{Seed: options.Seed, Troubles: make(map[string]int)},
 	}
 	r.world = platformsim.NewWorld(platformsim.Options{
-		Seed: options.Seed, NodesPerZone: nodesPerZone, Samplers: samplers, Applications: applications,
-		Models: []string{"m1", "m2"}, Logs: options.Logs, Surroundings: r.surroundings, Nameless: true,
+		Seed: options.Seed, NodesPerZone: nodesPerZone, Samplers: samplers * times, Applications: applications * times,
+		Models: []string{"m1", "m2"}, Logs: options.Logs, Surroundings: r.surroundings, Nameless: true, Regions: regions,
 	})
 	defer r.surroundings.close()
 	defer r.world.Close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,7 @@
 
 func TestProcessThatEndsByItselfIsReported(t *testing.T) {
 	directory := t.TempDir()
-	s, err := newSurroundings("/bin/false", directory)
+	s, err := newSurroundings("/bin/false", directory, nil)
 	require.NoError(t, err)
 	defer s.close()
 	process, err := startProcess("/bin/false", directory, nil)
