Let an evacuation of the soak outlast all else; name what the soak lacks

A round's repeated troubles ended up to 1 s before its evacuation, whose bound was then not judged. Troubles end by 13 s of a round now, its evacuation at 20 s.

--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -119,9 +119,11 @@
 }
 
 const (
-	// evacuationEnd is when an evacuation of a round ends, counted from the round's start:
-	// several seconds after all else.
-	evacuationEnd = 17 * time.Second
+	// evacuationEnd is when an evacuation of a round ends, counted from the round's start.
+	// All else ends by lastEnd, and machines are in touch 3 s later, so that at least 4 s
+	// of it are judged.
+	evacuationEnd = 20 * time.Second
+	lastEnd       = 13 * time.Second
 	// oneIn is how rarely a round's troubles begin together, come again, or come beside an
 	// outage of the store.
 	oneIn = 3
@@ -141,7 +143,7 @@
 		}
 		made := r.drawKind(random, after, lasts, target)
 		drawn = append(drawn, made)
-		if next := after + lasts + againAfter; again && next < roundTrouble {
+		if next := after + lasts + againAfter; again && next+lasts < lastEnd {
 			made.after = next
 			drawn = append(drawn, made)
 		}
