--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -42,6 +42,8 @@
 	// refuser answers every call at an address as a store that turns its caller away.
 	refuser        *http.Server
 	refuserAddress string
+	// given are the addresses that this run gave to nodes.
+	given map[string]struct{}
 	// sources tell whose link to the store has an address.
 	sources map[string]string
 	// refused are the addresses of callers whose connection found no listener.
@@ -53,8 +55,9 @@
 // nodeMachine is where a node's process runs, and the links to it and from it.
 type nodeMachine struct {
 	front, readiness string
-	// peers is the first of the ports at which other nodes reach this one, directly.
-	peers int
+	// peers is the address with the first of the ports at which other nodes reach this one,
+	// directly.
+	peers string
 	// callers lead to the node, store leads from it to the store.
 	callers, store *proxy
 	process        *nodeProcess
@@ -71,6 +74,7 @@
 	s := &surroundings{
 		program: program, directory: directory, regions: regions, refuserAddress: listener.Addr().String(),
 		nodes: make(map[string]*nodeMachine), backEnds: make(map[string]*proxy), refused: make(map[string]struct{}), sources: make(map[string]string),
+		given:   make(map[string]struct{}),
 		refuser: &http.Server{Handler: http.HandlerFunc(refuseCall), ReadHeaderTimeout: time.Second},
 	}
 	// It ends with the run, whatever its error.
@@ -128,7 +132,8 @@
 	if machine, known := s.nodes[name]; known {
 		return machine
 	}
-	machine := &nodeMachine{front: freeAddress(), readiness: freeAddress(), peers: freePeerPorts()}
+	machine := &nodeMachine{front: s.give(freeAddress), readiness: s.give(freeAddress)}
+	machine.peers = s.give(freePeerAddress)
 	distance := s.distance(platformsim.ZoneOf(name))
 	machine.callers = mustProxy(machine.front, distance, nil)
 	machine.callers.heard = s.heard
@@ -201,8 +206,20 @@
 	peerPortsEach = 4
 )
 
-// freePeerPorts returns the first of peerPortsEach ports that nobody listens on.
-func freePeerPorts() int {
+// give draws an address that the run has not given yet. It is called under the lock.
+func (s *surroundings) give(draw func() string) string {
+	for {
+		address := draw()
+		if _, given := s.given[address]; !given {
+			s.given[address] = struct{}{}
+			return address
+		}
+	}
+}
+
+// freePeerAddress returns an address with the first of peerPortsEach ports that nobody
+// listens on.
+func freePeerAddress() string {
 	for {
 		first := firstPeerPort + rand.IntN(peerPorts/peerPortsEach)*peerPortsEach
 		free := true
@@ -210,7 +227,7 @@
 			free = free && isFree(fmt.Sprintf("%s:%d", loopback, port))
 		}
 		if free {
-			return first
+			return fmt.Sprintf("%s:%d", loopback, first)
 		}
 	}
 }
@@ -247,7 +264,11 @@
 	machine := s.node(settings.Node)
 	settings.Listen.Front, settings.Listen.Readiness = machine.front, machine.readiness
 	settings.Store.Address = machine.store.address()
-	settings.IP, settings.PortRange = loopback, []int{machine.peers, machine.peers + peerPortsEach - 1}
+	peers, err := net.ResolveTCPAddr("tcp", machine.peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the address for peers")
+	}
+	settings.IP, settings.PortRange = loopback, []int{peers.Port, peers.Port + peerPortsEach - 1}
 	content, err := yaml.Marshal(settings)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the settings")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -96,3 +96,19 @@
 	whileHeld(find, func(link *proxy, _ bool) { held = append(held, link) })(ctx, &run{}, 1)
 	require.Equal(t, []*proxy{links[0], links[0]}, held)
 }
+
+// A node's front and readiness drew the same port, and both listened there: half of its
+// callers got 404 (seed 460218).
+func TestNoAddressIsGivenTwice(t *testing.T) {
+	s, err := newSurroundings("/bin/false", t.TempDir(), nil)
+	require.NoError(t, err)
+	defer s.close()
+	drawn := []string{"one", "one", "two"}
+	draw := func() string {
+		next := drawn[0]
+		drawn = drawn[1:]
+		return next
+	}
+	require.Equal(t, "one", s.give(draw))
+	require.Equal(t, "two", s.give(draw))
+}
