Tell a hedged request whose time is over from one whose caller left

The node's log: caller_gone, deadline_ms -57. Cause: the attempts of a hedged request run on a context of their own, which the end of the request's context cancels; when that end was its deadline, the attempt still counted as one whose caller had left, so the connection was cut where 504 deadline_exceeded was due.

Change: the cause goes with the cancellation and is what decides.

Before: TestTimeOfAHedgedRequestThatIsOverIsNoCallerThatLeft fails 5 of 5 times with 3006. After: it and its package pass 3 of 3 times.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -216,7 +216,7 @@
 	case !sent:
 		failed.ending = NotSent
 		failed.err = result.Wrap(result.BackEndUnreached, err, "send request")
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		failed.err = result.New(result.DeadlineExceeded, "no answer before the deadline")
 	case ctx.Err() != nil:
 		failed.err = result.New(result.CallerGone, "the caller went away after the request was sent")
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -86,8 +86,10 @@
 // begin makes an attempt in a goroutine. It ends with the request unless it is released
 // to run to its end, and at the request's deadline in any case.
 func (d *Dispatcher) begin(ctx context.Context, request *Request, endpoint *routing.Endpoint, ends chan<- tried) (release func() bool) {
-	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
-	release = context.AfterFunc(ctx, cancel)
+	bounded, stop := context.WithCancelCause(context.WithoutCancel(ctx))
+	own, cancel := context.WithDeadline(bounded, request.Deadline)
+	// The cause tells a request whose time is over from one whose caller left.
+	release = context.AfterFunc(ctx, func() { stop(ctx.Err()) })
 	go func() {
 		end := d.try(own, request, endpoint, false)
 		if answer := end.outcome.answer; answer != nil && answer.Buffered == nil {
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -122,3 +122,18 @@
 	require.NoError(t, err, "the failure of a back end is its answer")
 	require.Equal(t, []locality.Regions{request.Regions, request.Regions, request.Regions}, balancer.asked)
 }
+
+// The end of a request's time cancelled its attempts, which then told of a caller that had
+// left: its connection was cut where a refusal was due (soak, seed 8801556).
+func TestTimeOfAHedgedRequestThatIsOverIsNoCallerThatLeft(t *testing.T) {
+	release := make(chan struct{})
+	first, _ := heldBackEnd(t, release)
+	second, _ := heldBackEnd(t, release)
+	t.Cleanup(func() { close(release) })
+	request := requestOf(false)
+	request.HedgeAfter, request.Deadline = time.Millisecond, time.Now().Add(time.Hour)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := dispatcherOver(t, balancerOf(first, second)).Do(ctx, request)
+	require.True(t, result.Is(err, result.DeadlineExceeded), "%v", err)
+}
