--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -15,16 +15,16 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/pathbend/pathbend/internal/roundtrip"
 )
 
 const (
 	// silentFor is the shortest time without any answer after which the direct way counts
 	// as silent: the service answers in 4 to 30 ms, and a share in the group lasts for 1.5 s.
 	silentFor = 150 * time.Millisecond
-	// silentRatio is the same in smoothed round trips, for a service that is slow.
+	// silentRatio is the same in mean times of an answer, for a service that is slow.
 	silentRatio = 5
+	// timeWeight is the share of a new observation in the mean time of an answer.
+	timeWeight = 0.1
 	// probeEvery is how often a node that goes through peers tries the direct way, and
 	// ProbeFor how long it waits for that before it goes through a peer all the same.
 	probeEvery = 500 * time.Millisecond
@@ -50,7 +50,7 @@
 
 	mutex      sync.Mutex
 	answeredAt time.Time
-	trips      *roundtrip.Estimator
+	mean       time.Duration
 	around     bool
 	probeAt    time.Time
 	restUntil  time.Time
@@ -62,7 +62,7 @@
 
 // NewWay returns the ways of a node.
 func NewWay(self Peer) *Way {
-	return &Way{self: self, trips: roundtrip.New(roundtrip.Bounds{}), avoid: make(map[string]time.Time), turned: make(chan struct{})}
+	return &Way{self: self, avoid: make(map[string]time.Time), turned: make(chan struct{})}
 }
 
 // Around reports whether calls go through peers, and whether this one, if it may, is to try
@@ -87,7 +87,7 @@
 	return w.patience()
 }
 
-func (w *Way) patience() time.Duration { return max(silentFor, silentRatio*w.trips.Read().Smoothed) }
+func (w *Way) patience() time.Duration { return max(silentFor, silentRatio*w.mean) }
 
 // MayAsk reports whether a call that failed or got no answer may go through peers: no other
 // call was answered meanwhile, and peers could help of late.
@@ -115,7 +115,7 @@
 	defer w.mutex.Unlock()
 	w.answeredAt, w.around, w.rest = now, false, 0
 	if took > 0 {
-		w.trips.Answered(took, now)
+		w.mean += time.Duration(timeWeight * float64(took-w.mean))
 	}
 }
 
