--- a/internal/labcommand/root.go
+++ b/internal/labcommand/root.go
@@ -53,7 +53,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDemo(), newStandIn(), newLoad(), newExperiment(), newReport(), newSoak())
+	root.AddCommand(newDemo(), newStandIn(), newLoad(), newExperiment(), newReport(), newSoak(), newJudgeTests())
 	return root
 }
 
