Join the tries of a request in the log, and tell back ends that ended

Ruled out: the platform's list as the sign of an end (an entry lapses three heartbeats later, 3.6 s, and also while the store is down); logging bodies (they are the callers').

Change: attempt_failed carries the digest of what all tries share (tenant, what the caller shows of itself, method, host, path, body) and whether the back end was found to have ended: after a connection that was cut, its address is dialled once, and refuses. The same for runs of items. No decision reads either.

Before: no field. After: TestLinesJoinTheTriesOfARequestAndTellBackEndsThatEnded tells a back end that ended from one that dropped the answer and one that was never there. One dial more for an attempt that was cut, 250 ms at most.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -241,6 +244,64 @@
 	}
 }
 
+// endingBackEnd is a back end that ends under the first request that it reads.
+func endingBackEnd(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = connection.Read(make([]byte, 4096))
+		_ = listener.Close()
+		_ = connection.Close()
+	}()
+	return listener.Addr().String()
+}
+
+// attemptLine is what a log line tells of a failed attempt.
+type attemptLine struct {
+	Message string `json:"msg"`
+	Digest  string `json:"digest"`
+	BackEnd string `json:"back_end"`
+	Ended   bool   `json:"ended"`
+}
+
+// Lines of an incident could not tell tries of one request that ended its back ends from
+// requests that lost their answers.
+func TestLinesJoinTheTriesOfARequestAndTellBackEndsThatEnded(t *testing.T) {
+	dropping, _ := backEnd(t, cutOff)
+	var lines bytes.Buffer
+	balancer := balancerOf(endingBackEnd(t), dropping, unusedAddress(t))
+	dispatcher := dispatcherOver(t, balancer)
+	dispatcher.logger = event.NewLogger(&lines, slog.LevelInfo)
+	request := requestOf(false)
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	defer cancel()
+	_, err := dispatcher.Do(ctx, request)
+	require.Error(t, err)
+	var attempts []attemptLine
+	for decoder := json.NewDecoder(&lines); ; {
+		var line attemptLine
+		if decoder.Decode(&line) != nil {
+			break
+		}
+		if line.Message == "attempt_failed" {
+			attempts = append(attempts, line)
+		}
+	}
+	require.Len(t, attempts, 3)
+	require.Equal(t, []bool{true, false, false}, []bool{attempts[0].Ended, attempts[1].Ended, attempts[2].Ended})
+	again := requestOf(false)
+	again.ID = "another try"
+	for _, attempt := range attempts {
+		require.Equal(t, again.digest().String(), attempt.Digest)
+	}
+}
+
 func TestCrossedAndTruncatedAnswersAreErrors(t *testing.T) {
 	crossed, _ := backEnd(t, func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set(HeaderRequestID, "another")
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/locality"
+	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/routing"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -58,6 +59,20 @@
 	Began func(sentAt time.Time)
 }
 
+// callerHeaders are those by which a back end may tell callers apart.
+var callerHeaders = []string{"Authorization", "Cookie"}
+
+// digest returns the digest of what all tries of the request have in common.
+func (r *Request) digest() quarantine.Digest {
+	caller := []string{r.Tenant}
+	for _, name := range callerHeaders {
+		caller = append(caller, r.Header[name]...)
+	}
+	return quarantine.Content{
+		Caller: caller, Method: r.Method, Host: r.Host, Path: r.Path, Body: r.Buffered, Length: r.Length,
+	}.Digest()
+}
+
 // permitted reports why no further attempt may be made, nil if one may.
 func (r *Request) permitted() error {
 	if r.Permitted == nil {
@@ -206,8 +221,8 @@
 	if outcome.answer != nil {
 		detail = "status " + strconv.Itoa(outcome.answer.Status)
 	}
-	d.logger.Log(event.AttemptFailed, "request_id", request.ID, "back_end", failed.endpoint.ID, "attempt", attempt,
-		"ending", outcome.ending.String(), "took_ms", failed.took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
+	d.logger.Log(event.AttemptFailed, "request_id", request.ID, "digest", request.digest().String(),
+		"back_end", failed.endpoint.ID, "attempt", attempt, "ending", outcome.ending.String(), "ended", outcome.ended, "took_ms", failed.took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
 }
 
 // evacuationHint is when to come back to a pool whose zones are all evacuated: an
@@ -259,6 +274,7 @@
 			return d.protocol.Verdict(request, endpoint, requestID, response)
 		},
 	})
+	outcome.ended = outcome.wasCut() && ctx.Err() == nil && d.exchanger.BackEndEnded(ctx, endpoint.Address)
 	if outcome.leaving {
 		d.balancer.MarkLeaving(endpoint.ID)
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,18 +42,39 @@
 // Exchanger performs single HTTP exchanges with back ends.
 type Exchanger struct {
 	transport *http.Transport
+	over      network.Network
 }
 
 // NewExchanger returns an exchanger over a network.
 func NewExchanger(over network.Network) *Exchanger {
 	transport := network.NewTransport(meteredNetwork{over}, maxIdlePerBackEnd)
 	transport.MaxResponseHeaderBytes = maxHeaderBytes
-	return &Exchanger{transport: transport}
+	return &Exchanger{transport: transport, over: over}
 }
 
 // Close releases idle connections.
 func (e *Exchanger) Close() { e.transport.CloseIdleConnections() }
 
+// endedPatience bounds the question whether a back end has ended: longer than a handshake
+// between regions takes, and short beside the objective of a request.
+const endedPatience = 250 * time.Millisecond
+
+// BackEndEnded reports whether nothing listens at a back end's address any more: the machine
+// is there and refuses the connection. A back end that only dropped an answer accepts it. One
+// that started again within the time of a round trip is not told from that, nor is a machine
+// that says nothing.
+func (e *Exchanger) BackEndEnded(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedPatience)
+	defer cancel()
+	connection, err := e.over.Dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// Nothing was sent on it.
+	_ = connection.Close()
+	return false
+}
+
 // meteredNetwork makes connections that count what is written.
 type meteredNetwork struct{ network.Network }
 
@@ -147,7 +169,9 @@
 	err      error
 	bodyRead bool
 	leaving  bool
-	answer   *Answer
+	// ended is set if the back end was found to have ended under the request.
+	ended  bool
+	answer *Answer
 	// sentAt is when the request had been handed to the connection, or when the
 	// exchange began if that is not known.
 	sentAt time.Time
@@ -210,6 +234,11 @@
 	return outcome
 }
 
+// wasCut reports whether the connection ended before a whole answer had come.
+func (i *incoming) wasCut() bool {
+	return i.ending == Lost && (result.Is(i.err, result.AnswerLost) || result.Is(i.err, result.AnswerTruncated))
+}
+
 func classifyFailure(ctx context.Context, err error, sent, bodyRead bool) incoming {
 	failed := incoming{ending: Lost, bodyRead: bodyRead}
 	switch {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -149,7 +149,7 @@
 	{EndpointGone, "endpoint_gone", slog.LevelInfo, "An engine or back end disappeared from the machine list.", "None."},
 	{EndpointSlow, "endpoint_slow", slog.LevelWarn, "An engine or back end failed repeatedly and is avoided for a while.", "Check the machine."},
 	{AnswerMismatched, "answer_mismatched", slog.LevelError, "A back end echoed the id of another request; the connection was closed.", "Report it to the back end's owner."},
-	{AttemptFailed, "attempt_failed", slog.LevelInfo, "One attempt of a request failed; the line tells the back end, the ending and the cause.", "None unless frequent for one back end."},
+	{AttemptFailed, "attempt_failed", slog.LevelInfo, "One attempt of a request failed; the line tells the back end, the ending, the cause, the digest that all tries of the request share, and whether the back end was found to have ended.", "None unless frequent for one back end."},
 	{RequestGivenUp, "request_given_up", slog.LevelWarn, "A request got its final refusal or failure; the line tells the attempts and the result code.", "Look at the attempts with the same request id."},
 	{RequestRefused, "request_refused", slog.LevelWarn, "A request was refused before any attempt; the line tells why and when to come back.", "See the result code."},
 	{RequestServed, "request_served", slog.LevelInfo, "A request got a back end's answer; the line tells which, after how many attempts and how long.", "None."},
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -399,7 +399,7 @@
 		run := Run{
 			Sampler: start.Sampler, Host: start.Job.Host, Item: start.Item, Tenant: start.Job.Tenant, AfterEvent: start.AfterEvent,
 		}
-		end := e.node.ports.Generator.Generate(ctx, run, func(made schedule.Event) bool {
+		end := e.node.generate(ctx, run, func(made schedule.Event) bool {
 			e.mutex.Lock()
 			defer e.mutex.Unlock()
 			return scheduler.Progress(start.Key, start.Run, made, time.Now())
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -29,6 +29,10 @@
 	Ending schedule.Ending
 	// Detail explains an ending other than Complete.
 	Detail string
+	// Cut is set if the connection ended before the stream did.
+	Cut bool
+	// Ended is set if the sampler was found to have ended under the run.
+	Ended bool
 }
 
 // Generator runs items at samplers.
--- a/internal/hosted/worker_runs.go
+++ b/internal/hosted/worker_runs.go
@@ -189,7 +189,7 @@
 		Item: item, Tenant: job.spec.Tenant, AfterEvent: text.Events(),
 	}
 	seen := uint64(0)
-	end := w.node.ports.Generator.Generate(ctx, run, func(made schedule.Event) bool {
+	end := w.node.generate(ctx, run, func(made schedule.Event) bool {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		seen = made.Version
