--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -33,7 +33,10 @@
 	ID string
 	// ServiceTime is the mean time of one execution.
 	ServiceTime time.Duration
-	truth       *Truth
+	// Crash ends the back end's process under a request that has the CrashMark, and reports
+	// whether it was the one to do so. Such requests are served like others if it is nil.
+	Crash func() bool
+	truth *Truth
 
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -106,6 +109,10 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if b.crashes(body) {
+		b.crashUnder(request.URL.Path, plan.service)
+		panic(http.ErrAbortHandler)
+	}
 	caller := request.Header.Get(AnswerHeader)
 	b.truth.Executed(Execution{
 		BackEnd: b.ID, Caller: caller, Key: request.Header.Get(dispatch.HeaderIdempotencyKey),
--- a/internal/emulator/truth.go
+++ b/internal/emulator/truth.go
@@ -57,6 +57,9 @@
 	samples    int
 	versions   map[string]map[uint64]int
 	staleness  map[string][]uint64
+	// crashing holds, by path, the requests that crash their back ends.
+	crashing     map[string]*crashingRequest
+	crashingRuns CrashingRuns
 }
 
 // NewTruth returns an empty record.
@@ -64,6 +67,7 @@
 	return &Truth{
 		executions: make(map[string][]Execution), leftAt: make(map[string]time.Time),
 		versions: make(map[string]map[uint64]int), staleness: make(map[string][]uint64),
+		crashing: make(map[string]*crashingRequest),
 	}
 }
 
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,10 +73,15 @@
 	Nodes    []*NodeSlot
 
 	platformAddress string
-	random          *rand.Rand
-	replaced        int
-	servers         []*http.Server
-	group           conc.WaitGroup
+	// mutex keeps replacements of machines apart.
+	mutex    sync.Mutex
+	random   *rand.Rand
+	replaced int
+	servers  []*http.Server
+	group    conc.WaitGroup
+	// life ends with the cluster.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // Machine is an emulated engine or back end with its server.
@@ -87,6 +93,8 @@
 	server *http.Server
 	cancel context.CancelFunc
 	group  sync.WaitGroup
+	// crashed is set once a request crashed the machine.
+	crashed atomic.Bool
 }
 
 // NodeSlot is a place for a pathbend node, which may be restarted.
@@ -119,6 +127,7 @@
 		Truth:    emulator.NewTruth(),
 		random:   rand.New(rand.NewPCG(options.Seed, 7)),
 	}
+	c.life, c.end = context.WithCancel(context.Background())
 	if err := c.startPlatform(); err != nil {
 		return nil, err
 	}
@@ -199,6 +208,8 @@
 func (c *Cluster) Replace(gone *Machine) error {
 	c.Platform.RemoveMachine(gone.ID)
 	gone.Crash()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.replaced++
 	pool := c.poolOf(gone.Pool)
 	started, err := c.launch(pool, fmt.Sprintf("%s-r%d", gone.Pool, c.replaced), gone.Zone)
@@ -242,6 +253,7 @@
 		machine.group.Go(func() { machine.Engine.Run(ctx) })
 	} else {
 		machine.BackEnd = emulator.NewBackEnd(id, pool.ServiceTime, c.Truth, random)
+		machine.BackEnd.Crash = func() bool { return c.crashBackEnd(machine) }
 		machine.server = &http.Server{Handler: machine.BackEnd}
 	}
 	machine.group.Go(func() { _ = machine.server.Serve(listener) })
@@ -256,6 +268,28 @@
 	m.group.Wait()
 }
 
+// crashReturn is how long a back end is away that a request crashed.
+const crashReturn = 4 * time.Second
+
+// crashBackEnd ends a back end under a request, which is still in progress there. Another one
+// comes in its place some seconds later. It reports false if the back end had ended before.
+func (c *Cluster) crashBackEnd(machine *Machine) bool {
+	if machine.crashed.Swap(true) {
+		return false
+	}
+	machine.cancel()
+	machine.server.Close()
+	c.group.Go(func() {
+		if !wait.For(c.life, crashReturn) {
+			return
+		}
+		if err := c.Replace(machine); err != nil {
+			c.Truth.Violate("back end %s cannot be replaced: %v", machine.ID, err)
+		}
+	})
+	return true
+}
+
 // BeginLeave makes a machine say that it leaves and the platform list it so.
 func (c *Cluster) BeginLeave(machine *Machine) {
 	if machine.BackEnd != nil {
@@ -399,6 +433,7 @@
 
 // Close stops everything at once.
 func (c *Cluster) Close() {
+	c.end()
 	var stops conc.WaitGroup
 	for _, slot := range c.Nodes {
 		stops.Go(func() { slot.Stop(false) })
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -42,6 +42,9 @@
 	tenant string
 	// prefix is that of the route of the caller's jobs.
 	prefix string
+	// crashing is the kind of crashing work that the next item brings, crashed that it did.
+	crashing FaultKind
+	crashed  bool
 }
 
 func (w *World) newCaller(name, zone, host string, seed uint64) *caller {
@@ -204,10 +207,10 @@
 	return platform.ItemDocument{
 		ID: id, Path: c.prefix + "run/" + id, Group: group, Tokens: uint64(events),
 		Headers: map[string]string{platform.HeaderModel: model, platform.HeaderTokens: fmt.Sprintf("100,%d", events)},
-		Body:    base64.StdEncoding.EncodeToString([]byte(bodyOf + id)),
+		Body:    c.crashingBody(CrashingItem, base64.StdEncoding.EncodeToString([]byte(bodyOf+id))),
 		Scorer: &platform.ScorerDocument{
 			ID: fmt.Sprintf("w%x", c.random.Uint64()), Host: c.host, Path: applicationPrefix + "score",
-			Body: base64.StdEncoding.EncodeToString([]byte("score " + id)),
+			Body: c.crashingBody(CrashingReward, base64.StdEncoding.EncodeToString([]byte("score "+id))),
 		},
 	}
 }
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -51,6 +52,14 @@
 	RegionCut = faultKinds
 )
 
+// Kinds of requests that crash the samplers that run them. They are not drawn, so that the
+// seeds of the others keep their faults.
+const (
+	CrashingRequest = RegionCut + 1 + iota
+	CrashingItem
+	CrashingReward
+)
+
 var faultNames = [...]string{
 	"node_kill", "node_freeze", "node_cut_from_store", "node_cut_from_all", "node_term", "herd_kill", "kill_all",
 	"store_down", "store_silent", "store_slow", "store_lost", "store_late", "store_rebalance",
@@ -59,6 +68,7 @@
 	"cloud_down", "cloud_slow", "cloud_lost",
 	"cold_return", "samplers_turn_cold", "evacuate", "zone_cut", "zone_lost",
 	"region_cut",
+	"crashing_request", "crashing_item", "crashing_reward",
 }
 
 // String implements fmt.Stringer.
@@ -133,6 +143,14 @@
 		w.cutZone(fault, zones[fault.Target%uint64(len(zones))])
 	case ZoneLost:
 		w.loseZone(fault, zones[fault.Target%uint64(len(zones))])
+	case CrashingRequest:
+		ctx, cancel := context.WithTimeout(context.Background(), fault.For)
+		defer cancel()
+		client := w.newCaller("client-crashing", zones[0], host, w.options.Seed+fault.Target)
+		client.tenant = w.tenants.names[0]
+		client.runCrashing(ctx, fault.Target)
+	case CrashingItem, CrashingReward:
+		w.crashingStep(fault)
 	case StoreForgets:
 		w.Store.Forget(platform.TopicOperator)
 		w.Store.Forget(platform.TopicSamplers)
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -63,6 +63,8 @@
 	stopped bool
 	freed   chan struct{}
 	cold    coldState
+	// crash ends the sampler's process under a request.
+	crash func(key, node string)
 }
 
 func newSampler(id string, spec SamplerSpec, models map[string]uint64, truth *Truth, store *Store, seed uint64, coldUntil time.Time) *Sampler {
@@ -174,6 +176,10 @@
 		return
 	}
 	defer s.leave()
+	if crashes(body) {
+		s.crash(s.crashKey(request, id), node)
+		panic(http.ErrAbortHandler)
+	}
 	if s.draw(s.snapshot().Fail) {
 		s.truth.ItemFailed(id)
 		writer.Header().Set(platform.HeaderStamp, "failed")
@@ -187,6 +193,15 @@
 	s.answer(writer, request, id, body)
 }
 
+// crashKey names a request that comes again, by what stays the same: items and their reward
+// calls keep their ids.
+func (s *Sampler) crashKey(request *http.Request, id string) string {
+	if strings.HasPrefix(id, "k") {
+		return "request " + request.URL.Path
+	}
+	return "item or reward call " + id
+}
+
 // hostOf returns the host of an address, with or without a port.
 func hostOf(address string) string {
 	name, _, err := net.SplitHostPort(address)
--- a/internal/platformsim/truth.go
+++ b/internal/platformsim/truth.go
@@ -61,6 +61,8 @@
 	homes   map[string]string
 	regions map[string]string
 	cloud   cloudTruth
+	// crashing is what is known of requests that crash their samplers.
+	crashing map[string]*crashTruth
 	// troubles are what a run did, in the order of their begin, causes counts why requests
 	// were lost or refused, late are late wakes, each later than those after it, and latest
 	// the latest of all.
@@ -119,7 +121,7 @@
 		orders: make(map[string]orderTruth), disturbed: make(map[string]time.Time), gone: make(map[string]time.Time),
 		counts: make(map[string]int), tenants: make(map[string]string), cloud: newCloudTruth(), homes: make(map[string]string), held: make(map[string]time.Time),
 		evacuatedAt: make(map[string]time.Time), intruders: make(map[string]intrusion),
-		causes:  make(map[string]int),
+		causes: make(map[string]int), crashing: make(map[string]*crashTruth),
 		started: time.Now(),
 	}
 }
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -221,6 +221,7 @@
 		coldUntil = time.Now().Add(coldTime)
 	}
 	sampler := newSampler(id, machine.spec, models, w.Truth, w.Store, w.options.Seed+uint64(machine.starts)*1000, coldUntil)
+	sampler.crash = func(key, node string) { w.crashRun(sampler, key, node) }
 	server := w.serve(listener, sampler)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
