Keep requests from back ends that end under them

Class: a fault that is bounded per try or per node, where the harm is that of all tries at all nodes. It stood at every sender: first tries, repeats, hedges, reward calls, items (also moved, ahead, carried for another node, taken over), and at the own interface.

Change: internal/quarantine. Requests are joined by the digest of their content (items by their id). After three ends no node sends the digest: 503 with the time of the next trial. Trials, two in the first minutes, then one an hour, are claimed in the log, so that one node makes each; a back end that survives clears it. Hedges and runs ahead stop at the first end, and after the second one request runs alone. The HTTP transport no longer replays a request without a body by itself.

Weighed: gossip (own interface: heartbeats without news of members reach three neighbours, 70 s for 420 nodes), calls to all nodes (those that start later miss them), a keyed topic (one more held read for each node); the platform's list as the sign of an end (3.6 s late, and entries lapse while the store is down); every lost answer as one (answers are lost by samplers that live). False alarms: three different back ends must end under one content with no survivor between, and even then the first trial comes after 15 s.

--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -183,7 +183,7 @@
 	}
 	f.cache = nil
 	f.lastSnapshot = snapshot.Covers
-	for _, part := range []state.Part{state.PartRoster, state.PartLease, state.PartConfig} {
+	for _, part := range []state.Part{state.PartRoster, state.PartLease, state.PartSuspects, state.PartConfig} {
 		f.listener(part, f.machine)
 	}
 	return nil
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -23,6 +23,7 @@
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/routing"
 )
@@ -79,9 +80,16 @@
 	exchanger := NewExchanger(network.TCP{})
 	t.Cleanup(exchanger.Close)
 	var ids atomic.Int64
-	return NewDispatcher(exchanger, OwnProtocol{}, balancer, "zone", func() string { return fmt.Sprint("id-", ids.Add(1)) }, event.Discard())
+	guard := quarantine.NewGuard(quarantine.Requests(), event.Discard())
+	guard.SetTeller(&ownLog{guard: guard})
+	return NewDispatcher(exchanger, OwnProtocol{}, balancer, guard, "zone", func() string { return fmt.Sprint("id-", ids.Add(1)) }, event.Discard())
 }
 
+// ownLog is a log with one reader and one writer.
+type ownLog struct{ guard *quarantine.Guard }
+
+func (l *ownLog) Tell(_ context.Context, record quarantine.Record) { l.guard.Merge(record) }
+
 // backEnd starts a back end and returns its address and execution count.
 func backEnd(t *testing.T, handler http.HandlerFunc) (string, *atomic.Int64) {
 	t.Helper()
@@ -302,6 +310,130 @@
 	}
 }
 
+// doAgain sends further tries of a request through one dispatcher, each at back ends of its
+// own, and returns how the last ended.
+func doAgain(t *testing.T, dispatcher *Dispatcher, tries ...*listBalancer) error {
+	t.Helper()
+	var last error
+	for _, balancer := range tries {
+		dispatcher.balancer = balancer
+		request := requestOf(false)
+		request.MaxAttempts = len(balancer.endpoints)
+		ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+		answer, err := dispatcher.Do(ctx, request)
+		cancel()
+		if answer != nil {
+			answer.Body.Close()
+		}
+		last = err
+	}
+	return last
+}
+
+// named gives the back ends of a balancer ids of their own.
+func named(prefix string, balancer *listBalancer) *listBalancer {
+	for i := range balancer.endpoints {
+		balancer.endpoints[i].ID = fmt.Sprint(prefix, i)
+	}
+	return balancer
+}
+
+// A request under new ids took down whatever ran it, however often it came.
+func TestRequestUnderWhichBackEndsEndedIsHeldBack(t *testing.T) {
+	healthy, runs := backEnd(t, ok)
+	dispatcher := dispatcherOver(t, balancerOf())
+	err := doAgain(t, dispatcher,
+		named("first", balancerOf(endingBackEnd(t), endingBackEnd(t))),
+		named("second", balancerOf(endingBackEnd(t), healthy)),
+	)
+	require.True(t, result.Is(err, result.AnswerLost), "the try itself ran: %v", err)
+	require.Zero(t, runs.Load(), "the third end forbids another attempt of the same try")
+	err = doAgain(t, dispatcher, named("third", balancerOf(healthy)))
+	require.True(t, result.Is(err, result.RequestQuarantined), "%v", err)
+	require.Equal(t, result.NotRun, result.From(err).Run())
+	require.Positive(t, result.From(err).RetryAfter)
+	require.Zero(t, runs.Load())
+
+	other := requestOf(false)
+	other.Buffered = []byte("another body")
+	other.Length = int64(len(other.Buffered))
+	dispatcher.balancer = balancerOf(healthy)
+	_, err = dispatcher.Do(context.Background(), other)
+	require.NoError(t, err, "another request is served")
+}
+
+func TestBackEndThatSurvivesARequestClearsIt(t *testing.T) {
+	healthy, _ := backEnd(t, ok)
+	dropping, _ := backEnd(t, cutOff)
+	dispatcher := dispatcherOver(t, balancerOf())
+	for round := range 4 {
+		err := doAgain(t, dispatcher, named(fmt.Sprint("round", round), balancerOf(endingBackEnd(t), dropping, healthy)))
+		require.NoError(t, err, "round %d", round)
+	}
+}
+
+func TestAnswersThatAreLostAloneHoldNothingBack(t *testing.T) {
+	dropping, runs := backEnd(t, cutOff)
+	dispatcher := dispatcherOver(t, balancerOf())
+	for range 5 {
+		err := doAgain(t, dispatcher, balancerOf(dropping))
+		require.True(t, result.Is(err, result.AnswerLost), "%v", err)
+	}
+	require.EqualValues(t, 5, runs.Load())
+}
+
+// The HTTP transport sent a request without a body once more by itself, to whatever listened
+// at the address by then, when the back end ended on a connection that had been used before.
+func TestTransportReplaysNoRequestWithoutABody(t *testing.T) {
+	var read atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnceThenSwallow(connection, &read)
+		}
+	}()
+	dispatcher := dispatcherOver(t, balancerOf(listener.Addr().String()))
+	for range 2 {
+		request := requestOf(false)
+		request.Method, request.Buffered, request.Length, request.MaxAttempts = http.MethodGet, nil, 0, 1
+		delete(request.Header, "Idempotency-Key")
+		ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+		_, _ = dispatcher.Do(ctx, request)
+		cancel()
+	}
+	require.EqualValues(t, 2, read.Load(), "each was sent once")
+}
+
+func TestStreamThatIsCutWhereItsBackEndEndedCounts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(HeaderRequestID, request.Header.Get(HeaderRequestID))
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, "data: begun\n\n")
+		_ = http.NewResponseController(writer).Flush()
+		_ = listener.Close()
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	dispatcher := dispatcherOver(t, balancerOf(listener.Addr().String()))
+	request := requestOf(false)
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	defer cancel()
+	answer, err := dispatcher.Do(ctx, request)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	require.Error(t, err)
+	answer.Body.Close()
+	require.Equal(t, 1, dispatcher.guard.Counts().Ended)
+}
+
 func TestCrossedAndTruncatedAnswersAreErrors(t *testing.T) {
 	crossed, _ := backEnd(t, func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set(HeaderRequestID, "another")
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/quarantine"
@@ -119,6 +121,8 @@
 	zone      string
 	newID     func() string
 	logger    *event.Logger
+	// guard keeps requests from back ends that ended under them.
+	guard *quarantine.Guard
 
 	mutex  sync.Mutex
 	budget *Budget
@@ -126,9 +130,9 @@
 
 // NewDispatcher returns a dispatcher for a node in a zone. newID returns unique
 // request ids.
-func NewDispatcher(exchanger *Exchanger, protocol Protocol, balancer Balancer, zone string, newID func() string, logger *event.Logger) *Dispatcher {
+func NewDispatcher(exchanger *Exchanger, protocol Protocol, balancer Balancer, guard *quarantine.Guard, zone string, newID func() string, logger *event.Logger) *Dispatcher {
 	return &Dispatcher{
-		exchanger: exchanger, protocol: protocol, balancer: balancer, zone: zone, newID: newID, logger: logger, budget: NewBudget(),
+		exchanger: exchanger, protocol: protocol, balancer: balancer, guard: guard, zone: zone, newID: newID, logger: logger, budget: NewBudget(),
 	}
 }
 
@@ -153,12 +157,18 @@
 	var ran incoming
 	var refusal error
 	for {
+		leave, err := d.guard.Enter(ctx, request.digest)
+		if err != nil {
+			return d.giveUp(request, ran, err, plan.Attempts())
+		}
 		route.Now = time.Now()
 		endpoint := d.balancer.Pick(route)
 		if endpoint == nil {
+			leave()
 			return d.giveUp(request, ran, d.noBackEnd(route), plan.Attempts())
 		}
 		ended := d.tryHedged(ctx, request, route, endpoint, plan)
+		leave()
 		if i := slices.IndexFunc(ended, tried.answered); i >= 0 {
 			return d.served(request, plan, ended[i], received), nil
 		}
@@ -274,7 +284,7 @@
 			return d.protocol.Verdict(request, endpoint, requestID, response)
 		},
 	})
-	outcome.ended = outcome.wasCut() && ctx.Err() == nil && d.exchanger.BackEndEnded(ctx, endpoint.Address)
+	outcome.ended = outcome.wasCut() && d.endedUnder(ctx, request, endpoint)
 	if outcome.leaving {
 		d.balancer.MarkLeaving(endpoint.ID)
 	}
@@ -283,18 +293,58 @@
 	}
 	report := Report{Ending: outcome.ending, Latency: time.Since(began), Neutral: ctx.Err() != nil || outcome.leaving}
 	if outcome.answer == nil || outcome.answer.Buffered != nil {
+		if outcome.answer != nil {
+			d.guard.Served(ctx, request.digest)
+		}
 		cancel()
 		d.balancer.Report(endpoint, report)
 		return outcome
 	}
 	// A streamed answer occupies the back end until its body is closed.
-	outcome.answer.Body = OnClose(outcome.answer.Body, func() {
+	body := &watchedBody{ReadCloser: outcome.answer.Body}
+	outcome.answer.Body = OnClose(body, func() {
+		d.streamEnded(ctx, request, endpoint, body)
 		cancel()
 		d.balancer.Report(endpoint, report)
 	})
 	return outcome
 }
 
+// endedUnder finds out whether a back end that cut a connection has ended, and tells of it.
+func (d *Dispatcher) endedUnder(ctx context.Context, request *Request, endpoint *routing.Endpoint) bool {
+	if ctx.Err() != nil || !d.exchanger.BackEndEnded(ctx, endpoint.Address) {
+		return false
+	}
+	d.guard.Ended(ctx, request.digest(), endpoint.ID)
+	return true
+}
+
+// streamEnded tells what the end of a streamed answer says of its request.
+func (d *Dispatcher) streamEnded(ctx context.Context, request *Request, endpoint *routing.Endpoint, body *watchedBody) {
+	switch {
+	case errors.Is(body.ended, io.EOF):
+		d.guard.Served(ctx, request.digest)
+	case body.ended != nil:
+		d.endedUnder(ctx, request, endpoint)
+	}
+}
+
+// watchedBody keeps how the reading of a body ended.
+type watchedBody struct {
+	io.ReadCloser
+	// ended is the first error of a read, nil while there was none.
+	ended error
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if err != nil && b.ended == nil {
+		b.ended = err
+	}
+	return n, err
+}
+
 // attemptContext bounds an attempt after which another one may follow.
 func attemptContext(ctx context.Context, request *Request, last bool) (context.Context, context.CancelFunc) {
 	if last || request.AttemptTimeout <= 0 || request.AtMostOnce {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -144,14 +144,13 @@
 // bodyOf chooses the form of a request's body. The transport replays a request
 // by itself if it has no body or one that it can get anew. A buffered body is
 // handed over as a plain reader without a way to get it anew, which the
-// transport sends together with the header. Only a repeatable request goes
-// without a body: replaying that one is harmless.
+// transport sends together with the header. A repeatable request is no exception:
+// one that crashes its back end would run once more at the back end that comes in
+// its place, which nobody would count.
 func bodyOf(request *Request) outgoingBody {
 	switch {
 	case len(request.Buffered) > 0:
 		return outgoingBody{reader: io.NopCloser(bytes.NewReader(request.Buffered)), length: int64(len(request.Buffered))}
-	case request.Body == nil && !request.AtMostOnce:
-		return outgoingBody{reader: http.NoBody}
 	case request.Body == nil:
 		opaque := &opaqueBody{reader: http.NoBody}
 		return outgoingBody{reader: opaque, opaque: opaque}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -29,7 +29,7 @@
 // its back end has done, and its end tells how the back end fares.
 func (d *Dispatcher) tryHedged(ctx context.Context, request *Request, route *routing.Request, endpoint *routing.Endpoint, plan *Plan) []tried {
 	last := plan.Attempts()+1 >= request.MaxAttempts
-	if !request.hedges(plan) {
+	if !request.hedges(plan) || !d.guard.Hedges(request.digest) {
 		return []tried{d.try(ctx, request, endpoint, last)}
 	}
 	const most = 2
@@ -67,7 +67,8 @@
 }
 
 // hedgeAt returns a back end for a second attempt, nil if there is none, the retries of
-// this node are spent, or the caller's permission has ended.
+// this node are spent, the caller's permission has ended, or a back end ended under the
+// request.
 func (d *Dispatcher) hedgeAt(request *Request, route *routing.Request, first *routing.Endpoint) *routing.Endpoint {
 	beside := *route
 	beside.Now = time.Now()
@@ -76,7 +77,7 @@
 	if other == nil {
 		return nil
 	}
-	if request.permitted() != nil || !d.spend() {
+	if request.permitted() != nil || !d.guard.Hedges(request.digest) || !d.spend() {
 		d.balancer.Report(other, Report{Ending: NotSent, Neutral: true})
 		return nil
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,11 @@
 	ZoneEvacuated        Number = 512
 	ZoneTakenBack        Number = 513
 	EvacuationUnknown    Number = 514
+	BackEndEnded         Number = 515
+	RequestQuarantined   Number = 516
+	QuarantineTried      Number = 517
+	QuarantineCleared    Number = 518
+	SuspectUntold        Number = 519
 	SamplersCold         Number = 520
 	ColdWorkWaits        Number = 521
 	LeaseTaken           Number = 601
@@ -158,6 +163,11 @@
 	{ZoneEvacuated, "zone_evacuated", slog.LevelWarn, "A zone is evacuated: its samplers and back ends get nothing more from this node.", "None, if it was meant; what the other zones cannot carry is refused."},
 	{ZoneTakenBack, "zone_taken_back", slog.LevelInfo, "A zone is not evacuated any more; its samplers and back ends get work again.", "None."},
 	{EvacuationUnknown, "evacuation_unknown", slog.LevelWarn, "A zone is to be evacuated that the deployment does not have.", "Check the name; drop the record and write the right one."},
+	{BackEndEnded, "back_end_ended", slog.LevelWarn, "A back end ended while it ran a request of this node; the line tells the digest that all tries of the request share.", "Several for one digest: see request_quarantined."},
+	{RequestQuarantined, "request_quarantined", slog.LevelWarn, "Back ends ended under a request as often as is allowed, at any nodes; it is kept from them. The line tells when it may be tried again.", "Find the request by its digest in the lines of its attempts; mend what it crashes."},
+	{QuarantineTried, "quarantine_tried", slog.LevelInfo, "This node sends a request once more under which back ends ended, to see whether they still do.", "None."},
+	{QuarantineCleared, "quarantine_cleared", slog.LevelInfo, "A back end survived a request under which others had ended; it is a request like any other.", "None."},
+	{SuspectUntold, "suspect_untold", slog.LevelWarn, "What this node knows of a request under which back ends ended could not be written to the log; other nodes learn of it only if it comes again.", "Check the log service."},
 	{SamplersCold, "samplers_cold", slog.LevelInfo, "The number of model samplers that are cold, or may be, changed; the line tells it of all that are listed.", "A zone that stays cold: see docs/OPERATIONS.md."},
 	{ColdWorkWaits, "cold_work_waits", slog.LevelInfo, "Items wait, at most once a second, though samplers have free slots: they got all that a sampler may get in a second that is cold or may be; the line tells how many of each.", "None while samplers are cold; else look for samplers that turn cold again and again."},
 	{LeaseTaken, "lease_taken", slog.LevelInfo, "This node holds a lease.", "None."},
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -173,6 +173,7 @@
 		e.saveProgress(progressEvents, now)
 	}
 	e.noteCold(now)
+	e.node.suspects.keep(now)
 	e.orderWeights(now)
 	e.detectSplitBrain(now)
 }
@@ -203,6 +204,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.scheduler = schedule.New(rand.Uint64)
+	e.scheduler.SetHolds(e.node.suspects)
 	e.session, e.endSession = context.WithCancel(ctx)
 	e.sessionID, e.beganAt, e.remote = rand.Uint64(), time.Now(), newRemoteWork()
 	e.configured = e.node.Catalog()
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -102,6 +102,10 @@
 			b.node.logger.Log(event.RecordSkipped, "topic", jobTopic, "offset", offset+uint64(i), "detail", err.Error())
 			continue
 		}
+		if change.Kind == ledger.Suspected {
+			b.takeSuspect(offset+uint64(i), change.Suspect)
+			continue
+		}
 		b.node.executor.jobChanged(change)
 		b.node.worker.jobChanged(change)
 	}
@@ -109,11 +113,19 @@
 	b.changed = make(chan struct{})
 }
 
+func (b *jobBook) takeSuspect(offset uint64, told *pathbendv1.SuspectRequest) {
+	if err := b.node.suspects.take(told); err != nil {
+		b.node.logger.Log(event.RecordSkipped, "topic", jobTopic, "offset", offset, "detail", err.Error())
+	}
+	b.node.executor.wake()
+}
+
 func (b *jobBook) expire(ctx context.Context) {
 	wait.Every(ctx, expireInterval, func() {
 		b.mutex.Lock()
 		defer b.mutex.Unlock()
 		b.ledger.Expire(time.Now().Add(-b.node.settings.KeepJobs - keepMargin))
+		b.node.suspects.expire()
 	})
 }
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/roundtrip"
 	"github.com/pathbend/pathbend/internal/schedule"
@@ -121,9 +122,26 @@
 	m.gauge("pathbend_zones_evacuated", "Zones whose samplers get nothing new from this node.", func() float64 {
 		return float64(len(n.evacuated.Load().Names()))
 	})
+	m.guard("requests", n.suspects.requests)
+	m.guard("items", n.suspects.items)
 	return m
 }
 
+// guard registers what a guard did, for requests or for items.
+func (m *Metrics) guard(of string, guard *quarantine.Guard) {
+	labels := prometheus.Labels{"of": of}
+	count := func(name, help string, read func(quarantine.Counts) int) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help, ConstLabels: labels}, func() float64 {
+			return float64(read(guard.Counts()))
+		}))
+	}
+	count("pathbend_back_ends_ended_total", "Back ends that ended under requests or items of this node.", func(c quarantine.Counts) int { return c.Ended })
+	count("pathbend_quarantine_refusals_total", "Attempts that were held back, as back ends ended under their request.", func(c quarantine.Counts) int { return c.Refused })
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pathbend_quarantined", Help: "Requests or items that are kept from back ends.", ConstLabels: labels,
+	}, func() float64 { return float64(guard.Counts().Held) }))
+}
+
 // roundTrip registers what is known of calls of one kind.
 func (m *Metrics) roundTrip(name, calls string, estimator *roundtrip.Estimator) {
 	m.gauge(name+"_seconds", "Smoothed round trip of "+calls+".", func() float64 { return estimator.Read().Smoothed.Seconds() })
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -58,6 +58,7 @@
 	claims     *claims
 	usage      *usage
 	scaler     *scaler
+	suspects   *suspects
 
 	// fleetMutex keeps an older list of samplers from following a newer one.
 	fleetMutex sync.Mutex
@@ -87,6 +88,8 @@
 	active   atomic.Int64
 	stop     context.CancelFunc
 	loops    conc.WaitGroup
+	// lifetime ends with the node; what tells other nodes ends then.
+	lifetime context.Context
 }
 
 // New returns a node that does nothing until Start.
@@ -98,11 +101,12 @@
 		versions:  make(map[string]uint64),
 		informed:  make(chan struct{}),
 
-		configured: make(chan struct{}),
+		configured: make(chan struct{}), lifetime: context.Background(),
 	}
 	n.evacuated.Store(&evacuation.Zones{})
+	n.suspects = newSuspects(n)
 	n.metrics = newMetrics(n)
-	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, settings.Zone, newID, logger)
+	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, n.suspects.requests, settings.Zone, newID, logger)
 	n.directory = newDirectory(n.log, settings.NodesTopic, n, logger)
 	n.jobs = newJobBook(n)
 	n.executor = newExecutor(n)
@@ -118,6 +122,7 @@
 // Start begins to follow the log and to take part in the group.
 func (n *Node) Start(ctx context.Context) {
 	ctx, n.stop = context.WithCancel(ctx)
+	n.lifetime = ctx
 	n.loops.Go(func() { n.directory.follower.Run(ctx) })
 	n.loops.Go(func() { n.followJobs(ctx) })
 	n.loops.Go(func() { n.jobs.expire(ctx) })
--- a/internal/hosted/remote.go
+++ b/internal/hosted/remote.go
@@ -382,6 +382,10 @@
 	}
 	delete(l.runs, state.Run)
 	delete(e.runs, start.Key)
+	if state.Ended {
+		// The worker told the log; this node may not have read it yet.
+		e.node.suspects.items.Heard(itemDigest(start.Key.Item), start.Sampler.ID)
+	}
 	e.endRun(start, RunEnd{Ending: schedule.Ending(state.Ending), Detail: state.Detail}, now)
 	if state.Unserved && e.node.jobs.inTouch() {
 		e.dropLink(l, state.Detail, now)
--- a/internal/hosted/rewards.go
+++ b/internal/hosted/rewards.go
@@ -95,7 +95,7 @@
 		if outcome.backEnd != "" {
 			avoid = []string{outcome.backEnd}
 		}
-		wait.For(ctx, min(rewardPause<<min(attempt, 5), maxRewardPause))
+		wait.For(ctx, max(min(rewardPause<<min(attempt, 5), maxRewardPause), outcome.heldFor))
 	}
 	return "", true
 }
@@ -108,6 +108,8 @@
 	backEnd     string
 	detail      string
 	maxFailures int
+	// heldFor is how long the call is held back from back ends.
+	heldFor time.Duration
 }
 
 func (r *rewarder) call(ctx context.Context, completed schedule.Finished, avoid []string, attempt int) rewardOutcome {
@@ -131,7 +133,7 @@
 	answer, err := r.node.dispatcher.Do(ctx, request)
 	outcome := rewardOutcome{maxFailures: route.MaxAttempts}
 	if err != nil {
-		outcome.detail = err.Error()
+		outcome.detail, outcome.heldFor = err.Error(), heldFor(err)
 		return outcome
 	}
 	answer.Body.Close()
--- a/internal/hosted/worker_runs.go
+++ b/internal/hosted/worker_runs.go
@@ -215,7 +215,7 @@
 // adds to.
 func (w *worker) stateOf(text *carriedText, run, seen uint64, end RunEnd) *pathbendv1.RunState {
 	return &pathbendv1.RunState{
-		Run: run, Events: text.Events(), Versions: text.Versions(), Version: seen, Ending: uint32(end.Ending), Detail: end.Detail,
+		Run: run, Events: text.Events(), Versions: text.Versions(), Version: seen, Ending: uint32(end.Ending), Detail: end.Detail, Ended: end.Ended,
 	}
 }
 
--- a/internal/ledger/chunks.go
+++ b/internal/ledger/chunks.go
@@ -111,7 +111,7 @@
 		return nil, result.Wrap(result.RecordMalformed, err, "decode ledger entry")
 	}
 	// Earlier releases announced capacities of nodes here; their entries say nothing now.
-	aboutJob := entry.GetClaimed() == nil && entry.GetAnnounced() == nil
+	aboutJob := entry.GetClaimed() == nil && entry.GetAnnounced() == nil && entry.GetSuspect() == nil
 	if entry.Fact == nil || (aboutJob && entry.JobId == "") {
 		return nil, result.New(result.RecordMalformed, "ledger entry without a job id or fact")
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -106,6 +106,9 @@
 	Ended
 	Listed
 	Progressed
+	// Suspected tells of a request under which back ends ended; the ledger keeps nothing of
+	// it.
+	Suspected
 )
 
 // Change is what an applied record changed. It may be read without the lock,
@@ -119,6 +122,8 @@
 	// one.
 	Results  int
 	Complete bool
+	// Suspect is what a Suspected change tells.
+	Suspect *pathbendv1.SuspectRequest
 }
 
 // Apply applies the next record of the log at a time.
@@ -138,6 +143,8 @@
 		return l.advance(entry.JobId, fact.Progress.Items), nil
 	case *pathbendv1.LedgerEntry_Claimed:
 		l.claims.note(fact.Claimed, now)
+	case *pathbendv1.LedgerEntry_Suspect:
+		return Change{Kind: Suspected, Suspect: fact.Suspect}, nil
 	}
 	return Change{}, nil
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -140,5 +140,7 @@
 		n.quotas.apply(revision.Document)
 	case state.PartRoster:
 		n.replicas.follow(machine.Shards())
+	case state.PartSuspects:
+		n.suspects.follow(machine.Suspects())
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 	jobs     *jobs
 	manager  *rollout.Manager
 	weights  *weightRoller
+	suspects *suspects
 	gateway  *gateway.Gateway
 	metrics  *metrics
 
@@ -112,7 +113,8 @@
 	n.weights = newWeightRoller(n)
 	n.follower = control.NewFollower(n, n.onStateChange, logger)
 	n.exchange = dispatch.NewExchanger(transport)
-	dispatcher := dispatch.NewDispatcher(n.exchange, dispatch.OwnProtocol{}, n.fleet, settings.Zone, n.NewID, logger)
+	n.suspects = newSuspects(n)
+	dispatcher := dispatch.NewDispatcher(n.exchange, dispatch.OwnProtocol{}, n.fleet, n.suspects.guard, settings.Zone, n.NewID, logger)
 	n.keyed = keyed.NewExecutor(n.id, n.replicas, dispatcher, n.NewID)
 	generator := &generator{node: n}
 	n.manager = rollout.NewManager(generator, logger)
--- a/internal/result/definitions.go
+++ b/internal/result/definitions.go
@@ -24,6 +24,7 @@
 	{ZoneEvacuated, "zone_evacuated", http.StatusServiceUnavailable, NotRun, "The zones of all back ends that could run it are evacuated.", "Repeat after the hint; ask the operator how long the evacuation lasts."},
 	{RegionUnavailable, "region_unavailable", http.StatusServiceUnavailable, NotRun, "Nothing serves the request in the regions that its route and its tenant allow.", "Repeat after the hint; without one, allow a region in which samplers stand."},
 	{SamplersCold, "samplers_cold", http.StatusServiceUnavailable, NotRun, "Every live back end of the pool is cold, and this node's share of what a cold one bears is spent.", "Repeat after the hint: then there is room again."},
+	{RequestQuarantined, "request_quarantined", http.StatusServiceUnavailable, NotRun, "Back ends ended under this request, sent by whomever and at whichever node, as often as is allowed; it is kept from them.", "Repeat after the hint, when it may be tried again; ask the operator what crashes."},
 	{AnswerLost, "answer_lost", http.StatusBadGateway, Unknown, "The back end received the request and its answer was lost.", "Repeat only if the request may run twice."},
 	{AnswerMismatch, "answer_mismatch", http.StatusBadGateway, Unknown, "The back end answered a different request.", "Repeat only if the request may run twice."},
 	{AnswerTruncated, "answer_truncated", http.StatusBadGateway, Unknown, "The back end's answer ended before its stated length.", "Repeat only if the request may run twice."},
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -51,6 +51,8 @@
 	// RegionUnavailable is told apart from NoBackEnd, which other regions could mend.
 	RegionUnavailable Code = 2011
 	SamplersCold      Code = 2012
+	// RequestQuarantined is the request's own fault, other requests are served.
+	RequestQuarantined Code = 2013
 
 	AnswerLost       Code = 3001
 	AnswerMismatch   Code = 3002
--- a/internal/schedule/ahead.go
+++ b/internal/schedule/ahead.go
@@ -116,6 +116,9 @@
 		if started || entry.phase != running || entry.events == 0 || entry.versions[0] >= version {
 			continue
 		}
+		if s.holds != nil && s.holds.Suspect(entry.key.Item) {
+			continue
+		}
 		if float64(entry.events) >= longRatio*s.usualEvents {
 			long = append(long, entry)
 		}
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		for _, entry := range open.items {
-			if entry.phase == pending && !now.Before(entry.notBefore) {
+			if entry.phase == pending && !now.Before(entry.notBefore) && !s.held(entry, now) {
 				entry.latestStart = s.latestStart(entry)
 				waiting = append(waiting, entry)
 			}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -46,6 +46,23 @@
 	lengths lengths
 	// usualEvents is a moving average of the length of complete texts.
 	usualEvents float64
+	holds       Holds
+}
+
+// Holds tells of items under which samplers ended.
+type Holds interface {
+	// HeldUntil is when an item may go to a sampler again, the zero time if it may now.
+	HeldUntil(itemID string) time.Time
+	// Suspect reports whether a sampler ended under an item that none survived since.
+	Suspect(itemID string) bool
+}
+
+// SetHolds names what tells of items under which samplers ended; without it there are none.
+func (s *Scheduler) SetHolds(holds Holds) { s.holds = holds }
+
+// held reports whether an item must not go to a sampler now.
+func (s *Scheduler) held(entry *item, now time.Time) bool {
+	return s.holds != nil && now.Before(s.holds.HeldUntil(entry.key.Item))
 }
 
 // New returns an empty scheduler. newID draws ids that no other executor draws.
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -9,6 +9,7 @@
 	"github.com/pathbend/pathbend/internal/config"
 	"github.com/pathbend/pathbend/internal/lease"
 	"github.com/pathbend/pathbend/internal/logstore"
+	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/shard"
 )
@@ -57,6 +58,8 @@
 	PartConfig
 	PartRoster
 	PartLease
+	// PartSuspects are the requests under which back ends ended.
+	PartSuspects
 )
 
 // Machine is the fold. It is not safe for concurrent use.
@@ -67,6 +70,7 @@
 	epoch     uint64
 	leases    *lease.Table
 	shards    *shard.Table
+	suspects  quarantine.Book
 	seen      map[string]struct{}
 	seenOrder []string
 }
@@ -111,6 +115,9 @@
 // Shards returns the replica groups. The caller must not modify it.
 func (m *Machine) Shards() *shard.Table { return m.shards }
 
+// Suspects returns the requests under which back ends ended. The caller must not modify it.
+func (m *Machine) Suspects() *quarantine.Book { return &m.suspects }
+
 // Apply applies the record at an offset. Entries below Next are skipped, so a
 // reader may hand over an overlapping batch; a gap is a programming error of
 // the reader and rejected.
@@ -154,6 +161,8 @@
 		return leaseOutcome(m.leases.Claim(body.LeaseClaim, offset))
 	case *pathbendv1.Record_LeaseRelease:
 		return leaseOutcome(m.leases.Release(body.LeaseRelease))
+	case *pathbendv1.Record_Suspect:
+		return m.applySuspect(body.Suspect)
 	default:
 		return Outcome{} // a snapshot repeats state that a full reader has
 	}
@@ -166,6 +175,19 @@
 	return Outcome{Changed: PartLease}
 }
 
+// applySuspect takes its time from the record, so that every reader holds the same.
+func (m *Machine) applySuspect(told *pathbendv1.SuspectRequest) Outcome {
+	record, err := quarantine.Decode(told)
+	if err != nil {
+		return Outcome{Err: err}
+	}
+	m.suspects.Expire(record.ChangedAt)
+	if !m.suspects.Merge(record, record.ChangedAt) {
+		return Outcome{}
+	}
+	return Outcome{Changed: PartSuspects}
+}
+
 func (m *Machine) applyPublish(publish *pathbendv1.ConfigPublish) Outcome {
 	current := m.Revision()
 	if publish.BaseRevision != current.Number {
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -10,6 +10,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/logstore"
+	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
@@ -40,6 +41,28 @@
 	return &pathbendv1.Record{Body: &pathbendv1.Record_NodeLeft{NodeLeft: &pathbendv1.NodeLeft{NodeId: id}}}
 }
 
+// suspect says that a back end ended under a request.
+func suspect(backEnd string, epoch uint64, second int64) *pathbendv1.Record {
+	digest := quarantine.Content{Path: "/crash"}.Digest()
+	return &pathbendv1.Record{Body: &pathbendv1.Record_Suspect{Suspect: &pathbendv1.SuspectRequest{
+		Digest: digest[:], Epoch: epoch, Ended: []string{backEnd}, ChangedUnixMs: second * 1000,
+	}}}
+}
+
+func TestSuspectRequestsAreFoldedAndMalformedOnesAreNot(t *testing.T) {
+	machine := NewMachine()
+	for offset, backEnd := range []string{"a", "b", "a"} {
+		outcome := machine.Apply(logstore.Entry{Offset: uint64(offset), Data: encode(t, fmt.Sprint(offset), suspect(backEnd, 0, 1))})
+		require.NoError(t, outcome.Err)
+		require.Equal(t, offset < 2, outcome.Changed == PartSuspects, "a repetition changes nothing")
+	}
+	require.Equal(t, []string{"a", "b"}, machine.Suspects().All()[0].Ended)
+	malformed := suspect("c", 0, 1)
+	malformed.GetSuspect().Digest = nil
+	require.Error(t, machine.Apply(logstore.Entry{Offset: 3, Data: encode(t, "m", malformed)}).Err)
+	require.Len(t, machine.Suspects().All()[0].Ended, 2)
+}
+
 func TestLoserOfARaceIsToldWhoWon(t *testing.T) {
 	machine := NewMachine()
 	require.NoError(t, machine.Apply(logstore.Entry{Offset: 0, Data: encode(t, "a", publish(0, "awa"))}).Err)
@@ -112,7 +135,7 @@
 	id := rapid.StringMatching(`[a-d][0-9]`).Draw(t, "id")
 	node := rapid.SampledFrom([]string{"a1", "b1", "c1", "d1"}).Draw(t, "node")
 	stale := uint64(rapid.IntRange(0, 1).Draw(t, "stale"))
-	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
 	case 0:
 		return encode(t, id, publish(machine.Revision().Number-min(stale, machine.Revision().Number), node))
 	case 1:
@@ -121,6 +144,8 @@
 		return encode(t, id, left(node))
 	case 3:
 		return encode(t, id, claim(machine.Leases().Get("weights/m").Token, node))
+	case 4:
+		return encode(t, id, suspect(node, uint64(rapid.IntRange(0, 2).Draw(t, "epoch")), int64(rapid.IntRange(0, 10_000).Draw(t, "second"))))
 	default:
 		return []byte("garbage")
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -7,6 +7,7 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/config"
 	"github.com/pathbend/pathbend/internal/lease"
+	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/shard"
 )
@@ -36,6 +37,9 @@
 		}
 		snapshot.Revisions = append(snapshot.Revisions, encoded)
 	}
+	for _, record := range m.suspects.All() {
+		snapshot.Suspects = append(snapshot.Suspects, quarantine.Encode(record, false))
+	}
 	return snapshot
 }
 
@@ -49,6 +53,11 @@
 	if err != nil {
 		return err
 	}
+	suspects, err := decodeSuspects(snapshot.Suspects)
+	if err != nil {
+		return err
+	}
+	m.suspects = suspects
 	m.next = snapshot.Covers
 	m.revisions = revisions
 	m.epoch = snapshot.RosterEpoch
@@ -68,6 +77,18 @@
 	return nil
 }
 
+func decodeSuspects(encoded []*pathbendv1.SuspectRequest) (quarantine.Book, error) {
+	var suspects quarantine.Book
+	for _, told := range encoded {
+		record, err := quarantine.Decode(told)
+		if err != nil {
+			return suspects, err
+		}
+		suspects.Merge(record, record.ChangedAt)
+	}
+	return suspects, nil
+}
+
 func decodeRevisions(encoded []*pathbendv1.RevisionState) ([]Revision, error) {
 	var revisions []Revision
 	for i, state := range encoded {
