Keep prompts from engines that end under them, at the own interface too

Ruled out: a bound on the attempts of a slot (it would drop samples that engines merely lost, and start anew with each job).

Change: attempts at a prompt pass the guard by the digest of tenant, pool, model and prompt; a slot whose prompt is held rests for as long as the guard says, 5 s at most at a time. The lab's engines crash under marked prompts.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -33,10 +33,9 @@
 	ID string
 	// ServiceTime is the mean time of one execution.
 	ServiceTime time.Duration
-	// Crash ends the back end's process under a request that has the CrashMark, and reports
-	// whether it was the one to do so. Such requests are served like others if it is nil.
-	Crash func() bool
-	truth *Truth
+	// Crasher ends the back end's process under some requests; nil under none.
+	Crasher *Crasher
+	truth   *Truth
 
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -109,8 +108,8 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if b.crashes(body) {
-		b.crashUnder(request.URL.Path, plan.service)
+	if b.Crasher.crashes(body) {
+		b.Crasher.under(request.URL.Path, plan.service)
 		panic(http.ErrAbortHandler)
 	}
 	caller := request.Header.Get(AnswerHeader)
--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -29,38 +29,49 @@
 	Late int
 }
 
-// crashes reports whether a request crashes the back end.
-func (b *BackEnd) crashes(body []byte) bool {
-	return b.Crash != nil && bytes.Contains(body, []byte(CrashMark))
+// Crasher ends the process of a back end or an engine under a request that has the CrashMark.
+type Crasher struct {
+	truth *Truth
+	// end ends the process, and reports whether this request was the one to do so.
+	end func() bool
 }
 
-// crashUnder runs a request that crashes the back end.
-func (b *BackEnd) crashUnder(path string, service time.Duration) {
-	b.truth.crashingRun(path)
-	time.Sleep(service)
-	if b.Crash() {
-		b.truth.crashed(path)
+// NewCrasher returns a crasher that records into truth.
+func NewCrasher(truth *Truth, end func() bool) *Crasher { return &Crasher{truth: truth, end: end} }
+
+// crashes reports whether a request ends the process. A nil crasher ends nothing.
+func (c *Crasher) crashes(content []byte) bool {
+	return c != nil && bytes.Contains(content, []byte(CrashMark))
+}
+
+// under runs a request, named by what its tries have in common, that ends the process after a
+// time.
+func (c *Crasher) under(request string, after time.Duration) {
+	c.truth.crashingRun(request)
+	time.Sleep(after)
+	if c.end() {
+		c.truth.crashed(request)
 	}
 }
 
-func (t *Truth) crashingRun(path string) {
+func (t *Truth) crashingRun(request string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.crashing[path] == nil {
-		t.crashing[path] = &crashingRequest{}
+	if t.crashing[request] == nil {
+		t.crashing[request] = &crashingRequest{}
 	}
 	t.crashingRuns.Runs++
-	known := t.crashing[path]
+	known := t.crashing[request]
 	if known.crashes >= crashLimit && time.Since(known.thirdAt) > CrashKnownAfter {
 		known.late++
 		t.crashingRuns.Late++
 	}
 }
 
-func (t *Truth) crashed(path string) {
+func (t *Truth) crashed(request string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.crashing[path]
+	known := t.crashing[request]
 	known.crashes++
 	if known.crashes == crashLimit {
 		known.thirdAt = time.Now()
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -70,7 +70,9 @@
 
 // Engine emulates a model engine.
 type Engine struct {
-	ID       string
+	ID string
+	// Crasher ends the engine's process under some prompts; nil under none.
+	Crasher  *Crasher
 	model    EngineModel
 	platform *http.Client
 	store    string
--- a/internal/emulator/engine_http.go
+++ b/internal/emulator/engine_http.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
@@ -11,6 +12,9 @@
 	"github.com/pathbend/pathbend/internal/engine"
 )
 
+// promptTime is how long an engine reads a prompt that crashes it.
+const promptTime = 20 * time.Millisecond
+
 // Handler serves the engine's protocol (docs/ENGINES.md).
 func (e *Engine) Handler() http.Handler {
 	router := httprouter.New()
@@ -31,6 +35,10 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.Crasher.crashes([]byte(body.Prompt)) {
+		e.Crasher.under(body.Prompt, promptTime)
+		panic(http.ErrAbortHandler)
+	}
 	chunks, err := e.Generate(body, request.Context().Done())
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -247,13 +247,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	machine.cancel = cancel
 	random := rand.New(rand.NewPCG(c.Options.Seed, c.random.Uint64()))
+	crasher := emulator.NewCrasher(c.Truth, func() bool { return c.crash(machine) })
 	if pool.Role == fleet.RoleEngine {
 		machine.Engine = emulator.NewEngine(id, pool.Model, transport, c.platformAddress, random)
+		machine.Engine.Crasher = crasher
 		machine.server = &http.Server{Handler: machine.Engine.Handler()}
 		machine.group.Go(func() { machine.Engine.Run(ctx) })
 	} else {
 		machine.BackEnd = emulator.NewBackEnd(id, pool.ServiceTime, c.Truth, random)
-		machine.BackEnd.Crash = func() bool { return c.crashBackEnd(machine) }
+		machine.BackEnd.Crasher = crasher
 		machine.server = &http.Server{Handler: machine.BackEnd}
 	}
 	machine.group.Go(func() { _ = machine.server.Serve(listener) })
@@ -268,12 +270,12 @@
 	m.group.Wait()
 }
 
-// crashReturn is how long a back end is away that a request crashed.
+// crashReturn is how long a machine is away that a request crashed.
 const crashReturn = 4 * time.Second
 
-// crashBackEnd ends a back end under a request, which is still in progress there. Another one
-// comes in its place some seconds later. It reports false if the back end had ended before.
-func (c *Cluster) crashBackEnd(machine *Machine) bool {
+// crash ends a machine under a request, which is still in progress there. Another one comes
+// in its place some seconds later. It reports false if the machine had ended before.
+func (c *Cluster) crash(machine *Machine) bool {
 	if machine.crashed.Swap(true) {
 		return false
 	}
@@ -284,7 +286,7 @@
 			return
 		}
 		if err := c.Replace(machine); err != nil {
-			c.Truth.Violate("back end %s cannot be replaced: %v", machine.ID, err)
+			c.Truth.Violate("machine %s cannot be replaced: %v", machine.ID, err)
 		}
 	})
 	return true
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -12,6 +12,7 @@
 	"github.com/pathbend/pathbend/internal/engine"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/gateway"
+	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/rollout"
 	"github.com/pathbend/pathbend/internal/routing"
@@ -49,6 +50,7 @@
 
 // attempt is one generation on one engine.
 type attempt struct {
+	tenant  string
 	route   routing.Request
 	request engine.GenerateRequest
 	// minVersion is the lowest version of which tokens are taken.
@@ -70,6 +72,7 @@
 	model := tenant.FindModel(modelName)
 	reason := ""
 	err := g.run(ctx, attempt{
+		tenant: tenantName,
 		route: routing.Request{
 			Pool: model.Pool, Zone: g.node.settings.Zone, Model: model.Name, MinVersion: start.MinVersion,
 			PrefixHash: prefixHash(start.Prompt.Prompt), Excluded: start.Exclude,
@@ -106,6 +109,7 @@
 	for range maxCompletionAttempts {
 		engineID := ""
 		lastErr = g.run(ctx, attempt{
+			tenant: completion.Tenant,
 			route: routing.Request{
 				Pool: completion.Model.Pool, Zone: g.node.settings.Zone, Model: completion.Model.Name,
 				PrefixHash: prefixHash(completion.Prompt), Excluded: excluded,
@@ -129,11 +133,14 @@
 		if ctx.Err() != nil || callerGone {
 			return result.New(result.CallerGone, "the caller went away")
 		}
-		if engineID == "" {
+		if engineID == "" || result.Is(lastErr, result.RequestQuarantined) {
 			break
 		}
 		excluded = append(excluded, engineID)
 	}
+	if len(delivered) == 0 && len(excluded) == 0 && result.Is(lastErr, result.RequestQuarantined) {
+		return lastErr
+	}
 	if len(delivered) == 0 && (errors.Is(lastErr, errNoEngine) || errors.Is(lastErr, errEnginesBusy)) {
 		return result.Wrap(result.NoBackEnd, lastErr, "start generation").WithRetryAfter(generationHint)
 	}
@@ -142,6 +149,11 @@
 
 // run places an attempt on an engine, passing over busy ones, and streams it.
 func (g *generator) run(ctx context.Context, a attempt) error {
+	leave, err := g.node.suspects.guard.Enter(ctx, a.digest)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	for range maxBusyEngines {
 		a.route.Now = time.Now()
 		endpoint := g.node.fleet.PickEngine(&a.route)
@@ -152,6 +164,7 @@
 		began := time.Now()
 		err := g.stream(ctx, endpoint, a)
 		g.node.fleet.Report(endpoint, reportOf(ctx, err, time.Since(began)))
+		g.noteEnd(ctx, endpoint, a, err)
 		if !errors.Is(err, engine.ErrBusy) {
 			if err != nil {
 				g.node.logger.Log(event.SampleResumed, "engine", endpoint.ID, "error", err.Error())
@@ -163,11 +176,34 @@
 	return errEnginesBusy
 }
 
+// digest names what all attempts at a prompt have in common.
+func (a attempt) digest() quarantine.Digest {
+	return quarantine.Content{
+		Caller: []string{a.tenant, a.route.Pool}, Path: a.request.Model + "/" + a.request.Adapter,
+		Body: []byte(a.request.Prompt), Length: int64(len(a.request.Prompt)),
+	}.Digest()
+}
+
+// noteEnd tells what the end of a stream says of its prompt.
+func (g *generator) noteEnd(ctx context.Context, endpoint *routing.Endpoint, a attempt, err error) {
+	switch {
+	case err == nil:
+		g.node.suspects.guard.Served(ctx, a.digest)
+	case ctx.Err() == nil && !isOwnEnd(err) && g.node.exchange.BackEndEnded(ctx, endpoint.Address):
+		g.node.suspects.guard.Ended(ctx, a.digest(), endpoint.ID)
+	}
+}
+
+// isOwnEnd reports whether an attempt ended because this node or the engine wanted it so.
+func isOwnEnd(err error) bool {
+	return errors.IsAny(err, engine.ErrBusy, errNotWanted, errStaleVersion, errEngineLeaving)
+}
+
 func reportOf(ctx context.Context, err error, latency time.Duration) dispatch.Report {
 	if err == nil {
 		return dispatch.Report{Ending: dispatch.Answered, Latency: latency}
 	}
-	neutral := ctx.Err() != nil || errors.IsAny(err, engine.ErrBusy, errNotWanted, errStaleVersion, errEngineLeaving)
+	neutral := ctx.Err() != nil || isOwnEnd(err)
 	return dispatch.Report{Ending: dispatch.Lost, Latency: latency, Neutral: neutral}
 }
 
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -370,13 +370,19 @@
 
 // Failed records the end of an attempt without a sample.
 func (j *Job) Failed(now time.Time, index int, id string) {
+	j.FailedUntil(now, now.Add(retryPause), index, id)
+}
+
+// FailedUntil records the end of an attempt without a sample after which the slot rests until
+// a time.
+func (j *Job) FailedUntil(now, until time.Time, index int, id string) {
 	s, running := j.find(index, id)
 	if running == nil {
 		return
 	}
 	j.dropAttempt(s, running)
 	j.counters.Failed++
-	s.notBefore = now.Add(retryPause)
+	s.notBefore = until
 	better := len(running.tokens) > len(s.kept)
 	if j.policy.CarryOver && better && j.fresh(running.segments, running.started, now) {
 		s.kept, s.keptSegs, s.keptStarted = running.tokens, running.segments, running.started
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -165,6 +165,18 @@
 	return p.running.job.Progress(time.Now(), p.start.Slot, p.start.Attempt, tokens, version)
 }
 
+// longestRest bounds the rest of a slot whose prompt is kept from engines: it may be cleared
+// sooner.
+const longestRest = 5 * time.Second
+
+// restAfter is how long a slot rests after an attempt that failed.
+func restAfter(err error) time.Duration {
+	if !result.Is(err, result.RequestQuarantined) {
+		return retryPause
+	}
+	return min(max(result.From(err).RetryAfter, retryPause), longestRest)
+}
+
 func (m *Manager) run(ctx context.Context, running *runningJob, start Start) {
 	progress := &attemptProgress{manager: m, running: running, start: start}
 	reason, err := m.generator.Generate(ctx, running.key.tenant, running.model, start, progress)
@@ -175,7 +187,8 @@
 		delete(running.cancels, start.Attempt)
 	}
 	if err != nil {
-		running.job.Failed(time.Now(), start.Slot, start.Attempt)
+		now := time.Now()
+		running.job.FailedUntil(now, now.Add(restAfter(err)), start.Slot, start.Attempt)
 		m.logger.Log(event.SampleRestarted, "job", running.key.id, "slot", start.Slot, "error", err.Error())
 		return
 	}
--- a/internal/simulation/crashing_test.go
+++ b/internal/simulation/crashing_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/pathbend/pathbend/client"
 	"github.com/pathbend/pathbend/internal/emulator"
 	"github.com/pathbend/pathbend/internal/lab"
+	netpkg "github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/simnet"
 )
 
@@ -96,3 +99,67 @@
 	}
 	return failed, sent
 }
+
+// Prompts crash engines as requests crash back ends: a caller's completion, and a trainer's
+// job, whose slots are tried until their trainer has them.
+func TestPromptThatCrashesItsEnginesIsHeldBack(t *testing.T) {
+	for name, send := range map[string]func(context.Context, *lab.Cluster, *simnet.Network){
+		"completion": sendCrashingCompletion, "job": submitCrashingJob,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := simnet.New(1, latency)
+				options, err := lab.ExampleOptions(network, 1)
+				require.NoError(t, err)
+				cluster, err := lab.Start(options)
+				require.NoError(t, err)
+				defer time.Sleep(closeTime)
+				defer cluster.Close()
+				ready, cancel := context.WithTimeout(context.Background(), startTimeout)
+				defer cancel()
+				require.NoError(t, cluster.WaitReady(ready))
+				ctx, stop := context.WithTimeout(context.Background(), crashingTime)
+				defer stop()
+				send(ctx, cluster, network)
+				runs := cluster.Truth.CrashingRuns()
+				t.Logf("%d runs, %d late", runs.Runs, runs.Late)
+				require.GreaterOrEqual(t, runs.Runs, 3)
+				require.LessOrEqual(t, runs.Late, lateRuns, "%d runs", runs.Runs)
+			})
+		})
+	}
+}
+
+// crashingModel is the model whose engines the prompts crash.
+const crashingModel = "fitment-assistant"
+
+func sendCrashingCompletion(ctx context.Context, cluster *lab.Cluster, network *simnet.Network) {
+	for try := 0; ctx.Err() == nil; try++ {
+		slot := cluster.Nodes[try%len(cluster.Nodes)]
+		caller := http.Client{Transport: netpkg.NewTransport(network.For("crashing-caller", slot.Zone), 0)}
+		body := strings.NewReader(`{"prompt":"` + emulator.CrashMark + `","max_tokens":20}`)
+		response, err := caller.Post("http://"+slot.HTTPAddress+"/v1/tenants/"+lab.Karri+"/models/"+crashingModel+"/completions", "application/json", body)
+		if err == nil {
+			response.Body.Close()
+		}
+		caller.CloseIdleConnections()
+		time.Sleep(crashingInterval)
+	}
+}
+
+func submitCrashingJob(ctx context.Context, cluster *lab.Cluster, network *simnet.Network) {
+	slot := cluster.Nodes[0]
+	caller := client.New(client.Options{Addresses: []string{slot.HTTPAddress}, Tenant: lab.Karri, Network: network.For("crashing-trainer", slot.Zone)})
+	defer caller.Close()
+	spec := client.JobSpec{JobID: "crashing", Model: crashingModel, Prompts: []client.Prompt{{Group: "g", Prompt: emulator.CrashMark, Samples: 1, MaxTokens: 20}}}
+	job, err := caller.Submit(ctx, spec, func() uint64 { return 0 }, nil)
+	if err != nil {
+		panic(err)
+	}
+	// A trainer that goes on asking keeps the job.
+	for ctx.Err() == nil {
+		if _, err := job.Next(ctx); err != nil {
+			time.Sleep(crashingInterval)
+		}
+	}
+}
