Put the end of a back end down to requests that had left it, too

Cause: a request that crashes its back end is not seen to do so if its attempt was given up before: its caller left, or the time for an attempt (300 ms and more) was over at a slow back end. It would go on uncounted.

Change: attempts that were given up are remembered for 3 s, by back end; whichever attempt next finds that back end ended, or another one at its address, puts the end down to them. A back end that answers a second later clears them. Attempts of a suspect have no time-out of their own, so that its back end's end is seen.

Before: TestBackEndThatEndsAfterItsCallerLeftCounts has no end to count.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -410,6 +410,80 @@
 	require.EqualValues(t, 2, read.Load(), "each was sent once")
 }
 
+// A caller left before its request had crashed the back end: nobody was there to see it.
+func TestBackEndThatEndsAfterItsCallerLeftCounts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	began := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		close(began)
+		<-request.Context().Done()
+	})}
+	go func() { _ = server.Serve(listener) }()
+	address := listener.Addr().String()
+	healthy, _ := backEnd(t, ok)
+	dispatcher := dispatcherOver(t, balancerOf(address))
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		leave()
+	}()
+	_, err = dispatcher.Do(ctx, requestOf(true))
+	require.True(t, result.Is(err, result.CallerGone), "%v", err)
+	require.Zero(t, dispatcher.guard.Counts().Ended)
+	_ = server.Close()
+
+	other := requestOf(false)
+	other.Path = "/other"
+	dispatcher.balancer = balancerOf(address, healthy)
+	answer, err := dispatcher.Do(context.Background(), other)
+	require.NoError(t, err)
+	answer.Body.Close()
+	require.Eventually(t, func() bool { return dispatcher.guard.Counts().Ended == 1 }, time.Second, time.Millisecond)
+	require.False(t, dispatcher.guard.Hedges(requestOf(true).digest), "the request that had left")
+	require.True(t, dispatcher.guard.Hedges(other.digest))
+}
+
+func TestOldDeparturesEndNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	left, digest := newDepartures(), requestOf(false).digest()
+	left.note("a", digest, now)
+	require.Empty(t, left.ended("a", now.Add(departureWindow+time.Millisecond)))
+	left.note("a", digest, now)
+	left.answered("a", now.Add(survivalTime/2))
+	require.Len(t, left.ended("a", now.Add(survivalTime)), 1, "it may still end under it")
+	require.Empty(t, left.ended("a", now.Add(survivalTime)), "once")
+	left.note("a", digest, now)
+	left.answered("a", now.Add(survivalTime+time.Millisecond))
+	require.Empty(t, left.ended("a", now.Add(2*survivalTime)), "it went on answering")
+	for i := range 2 * mostDepartures {
+		left.note("a", digest, now.Add(time.Duration(i)))
+	}
+	require.Len(t, left.ended("a", now.Add(time.Millisecond)), mostDepartures)
+}
+
+// The time for an attempt was over before a slow back end ended under it.
+func TestSuspectIsWaitedFor(t *testing.T) {
+	healthy, _ := backEnd(t, ok)
+	release := make(chan struct{})
+	slow, _ := backEnd(t, func(_ http.ResponseWriter, request *http.Request) {
+		select {
+		case <-release:
+		case <-request.Context().Done():
+		}
+	})
+	dispatcher := dispatcherOver(t, balancerOf(slow, healthy))
+	request := requestOf(false)
+	request.AttemptTimeout = 20 * time.Millisecond
+	dispatcher.guard.Heard(request.digest(), "one that ended")
+	time.AfterFunc(5*request.AttemptTimeout, func() { close(release) })
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	defer cancel()
+	answer, err := dispatcher.Do(ctx, request)
+	require.NoError(t, err)
+	require.Equal(t, 1, answer.Attempts)
+}
+
 func TestStreamThatIsCutWhereItsBackEndEndedCounts(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -122,7 +123,8 @@
 	newID     func() string
 	logger    *event.Logger
 	// guard keeps requests from back ends that ended under them.
-	guard *quarantine.Guard
+	guard      *quarantine.Guard
+	departures *departures
 
 	mutex  sync.Mutex
 	budget *Budget
@@ -133,6 +135,7 @@
 func NewDispatcher(exchanger *Exchanger, protocol Protocol, balancer Balancer, guard *quarantine.Guard, zone string, newID func() string, logger *event.Logger) *Dispatcher {
 	return &Dispatcher{
 		exchanger: exchanger, protocol: protocol, balancer: balancer, guard: guard, zone: zone, newID: newID, logger: logger, budget: NewBudget(),
+		departures: newDepartures(),
 	}
 }
 
@@ -273,7 +276,8 @@
 		requestID = d.newID()
 	}
 	began := time.Now()
-	attemptCtx, cancel := attemptContext(ctx, request, last)
+	// Whether a back end ends under a suspect is waited for.
+	attemptCtx, cancel := attemptContext(ctx, request, last || !d.guard.Hedges(request.digest))
 	outcome := d.exchanger.exchange(attemptCtx, outgoing{
 		method: request.Method,
 		url:    "http://" + endpoint.Address + request.Path,
@@ -284,7 +288,7 @@
 			return d.protocol.Verdict(request, endpoint, requestID, response)
 		},
 	})
-	outcome.ended = outcome.wasCut() && d.endedUnder(ctx, request, endpoint)
+	d.watch(ctx, request, endpoint, &outcome)
 	if outcome.leaving {
 		d.balancer.MarkLeaving(endpoint.ID)
 	}
@@ -310,15 +314,41 @@
 	return outcome
 }
 
+// watch finds out whether a back end ended under an attempt, or before it under others.
+func (d *Dispatcher) watch(ctx context.Context, request *Request, endpoint *routing.Endpoint, outcome *incoming) {
+	switch {
+	case outcome.ending == Answered || outcome.ending == FailedByBackEnd:
+		d.departures.answered(endpoint.ID, time.Now())
+	case outcome.wasCut():
+		outcome.ended = d.endedUnder(ctx, request, endpoint)
+	case outcome.ending == Lost:
+		d.departures.note(endpoint.ID, request.digest(), time.Now())
+	case outcome.ending == NotSent && errors.Is(outcome.err, syscall.ECONNREFUSED), outcome.ending == RefusedByBackEnd && outcome.leaving:
+		// Nothing listens there any more, or another back end does.
+		d.endedBefore(ctx, endpoint)
+	}
+}
+
 // endedUnder finds out whether a back end that cut a connection has ended, and tells of it.
 func (d *Dispatcher) endedUnder(ctx context.Context, request *Request, endpoint *routing.Endpoint) bool {
 	if ctx.Err() != nil || !d.exchanger.BackEndEnded(ctx, endpoint.Address) {
+		d.departures.note(endpoint.ID, request.digest(), time.Now())
 		return false
 	}
 	d.guard.Ended(ctx, request.digest(), endpoint.ID)
+	d.endedBefore(ctx, endpoint)
 	return true
 }
 
+// endedBefore tells of a back end that was found to have ended, after requests at it had been
+// given up.
+func (d *Dispatcher) endedBefore(ctx context.Context, endpoint *routing.Endpoint) {
+	for _, digest := range d.departures.ended(endpoint.ID, time.Now()) {
+		// They are other requests, which this one does not wait for.
+		go d.guard.Ended(context.WithoutCancel(ctx), digest, endpoint.ID)
+	}
+}
+
 // streamEnded tells what the end of a streamed answer says of its request.
 func (d *Dispatcher) streamEnded(ctx context.Context, request *Request, endpoint *routing.Endpoint, body *watchedBody) {
 	switch {
@@ -326,6 +356,8 @@
 		d.guard.Served(ctx, request.digest)
 	case body.ended != nil:
 		d.endedUnder(ctx, request, endpoint)
+	default:
+		d.departures.note(endpoint.ID, request.digest(), time.Now())
 	}
 }
 
--- a/internal/platformsim/crashing_test.go
+++ b/internal/platformsim/crashing_test.go
@@ -1,13 +1,19 @@
 package platformsim
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+var crashingSeeds = flag.Uint64("crashing-seeds", 3, "number of seeds of TestSeedsOfCrashingWork")
+
 // crashingKinds are the places at which work may stand that crashes its samplers.
 var crashingKinds = []FaultKind{CrashingRequest, CrashingItem, CrashingReward}
 
@@ -23,3 +29,29 @@
 		require.Positive(t, world.Truth.counts["steps whole"], counts)
 	}
 }
+
+// Work that crashes its samplers beside drawn troubles of nodes, store and samplers.
+func TestSeedsOfCrashingWork(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*crashingSeeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			faults := withCrashingWork(seed, Draw(seed, faultTime, *faultsRun))
+			world := play(t, example(seed, nil), faults)
+			require.Empty(t, world.Truth.Violations(), "%v", faults)
+			require.Positive(t, world.Truth.counts["steps whole"], "%v", faults)
+		})
+	}
+}
+
+// withCrashingWork adds one of each kind of work that crashes its samplers, from a drawn time
+// on.
+func withCrashingWork(seed uint64, faults []Fault) []Fault {
+	random := rand.New(rand.NewPCG(seed, 13))
+	for _, kind := range crashingKinds {
+		faults = append(faults, Fault{
+			Kind: kind, At: time.Duration(random.Int64N(int64(faultTime / 2))), For: faultTime / 2, Target: random.Uint64(),
+		})
+	}
+	slices.SortFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
