Count the time for which a machine was suspended in leases, deadlines and contact

Cause: a machine may be suspended for seconds, and the steady clock, by which all ages were measured, does not count that. On waking a holder took a share for its own that had lapsed, a node called itself in touch with a log that it had not read for seconds and denied routes by it, a worker went on with runs of a node that another had replaced, samplers were handed time that their caller no longer had, and a trainer took samples older than its bound.

Ruled out: the time of day (it jumps); CLOCK_BOOTTIME in place of time.Now everywhere (timers and contexts run by the steady clock, and the simulations by one of their own); a loop that watches for suspensions (whatever runs before it, runs by the old view).

Change: internal/clock tells the suspension (boot time less steady time, never overstated). Looked at one by one: the share of the jobs, orders and claims, what followers have read (in touch, ready, denials, 404s of jobs), workers' leases and held-up calls, deadlines of requests and reward calls, shares of rates, freshness of rollouts and samples at the trainer, windows of usage. Left as they are: what only gets longer or later by it (cold budgets, announcements, quarantine, hints), and membership, whose statements others refute.

--- a/client/trainer.go
+++ b/client/trainer.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pathbend/pathbend/internal/wait"
+
+	"github.com/pathbend/pathbend/internal/clock"
 )
 
 // Prompt asks for a group of samples that share a prompt.
@@ -167,7 +169,7 @@
 	for len(j.waiting) > 0 {
 		next := j.waiting[0]
 		j.waiting = j.waiting[1:]
-		usable := j.version() <= next.MaxTrainerVersion && time.Now().Before(next.useBefore)
+		usable := j.version() <= next.MaxTrainerVersion && clock.Now().Before(next.useBefore)
 		if usable && !j.held[next.Slot] {
 			j.held[next.Slot] = true
 			return &next.Sample
@@ -180,7 +182,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var answer pullAnswer
-	sent := time.Now()
+	sent := clock.Now()
 	err := j.client.callJSON(ctx, http.MethodPost, "/jobs/"+url.PathEscape(j.spec.JobID)+"/pull", pullRequest{
 		TrainerVersion: j.version(), Held: j.ranges(), WaitMS: pullWait.Milliseconds(),
 	}, &answer)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/network"
@@ -444,6 +445,21 @@
 	require.True(t, dispatcher.guard.Hedges(other.digest))
 }
 
+// A request that waited while its machine was suspended went on to a back end, long after its
+// caller had left.
+func TestRequestWhoseCallerLeftDuringASuspensionIsNotSent(t *testing.T) {
+	healthy, runs := backEnd(t, ok)
+	slept := time.Duration(0)
+	defer clock.Simulate(func() time.Duration { return slept })()
+	request := requestOf(false)
+	request.Received = clock.Mark()
+	slept = time.Minute
+	_, err := do(t, balancerOf(healthy), request)
+	require.True(t, result.Is(err, result.DeadlineInQueue), "%v", err)
+	require.Equal(t, result.NotRun, result.From(err).Run())
+	require.Zero(t, runs.Load())
+}
+
 func TestOldDeparturesEndNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	left, digest := newDepartures(), requestOf(false).digest()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/quarantine"
@@ -38,7 +39,10 @@
 	IdempotencyKey string
 	AtMostOnce     bool
 	MaxAttempts    int
-	Deadline       time.Time
+	// Deadline is when the caller no longer waits, unless the machine is suspended before.
+	Deadline time.Time
+	// Received is when the request came; the zero moment if that does not matter.
+	Received clock.Moment
 	// ID is the caller's id of the request; a node draws one per attempt if it
 	// is empty.
 	ID string
@@ -62,6 +66,16 @@
 	Began func(sentAt time.Time)
 }
 
+// Remaining is for how long the caller still waits. A machine that was suspended meanwhile has
+// that much less: the caller went on waiting.
+func (r *Request) Remaining() time.Duration {
+	left := time.Until(r.Deadline)
+	if !r.Received.IsZero() {
+		left -= r.Received.Slept()
+	}
+	return max(left, 0)
+}
+
 // callerHeaders are those by which a back end may tell callers apart.
 var callerHeaders = []string{"Authorization", "Cookie"}
 
@@ -160,7 +174,7 @@
 	var ran incoming
 	var refusal error
 	for {
-		leave, err := d.guard.Enter(ctx, request.digest)
+		leave, err := d.enter(ctx, request)
 		if err != nil {
 			return d.giveUp(request, ran, err, plan.Attempts())
 		}
@@ -194,6 +208,14 @@
 	}
 }
 
+// enter lets an attempt begin, or returns why none may.
+func (d *Dispatcher) enter(ctx context.Context, request *Request) (leave func(), err error) {
+	if request.Remaining() == 0 {
+		return nil, result.New(result.DeadlineInQueue, "the caller no longer waits: the machine was held up or suspended").WithRetryAfter(retryHint)
+	}
+	return d.guard.Enter(ctx, request.digest)
+}
+
 // named returns an attempt's outcome whose answer, if there is one, tells the number of
 // attempts and the back end.
 func (t tried) named(attempts int) incoming {
@@ -235,7 +257,7 @@
 		detail = "status " + strconv.Itoa(outcome.answer.Status)
 	}
 	d.logger.Log(event.AttemptFailed, "request_id", request.ID, "digest", request.digest().String(),
-		"back_end", failed.endpoint.ID, "attempt", attempt, "ending", outcome.ending.String(), "ended", outcome.ended, "took_ms", failed.took.Milliseconds(), "deadline_ms", time.Until(request.Deadline).Milliseconds(), "detail", detail)
+		"back_end", failed.endpoint.ID, "attempt", attempt, "ending", outcome.ending.String(), "ended", outcome.ended, "took_ms", failed.took.Milliseconds(), "deadline_ms", request.Remaining().Milliseconds(), "detail", detail)
 }
 
 // evacuationHint is when to come back to a pool whose zones are all evacuated: an
--- a/internal/dispatch/protocol.go
+++ b/internal/dispatch/protocol.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/routing"
@@ -41,7 +40,7 @@
 			header[name] = values
 		}
 	}
-	remaining := max(time.Until(request.Deadline).Milliseconds(), 0)
+	remaining := request.Remaining().Milliseconds()
 	header[HeaderRequestID] = []string{requestID}
 	header[HeaderTenant] = []string{request.Tenant}
 	header[HeaderDeadline] = []string{strconv.FormatInt(remaining, 10)}
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -14,6 +14,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/pathbend/pathbend/internal/admission"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/config"
 	"github.com/pathbend/pathbend/internal/dispatch"
 	"github.com/pathbend/pathbend/internal/result"
@@ -82,6 +83,7 @@
 }
 
 func parseApplication(writer http.ResponseWriter, request *http.Request, tenant *config.Tenant, route *config.Route, rest string) (*dispatch.Request, admission.Priority, error) {
+	received := clock.Mark()
 	deadline, err := parseDeadline(request.Header, route.Deadline)
 	if err != nil {
 		return nil, 0, err
@@ -101,7 +103,7 @@
 	parsed := &dispatch.Request{
 		Tenant: tenant.Name, Pool: route.Pool, Method: request.Method, Path: pathAtBackEnd(request, route, rest),
 		Header: request.Header, Length: request.ContentLength, IdempotencyKey: key,
-		AtMostOnce: atMostOnce, MaxAttempts: route.MaxAttempts, Deadline: deadline,
+		AtMostOnce: atMostOnce, MaxAttempts: route.MaxAttempts, Deadline: deadline, Received: received,
 	}
 	return parsed, priority, attachBody(writer, request, route, parsed)
 }
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -87,16 +87,16 @@
 
 // configurationAge is how long ago the configuration was last known to be the newest.
 func (n *Node) configurationAge() time.Duration {
-	if n.configuredAt == nil {
+	if n.configuredFor == nil {
 		return 0
 	}
-	return time.Since(n.configuredAt())
+	return n.configuredFor()
 }
 
-// WatchConfiguration names what tells as of when the node has the newest
+// WatchConfiguration names what tells how long ago the node surely had the newest
 // configuration. It must be called before Start; without it the node takes its
 // configuration for the newest always.
-func (n *Node) WatchConfiguration(currentAt func() time.Time) { n.configuredAt = currentAt }
+func (n *Node) WatchConfiguration(age func() time.Duration) { n.configuredFor = age }
 
 // permits returns a check whether a caller's key is still its tenant's, to be made
 // before a request is sent once more.
--- a/internal/hosted/admission_test.go
+++ b/internal/hosted/admission_test.go
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		node := closedNode(t)
 		knownAt := time.Now()
-		node.WatchConfiguration(func() time.Time { return knownAt })
+		node.WatchConfiguration(func() time.Duration { return time.Since(knownAt) })
 		for _, path := range []struct{ host, key string }{{"h", "new-key"}, {"other", "of-t"}} {
 			_, err := node.Admit(t.Context(), path.host, "/x", path.key)
 			require.False(t, result.Is(err, result.NotReady), "%v", path)
--- a/internal/hosted/claims.go
+++ b/internal/hosted/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/duty"
 	"github.com/pathbend/pathbend/internal/ledger"
 )
@@ -41,7 +42,7 @@
 	if !ok {
 		return duty.Right{}, false
 	}
-	began := time.Now()
+	began := clock.Mark()
 	serial := rand.Uint64()
 	entry := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Claimed{Claimed: &pathbendv1.Claim{
 		Subject: subject, Holder: holder, Fence: fence, Serial: serial,
@@ -54,7 +55,7 @@
 	if err := c.node.jobs.record(ctx, patience, readBack, entry); err != nil {
 		return duty.Right{}, false
 	}
-	if !c.node.jobs.awaitReadBack(ctx, patience, readBack) || time.Since(began) > claimLimit {
+	if !c.node.jobs.awaitReadBack(ctx, patience, readBack) || began.Age() > claimLimit {
 		return duty.Right{}, false
 	}
 	if c.superseded(fence) || c.recent(subject, time.Now()) {
--- a/internal/hosted/contact.go
+++ b/internal/hosted/contact.go
@@ -32,7 +32,7 @@
 // asks the log if that was quiet: a follower notices only after the time for which it asked
 // the log to hold its read, and the entry sends clients here for two of its questions more.
 func (n *Node) reachesLog(ctx context.Context) bool {
-	if time.Since(n.log.AnsweredAt()) < quietLimit {
+	if n.log.Quiet() < quietLimit {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout+n.log.Beyond())
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -10,6 +10,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
@@ -55,7 +56,7 @@
 	// session ends when the node stops to execute; sessionID tells it from others.
 	session      context.Context
 	sessionID    uint64
-	beganAt      time.Time
+	beganAt      clock.Moment
 	endSession   context.CancelFunc
 	progressedAt time.Time
 	reviewedAt   time.Time
@@ -206,7 +207,7 @@
 	e.scheduler = schedule.New(rand.Uint64)
 	e.scheduler.SetHolds(e.node.suspects)
 	e.session, e.endSession = context.WithCancel(ctx)
-	e.sessionID, e.beganAt, e.remote = rand.Uint64(), time.Now(), newRemoteWork()
+	e.sessionID, e.beganAt, e.remote = rand.Uint64(), clock.Mark(), newRemoteWork()
 	e.configured = e.node.Catalog()
 	e.roll.Forget()
 	e.takeVersions()
--- a/internal/hosted/forward.go
+++ b/internal/hosted/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/dispatch"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/result"
@@ -48,7 +49,8 @@
 	route := admitted.Route
 	n.active.Add(1)
 	defer n.active.Add(-1)
-	began := time.Now()
+	received := clock.Mark()
+	began := received.Time()
 	deadline := began.Add(holdTime(route, in))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	if err := n.servable(admitted.Regions); err != nil {
@@ -58,7 +60,7 @@
 		return nil, err
 	}
 	request := requestOf(route, in, deadline)
-	request.Regions = admitted.Regions
+	request.Regions, request.Received = admitted.Regions, received
 	if err := n.awaitSampler(ctx, request); err != nil {
 		cancel()
 		n.metrics.request(route.Name, nil, err, time.Since(began))
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -175,7 +175,7 @@
 	behind := false
 	look := func(job *ledger.Job) { behind = job == nil || len(job.Results) < from }
 	b.view(id, look)
-	if !behind && time.Since(b.follower.Health.CurrentAt()) < b.node.settings.freshness() {
+	if !behind && b.follower.Health.Age() < b.node.settings.freshness() {
 		return nil
 	}
 	if err := b.refresh(ctx); err != nil {
@@ -189,7 +189,7 @@
 
 // inTouch reports whether the log was read of late.
 func (b *jobBook) inTouch() bool {
-	return time.Since(b.follower.Health.CurrentAt()) < contactLimit
+	return b.follower.Health.Age() < contactLimit
 }
 
 // refresh reads the records that the log holds now.
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -109,7 +109,7 @@
 		return float64(n.ownership.current())
 	})
 	m.gauge("pathbend_log_current_age_seconds", "Age of what this node knows of the batch jobs.", func() float64 {
-		return time.Since(n.jobs.follower.Health.CurrentAt()).Seconds()
+		return n.jobs.follower.Health.Age().Seconds()
 	})
 	m.gauge("pathbend_samplers_listed", "Samplers in the platform's list.", func() float64 {
 		if listed := n.samplers.Load(); listed != nil {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -81,8 +81,8 @@
 	informed     chan struct{}
 	informedOnce sync.Once
 
-	// configuredAt tells as of when the configuration is the newest.
-	configuredAt func() time.Time
+	// configuredFor tells how long ago the configuration surely was the newest.
+	configuredFor func() time.Duration
 
 	draining atomic.Bool
 	active   atomic.Int64
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/election"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/hedge"
@@ -82,7 +83,7 @@
 	mutex      sync.Mutex
 	generation uint64
 	held       map[int]struct{}
-	renewedAt  time.Time
+	renewedAt  clock.Moment
 	lost       bool
 	left       bool
 }
@@ -153,7 +154,7 @@
 func (o *ownership) renewedWithin(limit time.Duration, now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return now.Sub(o.renewedAt) < limit
+	return o.renewedAt.AgeAt(now) < limit
 }
 
 // holds reports whether this node's share surely lasts.
@@ -161,7 +162,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[partition]
-	return held && now.Sub(o.renewedAt) < o.settings.shareTTL()
+	return held && o.renewedAt.AgeAt(now) < o.settings.shareTTL()
 }
 
 const (
@@ -242,7 +243,7 @@
 		return false
 	}
 	if o.lost {
-		o.logger.Log(event.GroupContactRegained, "generation", answer.share.Generation, "after_ms", answer.began.Sub(o.renewedAt).Milliseconds())
+		o.logger.Log(event.GroupContactRegained, "generation", answer.share.Generation, "after_ms", (o.renewedAt.Age() - answer.began.Age()).Milliseconds())
 	}
 	o.lost = false
 	o.take(answer.share, answer.began)
@@ -253,21 +254,21 @@
 type joined struct {
 	share sharedlog.Share
 	// began is when it was sent: the share lasts from then on.
-	began time.Time
+	began clock.Moment
 }
 
 // join makes one renewal, of several calls if they are not answered.
 func (o *ownership) join(ctx context.Context, generation uint64) (joined, error) {
 	bounds := hedge.Call{Most: mostRenewals, After: func() time.Duration { return renewHedge + o.group.Beyond() }}
 	return hedge.First(ctx, bounds, func(int) (joined, error) {
-		began := time.Now()
+		began := clock.Mark()
 		share, err := o.group.Join(ctx, jobGroup, o.settings.Name, jobTopic, o.settings.shareTTL(), generation)
 		return joined{share: share, began: began}, err
 	})
 }
 
 // take puts an answer in force.
-func (o *ownership) take(share sharedlog.Share, began time.Time) {
+func (o *ownership) take(share sharedlog.Share, began clock.Moment) {
 	held := make(map[int]struct{}, len(share.Partitions))
 	for _, partition := range share.Partitions {
 		held[partition.Number] = struct{}{}
@@ -283,7 +284,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[partition]
-	return held && !o.left && now.Sub(o.renewedAt) < isolatedLimit
+	return held && !o.left && o.renewedAt.AgeAt(now) < isolatedLimit
 }
 
 // outOfTouch reports whether this node executes although another may hold its share
@@ -292,7 +293,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[jobPartition]
-	return held && now.Sub(o.renewedAt) > o.settings.shareTTL()+orderMargin
+	return held && o.renewedAt.AgeAt(now) > o.settings.shareTTL()+orderMargin
 }
 
 // yield gives up what this node holds, when it found out otherwise that another
@@ -310,7 +311,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[partition]
-	if !held || o.left || now.Sub(o.renewedAt) > o.settings.shareTTL()-orderMargin {
+	if !held || o.left || o.renewedAt.AgeAt(now) > o.settings.shareTTL()-orderMargin {
 		return 0, false
 	}
 	return o.generation, true
--- a/internal/hosted/ownership_test.go
+++ b/internal/hosted/ownership_test.go
@@ -151,7 +151,7 @@
 		group.set(func() { group.delay = 550 * time.Millisecond })
 		time.Sleep(2 * time.Second)
 		o.mutex.Lock()
-		age := time.Since(o.renewedAt)
+		age := o.renewedAt.Age()
 		o.mutex.Unlock()
 		require.GreaterOrEqual(t, age, 550*time.Millisecond)
 	})
--- a/internal/hosted/remote.go
+++ b/internal/hosted/remote.go
@@ -7,6 +7,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/carry"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/locality"
@@ -63,7 +64,7 @@
 	session  carry.Session
 	cancel   context.CancelFunc
 	// began is when the session began.
-	began time.Time
+	began clock.Moment
 	woken chan struct{}
 	// given is closed once the worker is given up.
 	given <-chan struct{}
@@ -253,7 +254,7 @@
 
 // clock is what times of sending are told by. It is that of the session, which may have
 // several links to a worker one after the other.
-func (l *link) clock() time.Duration { return time.Since(l.began) }
+func (l *link) clock() time.Duration { return l.began.Age() }
 
 // call makes one call to the worker.
 func (l *link) call(ctx context.Context, call *pathbendv1.CarryCall) (*pathbendv1.CarryReply, error) {
@@ -297,14 +298,14 @@
 
 // poll asks the worker for reports until ctx ends or the worker is lost.
 func (l *link) poll(ctx context.Context) {
-	heardAt, acknowledged, process := time.Now(), uint64(0), uint64(0)
+	heardAt, acknowledged, process := clock.Mark(), uint64(0), uint64(0)
 	for ctx.Err() == nil {
 		reply, err := l.call(ctx, &pathbendv1.CarryCall{Acknowledged: acknowledged, HoldMs: uint32(reportHold.Milliseconds())})
 		now := time.Now()
 		switch {
 		case ctx.Err() != nil:
 			return
-		case result.Is(err, result.LeaseConflict) || err != nil && now.Sub(heardAt) > workerPatience:
+		case result.Is(err, result.LeaseConflict) || err != nil && heardAt.AgeAt(now) > workerPatience:
 			l.lost(err.Error())
 			return
 		case err != nil:
@@ -315,7 +316,7 @@
 			l.lost("it started anew")
 			return
 		}
-		heardAt, process = now, reply.Process
+		heardAt, process = clock.At(now), reply.Process
 		for _, report := range reply.Reports {
 			if report.Sequence > acknowledged {
 				acknowledged = report.Sequence
--- a/internal/hosted/rewards.go
+++ b/internal/hosted/rewards.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/dispatch"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/schedule"
@@ -125,11 +126,12 @@
 		return rewardOutcome{detail: "stopped"}
 	}
 	defer r.slots.release()
-	deadline := time.Now().Add(min(rewardTimeout<<min(attempt, 5), maxRewardTimeout))
+	received := clock.Mark()
+	deadline := received.Time().Add(min(rewardTimeout<<min(attempt, 5), maxRewardTimeout))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	request := rewardRequest(route, completed, avoid, deadline)
-	request.Regions = regionsOf(current, route, completed.Tenant)
+	request.Regions, request.Received = regionsOf(current, route, completed.Tenant), received
 	answer, err := r.node.dispatcher.Do(ctx, request)
 	outcome := rewardOutcome{maxFailures: route.MaxAttempts}
 	if err != nil {
--- a/internal/hosted/usage.go
+++ b/internal/hosted/usage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pathbend/pathbend/internal/catalog"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/credential"
 	"github.com/pathbend/pathbend/internal/dispatch"
 	"github.com/pathbend/pathbend/internal/metering"
@@ -39,14 +40,14 @@
 	if length <= 0 || n.ports.Usage == nil {
 		return u
 	}
-	clock := &metering.Clock{Now: time.Now}
+	day := &metering.Clock{Now: time.Now, Slept: clock.Slept}
 	partition := sharedlog.Partition{Topic: n.settings.UsageTopic}
-	u.recorder = metering.NewRecorder(metering.NewCounter(n.settings.Name, rand.Uint64(), length, clock.Read()))
-	u.recorder.Log, u.recorder.Partition, u.recorder.Clock = n.log, partition, clock
+	u.recorder = metering.NewRecorder(metering.NewCounter(n.settings.Name, rand.Uint64(), length, day.Read()))
+	u.recorder.Log, u.recorder.Partition, u.recorder.Clock = n.log, partition, day
 	u.recorder.Pause, u.recorder.Logger = u.gather, n.logger
 	u.reporter = &metering.Reporter{
 		Log: n.log, Partition: partition, Observer: n, Holder: n.claims, Sender: n.ports.Usage,
-		Clock: clock, Logger: n.logger, Length: length, Late: n.settings.UsageLate, Gather: u.gather,
+		Clock: day, Logger: n.logger, Length: length, Late: n.settings.UsageLate, Gather: u.gather,
 		Observe: n.metrics.usageReport,
 	}
 	return u
--- a/internal/hosted/weights_test.go
+++ b/internal/hosted/weights_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/result"
@@ -51,7 +52,7 @@
 		Name: name, Zone: "a", ShortestTTL: time.Second, OrderGrace: 3 * time.Second, MaxRecordBytes: 1 << 10, MaxCallBytes: 1 << 12,
 	}
 	node := New(settings, Ports{Network: network.TCP{}, Log: log}, event.Discard())
-	node.ownership.take(holding(generation, jobPartition), time.Now())
+	node.ownership.take(holding(generation, jobPartition), clock.Mark())
 	return node.executor
 }
 
@@ -94,7 +95,7 @@
 		require.False(t, announces(t, next, "s1"))
 		require.True(t, announces(t, next, "s2"))
 		time.Sleep(3*time.Second + 2*orderMargin)
-		next.node.ownership.take(holding(5, jobPartition), time.Now())
+		next.node.ownership.take(holding(5, jobPartition), clock.Mark())
 		require.True(t, announces(t, next, "s1"))
 	})
 }
--- a/internal/hosted/worker.go
+++ b/internal/hosted/worker.go
@@ -11,6 +11,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/carry"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/result"
@@ -54,7 +55,7 @@
 
 	mutex   sync.Mutex
 	session carry.Session
-	heardAt time.Time
+	heardAt clock.Moment
 	// way tells which calls were held up.
 	way     carry.Way
 	reports carry.Reports
@@ -80,7 +81,7 @@
 	key    schedule.Key
 	stop   context.CancelFunc
 	// orderedAt is when its start came.
-	orderedAt time.Time
+	orderedAt clock.Moment
 }
 
 // carriedJob is a job whose items were read.
@@ -170,9 +171,9 @@
 	for _, change := range changes {
 		w.applyChange(change, now)
 	}
-	if len(w.runs) > 0 && now.Sub(w.heardAt) > workerLease {
+	if len(w.runs) > 0 && w.heardAt.AgeAt(now) > workerLease {
 		w.node.logger.Log(event.RunsOrphaned, "decider", w.session.Decider, "generation", w.session.Generation,
-			"runs", len(w.runs), "silent_ms", now.Sub(w.heardAt).Milliseconds())
+			"runs", len(w.runs), "silent_ms", w.heardAt.AgeAt(now).Milliseconds())
 		w.stopRuns(func(*carriedRun) bool { return true })
 	}
 	if now.Sub(w.savedAt) >= progressInterval {
@@ -323,8 +324,8 @@
 		w.begin(session)
 	}
 	now := time.Now()
-	w.heardAt = now
-	late := w.way.HeldUp(now, time.Duration(call.SentMs)*time.Millisecond) > heldUpLimit
+	w.heardAt = clock.At(now)
+	late := w.way.HeldUp(clock.Now(), time.Duration(call.SentMs)*time.Millisecond) > heldUpLimit
 	w.reports.Acknowledge(call.Acknowledged)
 	for _, order := range call.Orders {
 		w.order(session, order, late)
--- a/internal/hosted/worker_runs.go
+++ b/internal/hosted/worker_runs.go
@@ -7,6 +7,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/carry"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
@@ -134,7 +135,7 @@
 // startRun begins a run. It is called under the lock.
 func (w *worker) startRun(session carry.Session, start *pathbendv1.StartRun) {
 	ctx, stop := context.WithCancel(w.lifetime)
-	run := &carriedRun{number: start.Run, key: schedule.Key{Job: start.JobId, Item: start.ItemId, Ahead: start.Ahead}, stop: stop, orderedAt: time.Now()}
+	run := &carriedRun{number: start.Run, key: schedule.Key{Job: start.JobId, Item: start.ItemId, Ahead: start.Ahead}, stop: stop, orderedAt: clock.Mark()}
 	w.runs[start.Run] = run
 	w.node.metrics.carried.WithLabelValues(session.Decider).Inc()
 	w.work.Go(func() {
@@ -180,7 +181,7 @@
 	if text.complete {
 		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Complete})
 	}
-	if time.Since(carried.orderedAt) > heldUpLimit {
+	if carried.orderedAt.Age() > heldUpLimit {
 		// What was read is kept: the next start finds it.
 		return w.stateOf(text, start.Run, 0, RunEnd{Ending: schedule.Stopped, Detail: "it began too late"})
 	}
@@ -193,7 +194,7 @@
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		seen = made.Version
-		if ctx.Err() != nil || text.run != carried || time.Since(w.heardAt) > workerLease || !text.Take(made, accepted) {
+		if ctx.Err() != nil || text.run != carried || w.heardAt.Age() > workerLease || !text.Take(made, accepted) {
 			return false
 		}
 		text.usedAt = time.Now()
--- a/internal/metering/clock.go
+++ b/internal/metering/clock.go
@@ -20,10 +20,15 @@
 type Clock struct {
 	// Now reads the machine's clock; its steady reading must be set.
 	Now func() time.Time
+	// Slept tells for how long the machine was suspended, which the steady reading does not
+	// count; nil if it never is.
+	Slept func() time.Duration
 
 	mutex sync.Mutex
-	// base is the reading that time is told from, offset what a jump added since.
+	// base is the reading that time is told from, slept the suspension before it, offset what
+	// a jump added since.
 	base      time.Time
+	slept     time.Duration
 	offset    time.Duration
 	steppedAt time.Time
 	stepped   time.Duration
@@ -37,13 +42,20 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.base.IsZero() {
-		c.base = reading
+		c.base, c.slept = reading, c.suspended()
 	}
-	steady := c.base.Round(0).Add(reading.Sub(c.base))
+	steady := c.base.Round(0).Add(reading.Sub(c.base) + c.suspended() - c.slept)
 	c.follow(reading, reading.Round(0).Sub(steady))
 	return steady.Add(c.offset)
 }
 
+func (c *Clock) suspended() time.Duration {
+	if c.Slept == nil {
+		return 0
+	}
+	return c.Slept()
+}
+
 // follow takes the difference to the machine's clock over once it has lasted.
 func (c *Clock) follow(reading time.Time, difference time.Duration) {
 	jump := difference - c.offset
--- a/internal/metering/clock_test.go
+++ b/internal/metering/clock_test.go
@@ -46,3 +46,15 @@
 		require.True(t, clock.At(time.Now()).Equal(time.Now()))
 	})
 }
+
+// A node that was suspended closed its windows seconds late, until the jump of its clock had
+// lasted long enough to be followed.
+func TestClockGoesOnWhileTheMachineIsSuspended(t *testing.T) {
+	slept := time.Duration(0)
+	at := time.Now()
+	clock := &Clock{Now: func() time.Time { return at }, Slept: func() time.Duration { return slept }}
+	first := clock.Read()
+	// The steady reading stands, the time of day goes on.
+	slept = 5 * time.Second
+	require.Equal(t, slept, clock.Read().Sub(first))
+}
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -9,6 +9,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/admission"
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/config"
 	"github.com/pathbend/pathbend/internal/quota"
 	"github.com/pathbend/pathbend/internal/result"
@@ -33,7 +34,7 @@
 // grantedShare is a share with the time at which it was granted.
 type grantedShare struct {
 	requestsPerSecond float64
-	at                time.Time
+	at                clock.Moment
 }
 
 func newQuotas(n *Node) *quotas {
@@ -101,7 +102,7 @@
 
 func (q *quotas) take(tenant string, share float64) {
 	q.mutex.Lock()
-	q.shares[tenant] = grantedShare{requestsPerSecond: share, at: time.Now()}
+	q.shares[tenant] = grantedShare{requestsPerSecond: share, at: clock.Mark()}
 	q.mutex.Unlock()
 	if revision := q.node.current.Load(); revision != nil {
 		q.apply(revision.Document)
@@ -140,7 +141,7 @@
 	for _, tenant := range document.Tenants {
 		capacity := tenant.Spec.Capacity
 		part := even
-		if granted, ok := q.shares[tenant.Name]; ok && now.Sub(granted.at) < quota.Lifetime {
+		if granted, ok := q.shares[tenant.Name]; ok && granted.at.AgeAt(now) < quota.Lifetime {
 			part = granted.requestsPerSecond / capacity.RequestsPerSecond
 		}
 		limits[tenant.Name] = admission.Limits{
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -52,12 +52,14 @@
 	RegionCut = faultKinds
 )
 
-// Kinds of requests that crash the samplers that run them. They are not drawn, so that the
-// seeds of the others keep their faults.
+// Kinds that are not drawn, so that the seeds of the others keep their faults: requests that
+// crash the samplers that run them, and suspended machines.
 const (
 	CrashingRequest = RegionCut + 1 + iota
 	CrashingItem
 	CrashingReward
+	// Suspension makes all machines find that they were suspended for the fault's time.
+	Suspension
 )
 
 var faultNames = [...]string{
@@ -68,7 +70,7 @@
 	"cloud_down", "cloud_slow", "cloud_lost",
 	"cold_return", "samplers_turn_cold", "evacuate", "zone_cut", "zone_lost",
 	"region_cut",
-	"crashing_request", "crashing_item", "crashing_reward",
+	"crashing_request", "crashing_item", "crashing_reward", "suspension",
 }
 
 // String implements fmt.Stringer.
@@ -151,6 +153,8 @@
 		client.runCrashing(ctx, fault.Target)
 	case CrashingItem, CrashingReward:
 		w.crashingStep(fault)
+	case Suspension:
+		w.suspend(fault)
 	case StoreForgets:
 		w.Store.Forget(platform.TopicOperator)
 		w.Store.Forget(platform.TopicSamplers)
@@ -236,6 +240,16 @@
 	}
 }
 
+// suspend lets all nodes find that they were suspended. The clock of the simulation is one for
+// all, so the surroundings did not go on meanwhile: what nodes hold is younger than they take
+// it for.
+func (w *World) suspend(fault Fault) {
+	for _, machine := range w.present() {
+		w.disturbUntil(machine.name, time.Now())
+	}
+	w.slept.Add(int64(fault.For))
+}
+
 // lastToOrder returns the node that gave the last order, or another if none did.
 func (w *World) lastToOrder(other *nodeMachine) *nodeMachine {
 	holder := w.Truth.lastHolder()
--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/clock"
 )
 
 var (
@@ -36,6 +38,9 @@
 	var world *World
 	synctest.Test(t, func(t *testing.T) {
 		world = NewWorld(options)
+		if options.Suspends {
+			defer clock.Simulate(world.Slept)()
+		}
 		// Handlers of the stand-ins end after their last pause.
 		defer time.Sleep(closeTime)
 		defer world.Close()
@@ -224,3 +229,19 @@
 	require.Equal(t, 1, world.Truth.counts["zones evacuated"])
 	require.Positive(t, world.Truth.counts[countRewardFailures])
 }
+
+// Machines that were suspended give up what may have lapsed, and take it up again. One world
+// at a time: there is one clock for all.
+func TestSuspendedMachinesTakeTheirWorkUpAgain(t *testing.T) {
+	faults := []Fault{
+		{Kind: Suspension, At: 6 * time.Second, For: 900 * time.Millisecond},
+		{Kind: Suspension, At: 15 * time.Second, For: 4 * time.Second},
+		{Kind: Suspension, At: 30 * time.Second, For: time.Minute},
+	}
+	options := example(303, nil)
+	options.Suspends = true
+	world := play(t, options, faults)
+	require.Empty(t, world.Truth.Violations())
+	counts := world.Truth.counts
+	require.GreaterOrEqual(t, counts["steps whole"], counts["steps"]-len(faults), counts)
+}
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -65,6 +65,8 @@
 	// Nameless is set where samplers cannot tell from which node a request comes:
 	// then trouble of one machine counts as trouble of all.
 	Nameless bool
+	// Suspends is set where machines are suspended. Then no other world may run beside it.
+	Suspends bool
 }
 
 // World is a cluster of real nodes with everything around it.
@@ -81,6 +83,9 @@
 	cloudFaults  atomic.Pointer[CloudFaults]
 	config       uint64
 
+	// slept is for how long the machines of the nodes were suspended.
+	slept atomic.Int64
+
 	mutex    sync.Mutex
 	nodes    []*nodeMachine
 	samplers []*samplerMachine
@@ -245,6 +250,11 @@
 	}
 	settings.Bounds.ReportWindowS, settings.Bounds.UsageLateS = reportWindow.Seconds(), usageLate.Seconds()
 	settings.Cloud.Address, settings.Cloud.Duties = w.cloudAddress, []string{platform.DutyUsage, platform.DutyScale}
+	if w.options.Suspends {
+		// The time of day goes on while a machine is suspended, and here it does not: windows
+		// of usage would be told of before they are over.
+		settings.Bounds.ReportWindowS, settings.Cloud.Duties = 0, []string{platform.DutyScale}
+	}
 	return settings
 }
 
@@ -482,6 +492,9 @@
 	w.startNode(machine)
 }
 
+// Slept is for how long the machines of the nodes were suspended.
+func (w *World) Slept() time.Duration { return time.Duration(w.slept.Load()) }
+
 // Nodes returns the names of the nodes' machines.
 func (w *World) Nodes() []string {
 	var names []string
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/result"
 )
@@ -92,7 +93,7 @@
 func (m *Manager) tick() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, running := range m.ordered() {
 		if now.Sub(running.job.LastPull()) > jobExpiry {
 			m.logger.Log(event.JobExpired, "tenant", running.key.tenant, "job", running.key.id)
@@ -162,7 +163,7 @@
 func (p *attemptProgress) Chunk(tokens []string, version uint64) bool {
 	p.manager.mutex.Lock()
 	defer p.manager.mutex.Unlock()
-	return p.running.job.Progress(time.Now(), p.start.Slot, p.start.Attempt, tokens, version)
+	return p.running.job.Progress(clock.Now(), p.start.Slot, p.start.Attempt, tokens, version)
 }
 
 // longestRest bounds the rest of a slot whose prompt is kept from engines: it may be cleared
@@ -187,15 +188,15 @@
 		delete(running.cancels, start.Attempt)
 	}
 	if err != nil {
-		now := time.Now()
+		now := clock.Now()
 		running.job.FailedUntil(now, now.Add(restAfter(err)), start.Slot, start.Attempt)
 		m.logger.Log(event.SampleRestarted, "job", running.key.id, "slot", start.Slot, "error", err.Error())
 		return
 	}
-	running.job.Finished(time.Now(), start.Slot, start.Attempt, reason)
+	running.job.Finished(clock.Now(), start.Slot, start.Attempt, reason)
 	m.stopCancelled(running)
 	running.notify()
-	m.advance(running, time.Now())
+	m.advance(running, clock.Now())
 }
 
 // Submit accepts a job. Submitting the same job again is harmless and records
@@ -211,7 +212,7 @@
 		return result.New(result.Draining, "this node hands its jobs over")
 	}
 	key := jobKey{tenant, spec.JobID}
-	now := time.Now()
+	now := clock.Now()
 	if present, ok := m.jobs[key]; ok {
 		if present.model != spec.Model || !bytes.Equal(present.encoded, encoded) {
 			return result.New(result.JobConflict, "job %q was submitted with other prompts", spec.JobID).WithField("job_id")
@@ -230,7 +231,7 @@
 		cancels: make(map[string]context.CancelFunc), changed: make(chan struct{}),
 	}
 	m.jobs[key] = running
-	m.advance(running, time.Now())
+	m.advance(running, clock.Now())
 }
 
 // Model returns the model of a job; false if this node does not own it.
@@ -274,7 +275,7 @@
 	if err := pull.Held.Validate(len(running.job.slots)); err != nil {
 		return PullAnswer{}, nil, err
 	}
-	now := time.Now()
+	now := clock.Now()
 	running.job.SetPolicy(policy)
 	answer := running.job.Pull(now, pull)
 	m.advance(running, now)
@@ -301,7 +302,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.stopping = true
-	now := time.Now()
+	now := clock.Now()
 	var handovers []Handover
 	for _, running := range m.ordered() {
 		handovers = append(handovers, running.job.Export(running.key.tenant, now))
@@ -325,7 +326,7 @@
 	if _, ok := m.jobs[key]; ok {
 		return nil
 	}
-	m.add(key, handover.Spec.Model, encoded, Import(handover, policy, time.Now()))
+	m.add(key, handover.Spec.Model, encoded, Import(handover, policy, clock.Now()))
 	return nil
 }
 
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/wait"
 )
@@ -31,7 +32,7 @@
 // Health tells how a follower fares. It is safe for concurrent use.
 type Health struct {
 	mutex     sync.Mutex
-	currentAt time.Time
+	currentAt clock.Moment
 	lost      bool
 	// failures counts the failed reads in a row.
 	failures int
@@ -42,7 +43,15 @@
 func (h *Health) CurrentAt() time.Time {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.currentAt
+	return h.currentAt.Time()
+}
+
+// Age is for how long the follower may have missed records, suspension of the machine
+// included.
+func (h *Health) Age() time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.currentAt.Age()
 }
 
 // Lost reports whether the last read failed.
@@ -54,12 +63,12 @@
 
 // answered notes a read that began at a time. It reports whether reads failed
 // before, and for how long the follower was not current.
-func (h *Health) answered(began time.Time) (regained bool, after time.Duration) {
+func (h *Health) answered(began clock.Moment) (regained bool, after time.Duration) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	regained, after = h.lost, began.Sub(h.currentAt)
+	regained, after = h.lost, h.currentAt.Age()-began.Age()
 	h.lost, h.failures = false, 0
-	if began.After(h.currentAt) {
+	if began.Time().After(h.currentAt.Time()) {
 		h.currentAt = began
 	}
 	return regained, after
@@ -193,7 +202,7 @@
 	f.reading.Lock()
 	from := f.next
 	f.reading.Unlock()
-	began := time.Now()
+	began := clock.Mark()
 	timeout := poll + f.readTime(poll)
 	if poll > 0 && f.Health.probes() {
 		poll, timeout = 0, probeTimeout
--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/wait"
 )
@@ -57,7 +58,7 @@
 	known := false
 	var next uint64
 	for ctx.Err() == nil {
-		began := time.Now()
+		began := clock.Mark()
 		batch, err := f.read(ctx, known, next)
 		switch {
 		case result.Is(err, result.LogTruncated):
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/roundtrip"
 )
 
@@ -29,15 +30,16 @@
 	// take turns in a partition.
 	way     *roundtrip.Estimator
 	appends *roundtrip.Estimator
-	// answeredAt is when the last call was answered, in nanoseconds since began.
-	began      time.Time
-	answeredAt atomic.Int64
+	// answeredAt is when the last call was answered.
+	answeredAt atomic.Pointer[clock.Moment]
 }
 
 // Measure returns a log service whose answers are timed.
 func Measure(log Log, group Group) *Measured {
 	bounds := roundtrip.Bounds{Floor: nextDoor, Ceiling: farthest}
-	return &Measured{log: log, group: group, way: roundtrip.New(bounds), appends: roundtrip.New(bounds), began: time.Now()}
+	m := &Measured{log: log, group: group, way: roundtrip.New(bounds), appends: roundtrip.New(bounds)}
+	m.noteAnswer(nil)
+	return m
 }
 
 // Way estimates how far away the service is.
@@ -47,16 +49,15 @@
 // after the other.
 func (m *Measured) Appends() *roundtrip.Estimator { return m.appends }
 
-// AnsweredAt is when the service answered the last call that it answered, at first when
-// this was made.
-func (m *Measured) AnsweredAt() time.Time {
-	return m.began.Add(time.Duration(m.answeredAt.Load()))
-}
+// Quiet is how long ago the service answered the last call that it answered, at first when
+// this was made, suspension of the machine included.
+func (m *Measured) Quiet() time.Duration { return m.answeredAt.Load().Age() }
 
 // noteAnswer notes the end of a call.
 func (m *Measured) noteAnswer(err error) {
 	if err == nil {
-		m.answeredAt.Store(int64(time.Since(m.began)))
+		now := clock.Mark()
+		m.answeredAt.Store(&now)
 	}
 }
 
--- a/internal/sharedlog/probe_test.go
+++ b/internal/sharedlog/probe_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/result"
 )
 
@@ -83,7 +84,7 @@
 		}
 	}
 	require.Equal(t, 4*(probesPerRead-1), probes)
-	health.answered(time.Now())
+	health.answered(clock.Mark())
 	require.False(t, health.probes())
 }
 
