Let mutants of the quarantine fail for what they switch off

Cause: one mutant did not build, another was caught by nothing: claims that come one after the other never meet in the log.

Change: TestOfClaimsAtOnceTheFirstInTheLogWins lets three nodes claim at once.

--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,6 +94,51 @@
 	})
 }
 
+// slowLog hands records on only once so many were told.
+type slowLog struct {
+	sharedLog
+	waitFor int
+	mutex   sync.Mutex
+	told    []Record
+	full    chan struct{}
+}
+
+func (l *slowLog) Tell(ctx context.Context, record Record) {
+	l.mutex.Lock()
+	l.told = append(l.told, record)
+	if len(l.told) == l.waitFor {
+		for _, one := range l.told {
+			l.sharedLog.Tell(ctx, one)
+		}
+		close(l.full)
+	}
+	l.mutex.Unlock()
+	<-l.full
+}
+
+func TestOfClaimsAtOnceTheFirstInTheLogWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes, log := guards(3, Requests())
+		for i := range Ends {
+			nodes[i].Ended(context.Background(), digest, fmt.Sprint("back-end-", i))
+		}
+		time.Sleep(Requests().Pauses[0])
+		slow := &slowLog{sharedLog: *log, waitFor: len(nodes), full: make(chan struct{})}
+		var tried atomic.Int64
+		for _, node := range nodes {
+			node.SetTeller(slow)
+			go func() {
+				if leave, err := node.Enter(context.Background(), digestOf); err == nil {
+					tried.Add(1)
+					leave()
+				}
+			}()
+		}
+		synctest.Wait()
+		require.EqualValues(t, 1, tried.Load())
+	})
+}
+
 func TestNodeWithoutTheLogTriesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes, log := guards(2, Requests())
