--- a/internal/dispatch/departures.go
+++ b/internal/dispatch/departures.go
@@ -27,6 +27,8 @@
 type departures struct {
 	mutex sync.Mutex
 	left  map[string][]departure
+	// sweptAt is when back ends without departures were forgotten last.
+	sweptAt time.Time
 }
 
 type departure struct {
@@ -45,9 +47,19 @@
 		kept = kept[1:]
 	}
 	d.left[backEnd] = append(kept, departure{digest: digest, at: now})
-	for other := range d.left {
-		if len(d.since(other, now.Add(-departureWindow))) == 0 {
-			delete(d.left, other)
+	d.sweep(now)
+}
+
+// sweep forgets the back ends without departures, now and then: there may be hundreds. It is
+// called under the lock.
+func (d *departures) sweep(now time.Time) {
+	if now.Sub(d.sweptAt) < departureWindow {
+		return
+	}
+	d.sweptAt = now
+	for backEnd := range d.left {
+		if len(d.since(backEnd, now.Add(-departureWindow))) == 0 {
+			delete(d.left, backEnd)
 		}
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -441,8 +441,8 @@
 	require.NoError(t, err)
 	answer.Body.Close()
 	require.Eventually(t, func() bool { return dispatcher.guard.Counts().Ended == 1 }, time.Second, time.Millisecond)
-	require.False(t, dispatcher.guard.Hedges(requestOf(true).digest), "the request that had left")
-	require.True(t, dispatcher.guard.Hedges(other.digest))
+	require.True(t, dispatcher.guard.Suspected(requestOf(true).digest), "the request that had left")
+	require.False(t, dispatcher.guard.Suspected(other.digest))
 }
 
 // A request that waited while its machine was suspended went on to a back end, long after its
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -29,7 +29,7 @@
 // its back end has done, and its end tells how the back end fares.
 func (d *Dispatcher) tryHedged(ctx context.Context, request *Request, route *routing.Request, endpoint *routing.Endpoint, plan *Plan) []tried {
 	last := plan.Attempts()+1 >= request.MaxAttempts
-	if !request.hedges(plan) || !d.guard.Hedges(request.digest) {
+	if !request.hedges(plan) || d.guard.Suspected(request.digest) {
 		return []tried{d.try(ctx, request, endpoint, last)}
 	}
 	const most = 2
@@ -77,7 +77,7 @@
 	if other == nil {
 		return nil
 	}
-	if request.permitted() != nil || !d.guard.Hedges(request.digest) || !d.spend() {
+	if request.permitted() != nil || d.guard.Suspected(request.digest) || !d.spend() {
 		d.balancer.Report(other, Report{Ending: NotSent, Neutral: true})
 		return nil
 	}
--- a/internal/hosted/suspects.go
+++ b/internal/hosted/suspects.go
@@ -140,7 +140,7 @@
 
 // Suspect implements schedule.Holds.
 func (s *suspects) Suspect(itemID string) bool {
-	return !s.items.Hedges(func() quarantine.Digest { return itemDigest(itemID) })
+	return s.items.Suspected(func() quarantine.Digest { return itemDigest(itemID) })
 }
 
 // heldFor is how long a reward call waits after an error, if that says that it is held back.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -134,15 +134,16 @@
 	return won
 }
 
-// Hedges reports whether a request may run at two back ends at once.
-func (g *Guard) Hedges(digestOf func() Digest) bool {
+// Suspected reports whether a back end ended under a request that none survived since. Such a
+// request runs at one back end at a time, and whether that ends is waited for.
+func (g *Guard) Suspected(digestOf func() Digest) bool {
 	if !g.known.Load() {
-		return true
+		return false
 	}
 	digest := digestOf()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.book.Ends(digest) == 0
+	return g.book.Ends(digest) > 0
 }
 
 // Ended notes that a back end ended under a request, and tells the others before it returns.
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -68,7 +68,7 @@
 		for i, node := range nodes {
 			require.Equal(t, len(nodes), admitted(t, nodes), "%d ends", i)
 			node.Ended(context.Background(), digest, fmt.Sprint("back-end-", i))
-			require.False(t, nodes[0].Hedges(digestOf), "it runs at one back end at a time")
+			require.True(t, nodes[0].Suspected(digestOf), "it runs at one back end at a time")
 		}
 		require.Zero(t, admitted(t, nodes))
 		require.Equal(t, Counts{Ended: 1, Refused: 1, Held: 1}, nodes[0].Counts())
@@ -181,7 +181,7 @@
 	leave, err := nodes[0].Enter(context.Background(), unasked)
 	require.NoError(t, err)
 	leave()
-	require.True(t, nodes[0].Hedges(unasked))
+	require.False(t, nodes[0].Suspected(unasked))
 	nodes[0].Served(context.Background(), unasked)
 	require.True(t, nodes[0].HeldUntil(digest).IsZero())
 }
--- a/internal/simulation/crashing_test.go
+++ b/internal/simulation/crashing_test.go
@@ -36,21 +36,16 @@
 func TestRequestThatCrashesItsBackEndsIsHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := simnet.New(1, latency)
-		options, err := lab.ExampleOptions(network, 1)
-		require.NoError(t, err)
-		for i := range options.Pools {
-			if options.Pools[i].Name == "dealer-catalogue" {
-				options.Pools[i].Size = crashingBackEnds
+		cluster := startCluster(t, network, func(options *lab.Options) {
+			for i := range options.Pools {
+				if options.Pools[i].Name == "dealer-catalogue" {
+					options.Pools[i].Size = crashingBackEnds
+				}
 			}
-		}
-		options.Document.FindTenant(lab.Karri).Spec.Capacity.RequestsPerSecond = 1000
-		cluster, err := lab.Start(options)
-		require.NoError(t, err)
+			options.Document.FindTenant(lab.Karri).Spec.Capacity.RequestsPerSecond = 1000
+		})
 		defer time.Sleep(closeTime)
 		defer cluster.Close()
-		ready, cancel := context.WithTimeout(context.Background(), startTimeout)
-		defer cancel()
-		require.NoError(t, cluster.WaitReady(ready))
 		ctx, stop := context.WithTimeout(context.Background(), crashingTime)
 		defer stop()
 		var callers conc.WaitGroup
@@ -66,6 +61,20 @@
 	})
 }
 
+// startCluster starts the example cluster, changed, and waits until it is ready.
+func startCluster(t *testing.T, network *simnet.Network, change func(*lab.Options)) *lab.Cluster {
+	t.Helper()
+	options, err := lab.ExampleOptions(network, 1)
+	require.NoError(t, err)
+	change(&options)
+	cluster, err := lab.Start(options)
+	require.NoError(t, err)
+	ready, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	require.NoError(t, cluster.WaitReady(ready))
+	return cluster
+}
+
 // sendCrashing sends the request at each node in turn.
 func sendCrashing(ctx context.Context, cluster *lab.Cluster, network *simnet.Network) {
 	for try := 0; ctx.Err() == nil; try++ {
@@ -109,15 +118,9 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				network := simnet.New(1, latency)
-				options, err := lab.ExampleOptions(network, 1)
-				require.NoError(t, err)
-				cluster, err := lab.Start(options)
-				require.NoError(t, err)
+				cluster := startCluster(t, network, func(*lab.Options) {})
 				defer time.Sleep(closeTime)
 				defer cluster.Close()
-				ready, cancel := context.WithTimeout(context.Background(), startTimeout)
-				defer cancel()
-				require.NoError(t, cluster.WaitReady(ready))
 				ctx, stop := context.WithTimeout(context.Background(), crashingTime)
 				defer stop()
 				send(ctx, cluster, network)
