Wait for what is told in one place; drop a method that nobody calls

Cause: read again as a newcomer. Both faces wrote the same wait around telling the log (a goroutine, a channel, a time-out), and Guard.All had no caller.

Change: quarantine.TellWithin serves both. No behaviour changes.

--- a/internal/hosted/suspects.go
+++ b/internal/hosted/suspects.go
@@ -99,18 +99,7 @@
 		// It will not be read back in time.
 		patience = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
-	read := make(chan struct{})
-	// It ends with the node.
-	go func() {
-		defer close(read)
-		t.write(record)
-	}()
-	select {
-	case <-read:
-	case <-ctx.Done():
-	}
+	quarantine.TellWithin(ctx, patience, func() { t.write(record) })
 }
 
 // write appends a record to the ledger and reads it back.
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -29,18 +29,9 @@
 
 // Tell implements quarantine.Teller.
 func (s *suspects) Tell(ctx context.Context, record quarantine.Record) {
-	ctx, cancel := context.WithTimeout(ctx, suspectPatience)
-	defer cancel()
-	read := make(chan struct{})
-	// It ends with the node.
-	go func() {
-		defer close(read)
+	quarantine.TellWithin(ctx, suspectPatience, func() {
 		s.node.append(s.node.ctx, &pathbendv1.Record{Body: &pathbendv1.Record_Suspect{Suspect: quarantine.Encode(record, false)}})
-	}()
-	select {
-	case <-read:
-	case <-ctx.Done():
-	}
+	})
 }
 
 // follow takes in what the log tells. It is called with the follower's lock held.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -20,6 +20,22 @@
 	Tell(ctx context.Context, record Record)
 }
 
+// TellWithin writes a record down, and returns once that is done or patience is over. The
+// writing goes on after that, and must end with its node.
+func TellWithin(ctx context.Context, patience time.Duration, write func()) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		write()
+	}()
+	select {
+	case <-written:
+	case <-ctx.Done():
+	}
+}
+
 // Guard holds requests of one node back from back ends that would end under them. It is safe
 // for concurrent use.
 type Guard struct {
@@ -237,13 +253,6 @@
 	return g.book.Held(g.policy)
 }
 
-// All lists all records.
-func (g *Guard) All() []Record {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.book.All()
-}
-
 // Expire forgets what nothing was heard of for long.
 func (g *Guard) Expire() {
 	g.mutex.Lock()
