Tell incarnations of a sampler apart; pass over entries that name none

Cause: a sampler may start again under its id. Nothing knew `born`: its former weights (the newer of both were kept), loads, prompts, failures, orders under way and kept connections were taken for the new one's, an answer that the former gave marked the new one as leaving for good, and a late entry of the former replaced it. And one record that ends within its key, or a page with one value that is not base64, failed the whole read: the follower asked for it again forever. An entry with a field of another type was skipped, but the good one before it stayed in use; one without zone, or in a state that there is not, was used.

Ruled out: comparing `born` with this node's clock (machines disagree); closing the connections to an address when it starts again (some may lead to the new one).

Schedule, roll and routing table begin anew with it; runs at the former move at once ("restarted"). Connections are kept by incarnation (network.OfStart): those to a former are never used for a newer. A record that cannot be read keeps its place and is passed over; an entry that lacks a field, or is no sampler's, names no sampler, also where a good one stood. Counted, and logged ten times in ten seconds at most.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(GO) test ./internal/ledger -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzEvents -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDocuments -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzSamplerEntries -fuzztime $(FUZZTIME)
 
 # Regenerates the committed protobuf code; needs protoc and protoc-gen-go.
 generate:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -68,10 +68,10 @@
 
 func (b *listBalancer) Report(*routing.Endpoint, Report) { b.inFlight.Add(-1) }
 
-func (b *listBalancer) MarkLeaving(id string) {
+func (b *listBalancer) MarkLeaving(endpoint *routing.Endpoint) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.leaving = append(b.leaving, id)
+	b.leaving = append(b.leaving, endpoint.ID)
 }
 
 func (b *listBalancer) Evacuated(string) bool { return b.evacuated }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/locality"
+	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/routing"
@@ -101,7 +102,8 @@
 	// has room for one; false if none is kept for that.
 	RoomAgain(request *routing.Request) (at time.Time, cold bool)
 	Report(endpoint *routing.Endpoint, report Report)
-	MarkLeaving(endpointID string)
+	// MarkLeaving records that a back end said that it leaves.
+	MarkLeaving(endpoint *routing.Endpoint)
 	// Evacuated reports whether a pool has no back end for new work only because the
 	// zones of all of them are evacuated.
 	Evacuated(pool string) bool
@@ -281,7 +283,7 @@
 	attemptCtx, cancel := attemptContext(ctx, request, last || d.guard.Suspected(request.digest))
 	outcome := d.exchanger.exchange(attemptCtx, outgoing{
 		method: request.Method,
-		url:    "http://" + endpoint.Address + request.Path,
+		url:    "http://" + network.OfStart(endpoint.Address, endpoint.Born) + request.Path,
 		host:   request.Host,
 		header: d.protocol.Header(request, endpoint, requestID),
 		body:   bodyOf(request),
@@ -291,7 +293,7 @@
 	})
 	d.watch(ctx, request, endpoint, &outcome)
 	if outcome.leaving {
-		d.balancer.MarkLeaving(endpoint.ID)
+		d.balancer.MarkLeaving(endpoint)
 	}
 	if outcome.err != nil && result.Is(outcome.err, result.AnswerMismatch) {
 		d.logger.Log(event.AnswerMismatched, "back_end", endpoint.ID, "request_id", requestID)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,7 +66,7 @@
 		}
 		listed = append(listed, routing.Machine{
 			ID: machine.ID, Pool: machine.Pool, Address: machine.Address, Zone: machine.Zone, Leaving: machine.Leaving, Capacity: machine.Capacity,
-			ColdFor: machine.ColdFor, Limits: machine.Limits,
+			ColdFor: machine.ColdFor, Limits: machine.Limits, Born: machine.Born,
 		})
 	}
 	f.mutex.Lock()
@@ -81,6 +81,10 @@
 		delete(f.states, endpoint.ID)
 		f.logger.Log(event.EndpointGone, "endpoint", endpoint.ID)
 	}
+	for _, endpoint := range changes.Restarted {
+		delete(f.states, endpoint.ID)
+		f.logger.Log(event.EndpointRestarted, "endpoint", endpoint.ID, "address", endpoint.Address)
+	}
 }
 
 // eachLogged is how many endpoints that appear together get a line each: a few are
@@ -176,15 +180,27 @@
 }
 
 // MarkLeaving implements dispatch.Balancer: the endpoint itself said so.
-func (f *Fleet) MarkLeaving(id string) { f.markLeaving(id, "endpoint") }
+func (f *Fleet) MarkLeaving(endpoint *routing.Endpoint) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	// What a former incarnation said tells nothing of the one in its place.
+	if f.table.Get(endpoint.ID) == endpoint {
+		f.markLeaving(endpoint.ID, "endpoint")
+	}
+}
 
 // MarkLeavingFromPeer records what another node found out.
-func (f *Fleet) MarkLeavingFromPeer(id string) { f.markLeaving(id, "peer") }
-
-func (f *Fleet) markLeaving(id, source string) {
+func (f *Fleet) MarkLeavingFromPeer(id string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.table.Get(id) == nil || !f.table.MarkLeaving(id) {
+	if f.table.Get(id) != nil {
+		f.markLeaving(id, "peer")
+	}
+}
+
+// markLeaving is called under the lock.
+func (f *Fleet) markLeaving(id, source string) {
+	if !f.table.MarkLeaving(id) {
 		return
 	}
 	f.news = append(f.news, id)
@@ -234,8 +250,8 @@
 		}, at)
 	}
 	f.mutex.Unlock()
-	if load.Leaving {
-		f.MarkLeaving(id)
+	if load.Leaving && endpoint != nil {
+		f.MarkLeaving(endpoint)
 	}
 }
 
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -34,6 +34,8 @@
 	Leaving bool   `json:"leaving,omitempty"`
 	// Capacity is the work that it takes at once; 0 if unknown.
 	Capacity int `json:"capacity,omitempty"`
+	// Born is the start of the back end's incarnation, 0 where back ends do not tell.
+	Born int64 `json:"-"`
 	// ColdFor is how much longer it said that it is cold, Limits what this node may send
 	// it meanwhile. The platform's list has neither.
 	ColdFor time.Duration `json:"-"`
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -82,9 +82,13 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, record := range records {
+		if record.Malformed != "" {
+			d.skip(record, record.Malformed)
+			continue
+		}
 		var announced pathbendv1.NodeCapacity
 		if err := proto.Unmarshal(record.Value, &announced); err != nil {
-			d.logger.Log(event.RecordSkipped, "topic", d.follower.Partition.Topic, "offset", record.Offset, "detail", err.Error())
+			d.skip(record, err.Error())
 			continue
 		}
 		d.nodes[record.Key] = announcedNode{
@@ -94,6 +98,11 @@
 	}
 }
 
+// skip passes over a record that cannot be read.
+func (d *directory) skip(record sharedlog.KeyedRecord, detail string) {
+	d.logger.Log(event.RecordSkipped, "topic", d.follower.Partition.Topic, "offset", record.Offset, "detail", detail)
+}
+
 // Announced implements capacities.
 func (d *directory) Announced() (announcements, bool) {
 	if d.follower.Health.CurrentAt().IsZero() {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -42,6 +42,10 @@
 	remoteRuns  *prometheus.CounterVec
 	boundJobs   prometheus.Gauge
 	workersLost prometheus.Counter
+	// samplersRejected counts entries that name no sampler, samplersFormer those of former
+	// incarnations.
+	samplersRejected prometheus.Counter
+	samplersFormer   prometheus.Counter
 }
 
 // PeerCallAsked counts a call to the log that a peer was asked to make.
@@ -72,6 +76,13 @@
 		moved:       prometheus.NewCounter(prometheus.CounterOpts{Name: "pathbend_item_moves_total", Help: "Runs that were stopped to go on at another sampler."}),
 		executing:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathbend_executing", Help: "1 while this node runs the batch jobs."}),
 	}
+	m.samplersRejected = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pathbend_sampler_entries_rejected_total", Help: "Entries of the samplers' list that name no sampler to use.",
+	})
+	m.samplersFormer = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pathbend_sampler_entries_former_total", Help: "Entries of former incarnations of samplers that came after a newer one's.",
+	})
+	m.registry.MustRegister(m.samplersRejected, m.samplersFormer)
 	m.reports = counters("pathbend_usage_reports_total", "Reports of usage, by whether the platform took them.", "taken")
 	m.reportAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pathbend_usage_report_age_seconds", Help: "Time from the end of a window until the platform took its report.",
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -60,6 +60,9 @@
 	scaler     *scaler
 	suspects   *suspects
 
+	// rejections bounds the lines about records that cannot be read.
+	rejections event.Limiter
+
 	// fleetMutex keeps an older list of samplers from following a newer one.
 	fleetMutex sync.Mutex
 
@@ -248,9 +251,25 @@
 	n.logger.Log(event.CatalogRejected, "detail", err.Error())
 }
 
-// RejectSampler logs an entry of the samplers' list that could not be read.
-func (n *Node) RejectSampler(id string, err error) {
-	n.logger.Log(event.RecordSkipped, "sampler", id, "detail", err.Error())
+// RejectSampler counts an entry of the samplers' list that names no sampler, and logs it
+// if it is the first of its id in a row, and so many a second at most.
+func (n *Node) RejectSampler(id string, err error, first bool) {
+	n.metrics.samplersRejected.Inc()
+	if first && n.rejections.Allow(time.Now()) {
+		n.logger.Log(event.RecordSkipped, "sampler", id, "detail", err.Error())
+	}
+}
+
+// PassOverSampler counts an entry of a former incarnation, which came late.
+func (n *Node) PassOverSampler(sampler schedule.Sampler) {
+	n.metrics.samplersFormer.Inc()
+}
+
+// SkipRecord logs a record of a keyed topic that cannot be read.
+func (n *Node) SkipRecord(topic string, record sharedlog.KeyedRecord) {
+	if n.rejections.Allow(time.Now()) {
+		n.logger.Log(event.RecordSkipped, "topic", topic, "key", record.Key, "offset", record.Offset, "detail", record.Malformed)
+	}
 }
 
 // TakeVersion records a weight version that a trainer named. Every node learns of
@@ -302,7 +321,7 @@
 		machine := fleet.Machine{
 			ID: sampler.ID, Role: fleet.RoleBackEnd, Pool: sampler.Service,
 			Address: sampler.Address, Zone: sampler.Zone, Leaving: sampler.Leaving, Capacity: sampler.Slots,
-			ColdFor: sampler.ColdFor,
+			ColdFor: sampler.ColdFor, Born: sampler.Born,
 		}
 		if current != nil && (sampler.ColdFor > 0 || evacuated.Has(sampler.Zone)) {
 			machine.Limits = n.requestLimits(current, sampler, nodes)
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -45,6 +45,8 @@
 
 // SamplerReport is what a sampler says of itself, some 100 ms ago.
 type SamplerReport struct {
+	// Born is the start of the incarnation that answered, 0 if it did not tell.
+	Born int64
 	// Orders counts the orders that it took.
 	Orders uint64
 	// Busy is set while an order is under way.
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/internal/weights"
@@ -38,7 +39,7 @@
 	for _, step := range e.roll.Next(now, e.members(now), targets) {
 		sampler, ok := e.scheduler.Sampler(step.SamplerID)
 		if !ok {
-			e.roll.Done(step.SamplerID, false, now)
+			e.roll.Done(step, false, now)
 			continue
 		}
 		session, scheduler := e.session, e.scheduler
@@ -50,8 +51,8 @@
 			if e.scheduler != scheduler {
 				return
 			}
-			scheduler.SetLoading(step.SamplerID, step.Model, false)
-			e.roll.Done(step.SamplerID, reached, time.Now())
+			scheduler.SetLoading(sampler.Incarnation(), step.Model, false)
+			e.roll.Done(step, reached, time.Now())
 			e.node.metrics.versionMove(reached, time.Since(began))
 			e.wake()
 		})
@@ -67,7 +68,7 @@
 			continue
 		}
 		members = append(members, weights.Member{
-			ID: load.ID, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
+			ID: load.ID, Born: load.Born, Versions: load.Versions, Running: load.Running, Slots: load.Slots, Leaving: load.Leaving,
 			Wait: e.node.claims.recent(load.ID, now),
 		})
 	}
@@ -82,7 +83,7 @@
 		e.node.logger.Log(event.WeightsFailed, "sampler", sampler.ID, "model", step.Model, "version", step.Version, "detail", err.Error())
 		return false
 	}
-	e.noteVersions(scheduler, sampler.ID, report.Versions)
+	e.noteVersions(scheduler, sampler, report.Versions)
 	if report.Versions[step.Model] >= step.Version {
 		return true
 	}
@@ -93,7 +94,7 @@
 	if !ok || ctx.Err() != nil || e.node.evacuated.Load().Has(sampler.Zone) {
 		return false
 	}
-	e.setLoading(scheduler, step)
+	e.setLoading(scheduler, sampler, step)
 	callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
 	answer, err := e.node.ports.Control.Order(callCtx, sampler, VersionOrder{
 		Model: step.Model, Version: step.Version, Holder: right.Holder, Fence: right.Fence,
@@ -110,7 +111,7 @@
 	case OrderTaken, OrderUnknown, OrderConflict:
 		return e.awaitVersion(ctx, scheduler, sampler, step)
 	case OrderHolds:
-		e.noteVersions(scheduler, sampler.ID, map[string]uint64{step.Model: step.Version})
+		e.noteVersions(scheduler, sampler, map[string]uint64{step.Model: step.Version})
 		return true
 	default:
 		return false
@@ -119,14 +120,14 @@
 
 // awaitVersion asks a sampler until it serves a version.
 func (e *executor) awaitVersion(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) bool {
-	e.setLoading(scheduler, step)
+	e.setLoading(scheduler, sampler, step)
 	began := time.Now()
 	wait.For(ctx, firstLook)
 	idle := 0
 	for ctx.Err() == nil && time.Since(began) < loadPatience && !e.node.evacuated.Load().Has(sampler.Zone) {
 		report, err := e.report(ctx, sampler)
 		if err == nil {
-			e.noteVersions(scheduler, sampler.ID, report.Versions)
+			e.noteVersions(scheduler, sampler, report.Versions)
 			if report.Versions[step.Model] >= step.Version && !report.Busy {
 				return true
 			}
@@ -157,17 +158,23 @@
 	return before + 1
 }
 
+// report asks a sampler of itself. The answer of another incarnation than the one that is
+// listed is none: the list tells of the newer one soon.
 func (e *executor) report(ctx context.Context, sampler schedule.Sampler) (SamplerReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	return e.node.ports.Control.Report(ctx, sampler)
+	answered, err := e.node.ports.Control.Report(ctx, sampler)
+	if err == nil && answered.Born != sampler.Born && answered.Born > 0 && sampler.Born > 0 {
+		return SamplerReport{}, result.New(result.BackEndRefused, "sampler %q started at %d, not at %d", sampler.ID, answered.Born, sampler.Born)
+	}
+	return answered, err
 }
 
-func (e *executor) noteVersions(scheduler *schedule.Scheduler, samplerID string, versions map[string]uint64) {
+func (e *executor) noteVersions(scheduler *schedule.Scheduler, sampler schedule.Sampler, versions map[string]uint64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for model, version := range versions {
-		scheduler.SetVersion(samplerID, model, version)
+		scheduler.SetVersion(sampler.Incarnation(), model, version)
 	}
 	e.wake()
 }
@@ -180,8 +187,8 @@
 	return scheduler.SingleVersion(model)
 }
 
-func (e *executor) setLoading(scheduler *schedule.Scheduler, step weights.Step) {
+func (e *executor) setLoading(scheduler *schedule.Scheduler, sampler schedule.Sampler, step weights.Step) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	scheduler.SetLoading(step.SamplerID, step.Model, true)
+	scheduler.SetLoading(sampler.Incarnation(), step.Model, true)
 }
--- /dev/null
+++ b/internal/platformsim/entries_test.go
@@ -0,0 +1,43 @@
+package platformsim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Samplers start again under their ids, one after the other and with a late entry of the
+// former incarnation each: no rule breaks, and steps go on.
+func TestSamplersStartAgainUnderTheirIDs(t *testing.T) {
+	var faults []Fault
+	for sampler := range uint64(9) {
+		faults = append(faults, Fault{Kind: SamplerReborn, At: time.Duration(4+4*sampler) * time.Second, For: 2 * time.Second, Target: sampler})
+	}
+	logs := &lines{}
+	world := play(t, example(310, logs), faults)
+	require.Empty(t, world.Truth.Violations())
+	counts := world.Truth.counts
+	require.Equal(t, 9, counts["samplers reborn"], counts)
+	require.GreaterOrEqual(t, counts["steps whole"], counts["steps"]-2, counts)
+	require.Contains(t, logs.String(), `"msg":"endpoint_restarted"`)
+}
+
+// Another writer's entries name no sampler, also in the place of a sampler's own; the other
+// entries hold, and nodes that start read past them.
+func TestEntriesOfAnotherWriterNameNoSampler(t *testing.T) {
+	faults := []Fault{
+		{Kind: ForeignEntries, At: 4 * time.Second, For: 6 * time.Second, Target: 1},
+		{Kind: ForeignEntries, At: 12 * time.Second, For: 6 * time.Second, Target: 7},
+		{Kind: KillAll, At: 15 * time.Second, For: 2 * time.Second},
+		{Kind: StoreForgets, At: 20 * time.Second},
+		{Kind: ForeignEntries, At: 26 * time.Second, For: 6 * time.Second, Target: 12},
+	}
+	logs := &lines{}
+	world := play(t, example(311, logs), faults)
+	require.Empty(t, world.Truth.Violations())
+	counts := world.Truth.counts
+	require.Equal(t, 3, counts["foreign entries"], counts)
+	require.GreaterOrEqual(t, counts["steps whole"], counts["steps"]-4, counts)
+	require.Contains(t, logs.String(), `"msg":"record_skipped"`)
+}
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -58,6 +58,10 @@
 	CrashingRequest = RegionCut + 1 + iota
 	CrashingItem
 	CrashingReward
+	// SamplerReborn starts a sampler again under its id, ForeignEntries lets another writer
+	// put entries into the samplers' topic.
+	SamplerReborn
+	ForeignEntries
 	// Suspension makes all machines find that they were suspended for the fault's time.
 	Suspension
 )
@@ -70,7 +74,7 @@
 	"cloud_down", "cloud_slow", "cloud_lost",
 	"cold_return", "samplers_turn_cold", "evacuate", "zone_cut", "zone_lost",
 	"region_cut",
-	"crashing_request", "crashing_item", "crashing_reward", "suspension",
+	"crashing_request", "crashing_item", "crashing_reward", "sampler_reborn", "foreign_entries", "suspension",
 }
 
 // String implements fmt.Stringer.
@@ -189,6 +193,10 @@
 		w.crashSampler(fault, machine)
 	case SamplerReplaced:
 		w.replaceSampler(fault, machine)
+	case SamplerReborn:
+		w.rebirth(fault, machine)
+	case ForeignEntries:
+		w.writeForeign(fault, machine)
 	case SamplerSlow:
 		w.troubleSampler(fault, machine, SamplerFaults{Slow: 4})
 	case SamplerCut:
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -50,6 +50,18 @@
 		mutation.Replace("internal/routing/not_leaving.go", "return !endpoint.Leaving", "return true"),
 		mutation.Replace("internal/schedule/sampler.go", "if s.Leaving || s.evacuated || now.Before(s.notBefore) {", "if s.evacuated || now.Before(s.notBefore) {"),
 	}},
+	{Promise: "DRAIN: a former incarnation's entry replaces none", Test: "TestEntryOfAFormerIncarnationNeverReplacesANewer", Package: "./internal/registry", Edits: []mutation.Edit{
+		mutation.Replace("internal/registry/registry.go", "if sampler.Born < r.newestStart(sampler.ID) {", "if false {"),
+	}},
+	{Promise: "LOST: runs end with the incarnation", Test: "TestRunsOfAFormerIncarnationEndWithIt", Package: "./internal/schedule", Edits: []mutation.Edit{
+		mutation.Replace("internal/schedule/samplers.go", "if ok && sampler.Born > state.Born {", "if false {"),
+	}},
+	{Promise: "DRAIN: an entry that turns bad names no sampler", Test: "TestEntriesOfAnotherWriterNameNoSampler", Edits: []mutation.Edit{
+		mutation.Replace("platform/follow.go", "f.list.Reject(record.Key, now)", "false"),
+	}},
+	{Promise: "DRAIN: a bad record stops no follower", Test: "TestRecordsThatCannotBeReadKeepTheirPlaces", Package: "./platform", Edits: []mutation.Edit{
+		mutation.Replace("platform/store.go", "			decoded.Malformed = err.Error()\n", "			return page, err\n"),
+	}},
 	{Promise: "EVAC: further attempts ask too", Test: "TestFailedRequestsStayOutOfAnEvacuatedZone", Package: "./internal/platformsim", Edits: []mutation.Edit{
 		mutation.Replace("internal/routing/not_evacuated.go", "Keep(_ *Request, endpoint *Endpoint) bool { return !endpoint.Evacuated }", "Keep(request *Request, endpoint *Endpoint) bool { return !endpoint.Evacuated || len(request.Excluded) > 0 }"),
 	}},
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -47,6 +48,8 @@
 type Sampler struct {
 	SamplerSpec
 	ID string
+	// born is when it started, in Unix milliseconds.
+	born int64
 
 	truth  *Truth
 	store  *Store
@@ -69,7 +72,7 @@
 
 func newSampler(id string, spec SamplerSpec, models map[string]uint64, truth *Truth, store *Store, seed uint64, coldUntil time.Time) *Sampler {
 	sampler := &Sampler{
-		SamplerSpec: spec, ID: id, truth: truth, store: store, models: models,
+		SamplerSpec: spec, ID: id, born: time.Now().UnixMilli(), truth: truth, store: store, models: models,
 		random: rand.New(rand.NewPCG(seed, 7)), freed: make(chan struct{}), cold: coldState{until: coldUntil},
 	}
 	sampler.register()
@@ -83,12 +86,22 @@
 	s.faults = faults
 }
 
+func (s *Sampler) snapshotDocument() platform.SamplerDocument {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.document()
+}
+
+// document is the sampler's entry. It is called under the lock.
 func (s *Sampler) document() platform.SamplerDocument {
 	state := platform.StateReady
 	if s.leaving {
-		state = "draining"
+		state = platform.StateDraining
+	}
+	document := platform.SamplerDocument{
+		Service: s.Service, Address: s.Address, Zone: s.Zone, Software: "v1", Slots: s.Slots, State: state,
+		Orders: s.orders, Born: s.born,
 	}
-	document := platform.SamplerDocument{Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, State: state}
 	document.ColdLeftMS = float64(s.cold.left(time.Now()).Milliseconds())
 	for model, version := range s.models {
 		document.Models = append(document.Models, platform.ModelDocument{Name: model, Version: version})
@@ -260,6 +273,13 @@
 	}
 }
 
+// weights returns the versions that the sampler serves.
+func (s *Sampler) weights() map[string]uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.models)
+}
+
 func (s *Sampler) version(model string) uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -337,7 +357,7 @@
 
 func (s *Sampler) report(writer http.ResponseWriter) {
 	s.mutex.Lock()
-	document := platform.ReportDocument{Busy: s.loading != "", Orders: s.orders}
+	document := platform.ReportDocument{Busy: s.loading != "", Orders: s.orders, Born: s.born}
 	for model, version := range s.models {
 		document.Models = append(document.Models, platform.ModelDocument{Name: model, Version: version})
 	}
--- a/internal/platformsim/store.go
+++ b/internal/platformsim/store.go
@@ -81,6 +81,13 @@
 	s.append(topic, 0, [][]byte{append(record, value...)})
 }
 
+// PutRaw writes a record of a keyed topic as it is.
+func (s *Store) PutRaw(topic string, record []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.append(topic, 0, [][]byte{record})
+}
+
 func (s *Store) draw(share float64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -248,6 +255,10 @@
 	newest := make(map[string]platform.NewestRecord)
 	var order []string
 	for offset, record := range records {
+		if len(record) == 0 || len(record) < 1+int(record[0]) {
+			// It has no key under which it would be the newest.
+			continue
+		}
 		end := 1 + int(record[0])
 		key := string(record[1:end])
 		if _, known := newest[key]; !known {
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -218,7 +218,17 @@
 		w.mutex.Unlock()
 	}
 	machine.starts++
-	id := fmt.Sprintf("i-%s-%d", machine.host, machine.starts)
+	w.serveSampler(machine, fmt.Sprintf("i-%s-%d", machine.host, machine.starts), models)
+}
+
+// startSamplerAs starts a sampler again under an id that it had, with the weights that it
+// had.
+func (w *World) startSamplerAs(machine *samplerMachine, id string) {
+	machine.starts++
+	w.serveSampler(machine, id, machine.sampler.weights())
+}
+
+func (w *World) serveSampler(machine *samplerMachine, id string, models map[string]uint64) {
 	listener, address := w.listen(machine.host, machine.spec.Zone, samplerPort)
 	machine.spec.Address = address
 	var coldUntil time.Time
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -8,7 +8,9 @@
 
 // Endpoint is one engine or back end.
 type Endpoint struct {
-	ID      string
+	ID string
+	// Born is the start of its incarnation, in Unix milliseconds, 0 if it does not tell.
+	Born    int64
 	Address string
 	Zone    string
 	Pool    string
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -21,6 +21,8 @@
 	Leaving bool
 	// Capacity is the work that it takes at once; 0 if unknown.
 	Capacity int
+	// Born is the start of its incarnation, 0 where endpoints do not tell.
+	Born int64
 	// ColdFor is how much longer it said that it is cold, Limits what this node may send
 	// it meanwhile.
 	ColdFor time.Duration
@@ -62,9 +64,10 @@
 	}
 }
 
-// Changes lists the endpoints that an update added, found leaving or removed.
+// Changes lists the endpoints that an update added, found leaving or removed, and those
+// that started again, as they were before.
 type Changes struct {
-	Added, Leaving, Gone []*Endpoint
+	Added, Leaving, Gone, Restarted []*Endpoint
 }
 
 // Update applies the machine list. Endpoints keep their dynamic state. An
@@ -76,8 +79,13 @@
 	for _, machine := range machines {
 		present[machine.ID] = struct{}{}
 		endpoint, ok := t.byID[machine.ID]
-		if !ok || endpoint.Address != machine.Address || endpoint.Pool != machine.Pool {
-			endpoint = &Endpoint{ID: machine.ID, Address: machine.Address, Zone: machine.Zone, Pool: machine.Pool}
+		if ok && endpoint.Born != machine.Born {
+			// It started again: that its former incarnation left tells nothing.
+			delete(t.leaving, machine.ID)
+			changes.Restarted = append(changes.Restarted, endpoint)
+		}
+		if !ok || endpoint.Born != machine.Born || endpoint.Address != machine.Address || endpoint.Pool != machine.Pool {
+			endpoint = &Endpoint{ID: machine.ID, Born: machine.Born, Address: machine.Address, Zone: machine.Zone, Pool: machine.Pool}
 			endpoint.Report.Capacity = machine.Capacity
 			endpoint.Evacuated = t.evacuated.Has(machine.Zone)
 			_, endpoint.Leaving = t.leaving[machine.ID]
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -94,11 +94,11 @@
 	leftAt    time.Time
 	notBefore time.Time
 	// avoid is the sampler that failed the item last.
-	avoid    string
+	avoid    Incarnation
 	failures int
 	refusals int
 	// failedAt holds the samplers that ran the item and failed.
-	failedAt map[string]struct{}
+	failedAt map[Incarnation]struct{}
 }
 
 // Milestones are the moments of an item's way to its result, as far as this
--- a/internal/schedule/moves.go
+++ b/internal/schedule/moves.go
@@ -34,8 +34,8 @@
 	Reason string
 }
 
-// Moves returns the runs to stop now: silent ones, and, if there is room at a
-// much faster sampler, those on slow ones. Their items are pending again.
+// Moves returns the runs to stop now: those of samplers that started again, silent ones,
+// and, if there is room at a much faster sampler, those on slow ones. Their items are pending again.
 func (s *Scheduler) Moves(now time.Time) []Move {
 	var moves []Move
 	brisk := s.briskPace()
@@ -45,6 +45,8 @@
 		silent := now.Sub(entry.lastEvent)
 		move := Move{Key: key, Run: entry.run, From: entry.sampler.ID, Silent: silent, Pace: entry.sampler.pace}
 		switch {
+		case entry.sampler.ended:
+			move.Reason = "restarted"
 		case silent > s.patience(entry) && !entry.sampler.isLoading(entry.job.spec.Model):
 			move.Reason = "silent"
 			entry.sampler.lost(now)
@@ -59,7 +61,7 @@
 		default:
 			continue
 		}
-		entry.avoid = entry.sampler.ID
+		entry.avoid = entry.sampler.Incarnation()
 		s.free(entry)
 		entry.phase = pending
 		moves = append(moves, move)
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -126,7 +126,7 @@
 		if state.room(s.fleetPace, now) == 0 || !s.serves(state, entry) || suspect && state.suspects > 0 {
 			continue
 		}
-		cost := state.cost(entry.spec.Group, s.fleetPace, now) * entry.reluctance(state.ID)
+		cost := state.cost(entry.spec.Group, s.fleetPace, now) * entry.reluctance(state.Incarnation())
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 		}
@@ -146,11 +146,11 @@
 )
 
 // reluctance is how much dearer a sampler is for an item than for others.
-func (i *item) reluctance(samplerID string) float64 {
-	if _, failed := i.failedAt[samplerID]; failed {
+func (i *item) reluctance(sampler Incarnation) float64 {
+	if _, failed := i.failedAt[sampler]; failed {
 		return failedAvoidance
 	}
-	if samplerID == i.avoid {
+	if sampler == i.avoid {
 		return avoidance
 	}
 	return 1
--- a/internal/schedule/runs.go
+++ b/internal/schedule/runs.go
@@ -147,7 +147,7 @@
 	sampler := entry.sampler
 	s.free(entry)
 	entry.phase = pending
-	entry.avoid = sampler.ID
+	entry.avoid = sampler.Incarnation()
 	switch ending {
 	case Complete:
 		sampler.completed()
@@ -166,7 +166,7 @@
 		return Verdict{Dead: true}
 	case Failed:
 		sampler.failed(now)
-		return s.failed(entry, sampler.ID, now)
+		return s.failed(entry, sampler.Incarnation(), now)
 	case WrongSampler:
 		sampler.Leaving = true
 	case Refused:
@@ -180,12 +180,12 @@
 }
 
 // failed records that a sampler ran an item and failed.
-func (s *Scheduler) failed(entry *item, samplerID string, now time.Time) Verdict {
+func (s *Scheduler) failed(entry *item, at Incarnation, now time.Time) Verdict {
 	entry.failures++
 	if entry.failedAt == nil {
-		entry.failedAt = make(map[string]struct{})
+		entry.failedAt = make(map[Incarnation]struct{})
 	}
-	entry.failedAt[samplerID] = struct{}{}
+	entry.failedAt[at] = struct{}{}
 	if s.hopeless(entry) {
 		entry.phase = settled
 		return Verdict{Dead: true, Failures: entry.failures}
@@ -209,7 +209,7 @@
 		return true
 	}
 	return !slices.ContainsFunc(s.ordered, func(state *samplerState) bool {
-		_, failed := entry.failedAt[state.ID]
+		_, failed := entry.failedAt[state.Incarnation()]
 		return !failed && !state.Leaving && s.serves(state, entry)
 	})
 }
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -8,7 +8,10 @@
 
 // Sampler is a sampler as service discovery and load reports describe it.
 type Sampler struct {
-	ID      string
+	ID string
+	// Born is when it started, in Unix milliseconds, 0 where samplers do not tell. Starts
+	// of one id only are compared.
+	Born    int64
 	Address string
 	Zone    string
 	Service string
@@ -26,12 +29,24 @@
 	Versions map[string]uint64
 }
 
+// Incarnation is a sampler from one of its starts to its end. One that starts again under
+// its id holds and knows nothing of what was before.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns the incarnation that the description is of.
+func (s *Sampler) Incarnation() Incarnation { return Incarnation{ID: s.ID, Born: s.Born} }
+
 // samplerState is a sampler with what the executor knows of it.
 type samplerState struct {
 	Sampler
 	// evacuated is set while the sampler's zone is evacuated.
 	evacuated bool
-	running   int
+	// ended is set once the sampler has started again: this is its former incarnation.
+	ended   bool
+	running int
 	// suspects counts those of them under which a sampler ended before.
 	suspects int
 	// loading holds the models whose weights are being changed. Only work for
--- a/internal/schedule/samplers.go
+++ b/internal/schedule/samplers.go
@@ -19,15 +19,21 @@
 	}
 }
 
-// Samplers applies the list of samplers. What is known of each is kept. One that is new
-// since the first list may have just started, whatever its entry says, which is some
-// seconds old.
+// Samplers applies the list of samplers. What is known of each is kept, of its incarnation
+// that is: one that started again is a new sampler. One that is new since the first list may
+// have just started, whatever its entry says, which is some seconds old.
 func (s *Scheduler) Samplers(listed []Sampler, now time.Time) {
 	first := len(s.samplers) == 0
 	present := make(map[string]struct{}, len(listed))
 	for _, sampler := range listed {
 		present[sampler.ID] = struct{}{}
 		state, ok := s.samplers[sampler.ID]
+		if ok && sampler.Born < state.Born {
+			continue
+		}
+		if ok && sampler.Born > state.Born {
+			state.ended, state.Leaving, ok = true, true, false
+		}
 		if !ok {
 			state = &samplerState{pace: s.fleetPace, groups: make(map[string]time.Time), loading: make(map[string]struct{})}
 			s.samplers[sampler.ID] = state
@@ -78,18 +84,19 @@
 	return merged
 }
 
-// SetVersion records the version that a sampler was found to serve.
-func (s *Scheduler) SetVersion(samplerID, model string, version uint64) {
-	if state, ok := s.samplers[samplerID]; ok {
+// SetVersion records the version that a sampler was found to serve. What a former
+// incarnation served tells nothing of the one that came in its place.
+func (s *Scheduler) SetVersion(of Incarnation, model string, version uint64) {
+	if state, ok := s.samplers[of.ID]; ok && state.Born == of.Born {
 		state.setVersion(model, version)
 	}
 }
 
 // SetLoading records whether a sampler changes the weights of a model.
-func (s *Scheduler) SetLoading(samplerID, model string, loading bool) {
-	state, ok := s.samplers[samplerID]
+func (s *Scheduler) SetLoading(of Incarnation, model string, loading bool) {
+	state, ok := s.samplers[of.ID]
 	switch {
-	case !ok:
+	case !ok || state.Born != of.Born:
 	case loading:
 		state.loading[model] = struct{}{}
 	default:
@@ -143,7 +150,9 @@
 
 // Load tells how loaded a sampler is.
 type Load struct {
-	ID      string
+	ID string
+	// Born is the start of its incarnation.
+	Born    int64
 	Running int
 	// Slots is the number of items that it generates at once.
 	Slots   int
@@ -161,7 +170,7 @@
 	loads := make([]Load, 0, len(s.samplers))
 	for _, state := range s.ordered {
 		loads = append(loads, Load{
-			ID: state.ID, Running: state.running, Slots: state.slots(), Pace: state.pace, Leaving: state.Leaving,
+			ID: state.ID, Born: state.Born, Running: state.running, Slots: state.slots(), Pace: state.pace, Leaving: state.Leaving,
 			Evacuated: state.evacuated,
 			Versions:  state.Versions,
 		})
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -133,21 +133,21 @@
 	old, leaving, other := sampler("old", 8, 1), sampler("leaving", 8, 2), sampler("other", 8, 2)
 	leaving.Leaving, other.Service = true, "api"
 	b := newBench(t, old, leaving, other, sampler("fit", 2, 2), sampler("loading", 8, 2))
-	b.s.SetLoading("loading", "m", true)
+	b.s.SetLoading(Incarnation{ID: "loading"}, "m", true)
 	b.addJob(b.jobOf("j", 2, "g:1", "g:1", "g:1", "g:1"), policy(time.Second), kept{})
 	starts := b.starts()
 	require.Len(t, starts, 2)
 	for _, start := range starts {
 		require.Equal(t, "fit", start.Sampler.ID)
 	}
-	b.s.SetLoading("loading", "m", false)
+	b.s.SetLoading(Incarnation{ID: "loading"}, "m", false)
 	require.Len(t, b.starts(), 2)
 	require.Empty(t, b.starts())
 }
 
 func TestLoadingOneModelDoesNotBlockAnother(t *testing.T) {
 	b := newBench(t, sampler("s", 8, 2))
-	b.s.SetLoading("s", "another", true)
+	b.s.SetLoading(Incarnation{ID: "s"}, "another", true)
 	b.addJob(b.jobOf("j", 2, "g:1"), policy(time.Second), kept{})
 	require.Len(t, b.starts(), 1)
 }
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -30,6 +30,9 @@
 	Key    string
 	Value  []byte
 	Offset uint64
+	// Malformed tells why the record cannot be read, empty if it can. Its key may be known
+	// all the same; the value is not.
+	Malformed string
 }
 
 // KeyedBatch is what one read of a keyed partition returned.
--- a/internal/weights/roll.go
+++ b/internal/weights/roll.go
@@ -10,6 +10,8 @@
 // Member is one sampler in a roll of weight versions.
 type Member struct {
 	ID string
+	// Born tells its incarnation from others of the id, as Step.Born does.
+	Born int64
 	// Versions maps a model to the version served, as far as is known.
 	Versions map[string]uint64
 	// Running is the work that it has, Slots how much it does at once; 0 if that is
@@ -24,8 +26,10 @@
 // Step is an order to bring one sampler to a version.
 type Step struct {
 	SamplerID string
-	Model     string
-	Version   uint64
+	// Born is the start of the incarnation that the order is for.
+	Born    int64
+	Model   string
+	Version uint64
 }
 
 // Roll decides which samplers change their weights when. Loads are scarce: only
@@ -53,6 +57,8 @@
 	moving    map[string]Step
 	notBefore map[string]time.Time
 	failures  map[string]int
+	// born is the start of each sampler's incarnation that is known.
+	born map[string]int64
 }
 
 const (
@@ -101,6 +107,7 @@
 // model. The samplers that are furthest behind come first, then those with the
 // least work.
 func (r *Roll) Next(now time.Time, members []Member, targets map[string]uint64) []Step {
+	r.noteStarts(members)
 	r.settle(now, members, targets)
 	byID := make(map[string]Member, len(members))
 	var behind []Step
@@ -343,15 +350,31 @@
 	var steps []Step
 	for model := range r.replicas[member.ID] {
 		if member.Versions[model] < targets[model] {
-			steps = append(steps, Step{SamplerID: member.ID, Model: model, Version: targets[model]})
+			steps = append(steps, Step{SamplerID: member.ID, Born: member.Born, Model: model, Version: targets[model]})
 		}
 	}
 	return steps
 }
 
+// noteStarts forgets the orders and failures of samplers that started again.
+func (r *Roll) noteStarts(members []Member) {
+	for _, member := range members {
+		if before, known := r.born[member.ID]; known && before != member.Born {
+			delete(r.moving, member.ID)
+			delete(r.failures, member.ID)
+			delete(r.notBefore, member.ID)
+		}
+		r.born[member.ID] = member.Born
+	}
+}
+
 // Done records that an order is over. reached tells whether the sampler was
-// seen to serve the version.
-func (r *Roll) Done(samplerID string, reached bool, now time.Time) {
+// seen to serve the version. That of a former incarnation tells nothing.
+func (r *Roll) Done(step Step, reached bool, now time.Time) {
+	samplerID := step.SamplerID
+	if r.born[samplerID] != step.Born {
+		return
+	}
 	delete(r.moving, samplerID)
 	if reached {
 		delete(r.failures, samplerID)
@@ -378,4 +401,5 @@
 	r.moving = make(map[string]Step)
 	r.notBefore = make(map[string]time.Time)
 	r.failures = make(map[string]int)
+	r.born = make(map[string]int64)
 }
--- a/internal/weights/roll_test.go
+++ b/internal/weights/roll_test.go
@@ -34,7 +34,7 @@
 					members[i].Versions[step.Model] = step.Version
 				}
 			}
-			r.Done(step.SamplerID, true, now)
+			r.Done(step, true, now)
 			orders++
 		}
 	}
@@ -90,11 +90,11 @@
 	members := membersOf(4, map[string]uint64{"a": 1, "b": 1})
 	targets := map[string]uint64{"a": 2, "b": 1}
 	first := roll.Next(now, members, targets)[0]
-	roll.Done(first.SamplerID, false, now)
+	roll.Done(first, false, now)
 	now = now.Add(rollPause)
 	for range 2 {
 		step := roll.Next(now, members, targets)[0]
-		roll.Done(step.SamplerID, step.SamplerID != first.SamplerID, now)
+		roll.Done(step, step.SamplerID != first.SamplerID, now)
 		if step.SamplerID != first.SamplerID {
 			for i := range members {
 				if members[i].ID == step.SamplerID {
@@ -216,7 +216,7 @@
 					members[i].Versions[step.Model] = step.Version
 				}
 			}
-			roll.Done(step.SamplerID, true, now)
+			roll.Done(step, true, now)
 		}
 	}
 	require.Len(t, order, 12)
@@ -244,3 +244,24 @@
 	targets["a"] = 4
 	require.Equal(t, 150, play(roll, now, members, targets), "its even share, if that is less")
 }
+
+// Orders and failures of a former incarnation end with it, and the end of such an order
+// tells nothing of an order to the newer.
+func TestOrdersEndWithTheIncarnation(t *testing.T) {
+	roll := NewRoll(1)
+	now := time.Unix(100, 0)
+	targets := map[string]uint64{"m": 2}
+	member := func(born int64) []Member {
+		return []Member{{ID: "s", Born: born, Versions: map[string]uint64{"m": 1}, Slots: 4}}
+	}
+	former := roll.Next(now, member(10), targets)
+	require.Len(t, former, 1)
+	require.EqualValues(t, 10, former[0].Born)
+	next := roll.Next(now, member(20), targets)
+	require.Len(t, next, 1, "the order under way was for the former")
+	roll.Done(former[0], false, now)
+	require.Equal(t, 1, roll.Moving())
+	require.Empty(t, roll.failures)
+	roll.Done(next[0], true, now)
+	require.Zero(t, roll.Moving())
+}
