--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -202,3 +203,25 @@
 func (r *Route) Allows(service string) bool {
 	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
 }
+
+// RequestServices lists the services to which requests of clients may go, and those that
+// serve no models, to which reward calls go.
+func (c *Catalog) RequestServices() []string {
+	wanted := make(map[string]struct{})
+	for name, service := range c.Services {
+		if len(service.Models) == 0 {
+			wanted[name] = struct{}{}
+		}
+	}
+	for _, group := range c.byHost {
+		for _, route := range group {
+			if route.Kind == Rollout {
+				continue
+			}
+			for _, share := range route.Shares {
+				wanted[share.Service] = struct{}{}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(wanted))
+}
--- a/internal/election/standing.go
+++ b/internal/election/standing.go
@@ -23,6 +23,10 @@
 	Owners []Owner
 	// Far is set if the log service is far away from this node.
 	Far bool
+	// Reserve is set if other nodes are better prepared to execute: this one stands in as a
+	// small one does. Unready is set while it could not execute: it does not enter.
+	Reserve bool
+	Unready bool
 }
 
 // Owner is a member that holds a partition.
@@ -74,7 +78,7 @@
 // Look records a look at the owners by a node of this capacity. A failed look
 // must not be handed in: it changes nothing.
 func (s *Standing) Look(view View, millicores uint64) {
-	regular := view.Regular(millicores)
+	regular := view.Regular(millicores) && !view.Reserve
 	executes := false
 	for _, owner := range view.Owners {
 		if owner.Self {
@@ -92,11 +96,17 @@
 		return
 	}
 	s.vacant++
-	if s.vacant >= view.looksNeeded(regular) {
+	if s.Wanted(view, millicores) && !view.Unready {
 		s.joined = true
 	}
 }
 
+// Wanted reports whether nobody executed for so many looks that this node enters, if it is
+// able to.
+func (s *Standing) Wanted(view View, millicores uint64) bool {
+	return s.vacant >= view.looksNeeded(view.Regular(millicores) && !view.Reserve)
+}
+
 // yields reports whether a node leaves the jobs to another owner. A node with a
 // large machine does not leave them to a small one; a small one leaves them to
 // whoever executes, and to any large owner.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,7 @@
 	PeerProtocol         Number = 402
 	PeerListening        Number = 403
 	PeerPortsTaken       Number = 404
+	ReaderUnhelpful      Number = 405
 	EndpointAdded        Number = 501
 	EndpointLeaving      Number = 502
 	EndpointGone         Number = 503
@@ -150,6 +151,7 @@
 	{PeerProtocol, "peer_protocol", slog.LevelWarn, "A peer speaks another protocol version.", "Upgrade the older node."},
 	{PeerListening, "peer_listening", slog.LevelInfo, "This node takes calls of other nodes.", "None."},
 	{PeerPortsTaken, "peer_ports_taken", slog.LevelWarn, "No port of the range for calls between nodes is free; it is tried again.", "Check what holds the ports."},
+	{ReaderUnhelpful, "reader_unhelpful", slog.LevelWarn, "A node that reads samplers' entries for this one gave no answer of use; another, or the log, is asked.", "Many from one node: check its links and its log of the platform's store."},
 	{EndpointAdded, "endpoint_added", slog.LevelInfo, "An engine or back end appeared in the machine list.", "None."},
 	{EndpointLeaving, "endpoint_leaving", slog.LevelInfo, "An engine or back end is leaving and gets no new work.", "None."},
 	{EndpointGone, "endpoint_gone", slog.LevelInfo, "An engine or back end disappeared from the machine list.", "None."},
--- /dev/null
+++ b/internal/fanout/fanout_test.go
@@ -0,0 +1,174 @@
+package fanout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+func nodesOf(zones, perZone, large int) []Node {
+	var nodes []Node
+	for zone := range zones {
+		for i := range perZone {
+			nodes = append(nodes, Node{
+				Name: fmt.Sprintf("n-%d-%d", zone, i), Zone: fmt.Sprint("zone-", zone),
+				Address: fmt.Sprintf("10.%d.0.%d:1", zone, i), Large: i < large,
+			})
+		}
+	}
+	return nodes
+}
+
+func TestFewNodesReadForThemselves(t *testing.T) {
+	plan := Make(Sizes{}, "n-0-0", "zone-0", nodesOf(2, directNodes/2, 2))
+	require.False(t, plan.Shared)
+	require.True(t, plan.Reads)
+	require.Empty(t, plan.Parents)
+}
+
+// Readers grow with the nodes, and each serves about as many: their load is even.
+func TestReadersServeTheirZonesEvenly(t *testing.T) {
+	for _, perZone := range []int{60, 197} {
+		nodes := nodesOf(5, perZone, perZone/5)
+		served := make(map[string]int)
+		readers := 0
+		for _, node := range nodes {
+			plan := Make(Sizes{}, node.Name, node.Zone, nodes)
+			require.True(t, plan.Shared)
+			if plan.Reads {
+				require.True(t, node.Large, "large machines read")
+				readers++
+				continue
+			}
+			require.Equal(t, node.Zone, plan.Parents[0].Zone)
+			served[plan.Parents[0].Name]++
+		}
+		require.Equal(t, 5*((perZone+askersPerReader-1)/askersPerReader), readers)
+		for name, count := range served {
+			require.Less(t, count, 3*askersPerReader, name)
+		}
+	}
+}
+
+func TestZoneWithoutReadersIsServedByOthers(t *testing.T) {
+	nodes := nodesOf(3, 100, 20)
+	plan := Make(Sizes{}, "alone", "elsewhere", nodes)
+	require.False(t, plan.Reads)
+	require.Len(t, plan.Parents, plan.Readers)
+	for i := range nodes {
+		nodes[i].Address = ""
+	}
+	plan = Make(Sizes{}, nodes[0].Name, nodes[0].Zone, nodes)
+	require.Empty(t, plan.Parents, "nodes that take no questions are not asked")
+	require.True(t, plan.Shared)
+}
+
+func TestReaderThatDidNotHelpIsLeftAloneForAWhile(t *testing.T) {
+	now := time.Unix(100, 0)
+	choice := NewChoice(now)
+	plan := Make(Sizes{}, "alone", "zone-0", nodesOf(2, 200, 40))
+	first := choice.Parents(plan, now)
+	require.Len(t, first, parentsTried)
+	choice.Unhelpful(first[0].Name, now)
+	require.Equal(t, first[1], choice.Parents(plan, now)[0])
+	require.Equal(t, first, choice.Parents(plan, now.Add(avoidFor)))
+	require.True(t, choice.Waits(now.Add(startPatience/2)))
+	require.False(t, choice.Waits(now.Add(startPatience)))
+}
+
+func record(key, group string, offset uint64) sharedlog.KeyedRecord {
+	return sharedlog.KeyedRecord{Key: key, Value: []byte(group), Offset: offset}
+}
+
+func groupByValue(record sharedlog.KeyedRecord) string { return string(record.Value) }
+
+func keysOf(batch sharedlog.KeyedBatch) []string {
+	var keys []string
+	for _, one := range batch.Records {
+		keys = append(keys, one.Key)
+	}
+	return keys
+}
+
+func TestCacheHandsOutTheGroupsThatAreWanted(t *testing.T) {
+	cache := NewCache(groupByValue)
+	_, ready := cache.Newest(All())
+	require.False(t, ready, "nothing was read")
+	cache.Reset([]sharedlog.KeyedRecord{record("b", "llm", 1), record("a", "api", 2), record("c", "api", 3)}, 4)
+	batch, ready := cache.Newest(Only("api"))
+	require.True(t, ready)
+	require.Equal(t, []string{"a", "c"}, keysOf(batch))
+	require.EqualValues(t, 4, batch.Next)
+	batch, _ = cache.Newest(All())
+	require.Equal(t, []string{"a", "b", "c"}, keysOf(batch))
+	cache.Clear()
+	_, ready = cache.Newest(All())
+	require.False(t, ready)
+}
+
+// Each change reaches those who want the key's group, or wanted it: a key that is dropped,
+// turns bad or changes its group tells those who held it.
+func TestChangesReachThoseWhoHeldTheKey(t *testing.T) {
+	cache := NewCache(groupByValue)
+	cache.Reset([]sharedlog.KeyedRecord{record("a", "api", 1), record("b", "llm", 2), record("c", "api", 3)}, 4)
+	cache.Apply([]sharedlog.KeyedRecord{
+		{Key: "a", Offset: 4}, record("b", "llm", 5), {Key: "c", Malformed: "bad", Offset: 6}, record("d", "api", 7), {Offset: 8, Malformed: "no key"},
+	}, 9)
+	batch, kept, _ := cache.Since(4, Only("api"))
+	require.True(t, kept)
+	require.Equal(t, []string{"a", "c", "d"}, keysOf(batch))
+	require.EqualValues(t, 9, batch.Next, "what is left out is passed over")
+	batch, _, _ = cache.Since(7, Only("api"))
+	require.Equal(t, []string{"d"}, keysOf(batch))
+	cache.Apply([]sharedlog.KeyedRecord{record("d", "llm", 9)}, 10)
+	batch, _, _ = cache.Since(9, Only("api"))
+	require.Equal(t, []string{"d"}, keysOf(batch), "it left the group")
+}
+
+// A reader that is behind who asks has nothing for it, and one that does not hold the
+// records any more says so: nothing moves backwards, and a gap is seen.
+func TestNothingMovesBackwardsAndGapsAreSeen(t *testing.T) {
+	cache := NewCache(groupByValue)
+	cache.Reset([]sharedlog.KeyedRecord{record("a", "api", 1)}, 10)
+	batch, kept, _ := cache.Since(25, All())
+	require.True(t, kept)
+	require.Empty(t, batch.Records)
+	require.EqualValues(t, 25, batch.Next)
+	_, kept, _ = cache.Since(9, All())
+	require.False(t, kept, "what was before the newest is not held")
+	var records []sharedlog.KeyedRecord
+	for offset := uint64(10); offset < 10+2*recentRecords; offset++ {
+		records = append(records, record(fmt.Sprint(offset), "api", offset))
+	}
+	cache.Apply(records, 10+2*recentRecords)
+	require.Len(t, cache.recent, recentRecords)
+	_, kept, _ = cache.Since(10, All())
+	require.False(t, kept)
+	_, kept, _ = cache.Since(10+recentRecords, All())
+	require.True(t, kept)
+}
+
+func TestChangeIsAnnounced(t *testing.T) {
+	cache := NewCache(groupByValue)
+	cache.Reset(nil, 1)
+	_, _, changed := cache.Since(1, All())
+	cache.Apply([]sharedlog.KeyedRecord{record("a", "api", 1)}, 2)
+	select {
+	case <-changed:
+	default:
+		t.Fatal("not announced")
+	}
+}
+
+func TestGroupsCoverOthers(t *testing.T) {
+	require.True(t, All().Covers(All()))
+	require.True(t, All().Covers(Only("a")))
+	require.False(t, Only("a").Covers(All()))
+	require.True(t, Only("b", "a", "a").Covers(Only("a")))
+	require.False(t, Only("a").Covers(Only("a", "b")))
+	require.True(t, Groups{}.Covers(Only()))
+}
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -52,6 +52,8 @@
 
 	mutex sync.Mutex
 	nodes map[string]announcedNode
+	// changes counts entries of new nodes and those that say something else than before.
+	changes uint64
 }
 
 // announcedNode is what a node announced last.
@@ -77,7 +79,7 @@
 }
 
 // apply applies records. Entries that a Reset lacks are left to grow old.
-func (d *directory) apply(records []sharedlog.KeyedRecord) {
+func (d *directory) apply(records []sharedlog.KeyedRecord, _ uint64) {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -91,10 +93,15 @@
 			d.skip(record, err.Error())
 			continue
 		}
-		d.nodes[record.Key] = announcedNode{
+		entry := announcedNode{
 			millicores: announced.Millicores, zone: announced.Zone, address: announced.Address, worker: announced.WorkerAddress,
 			readAt: now,
 		}
+		before := d.nodes[record.Key]
+		if before.readAt = now; before != entry {
+			d.changes++
+		}
+		d.nodes[record.Key] = entry
 	}
 }
 
--- a/internal/hosted/directory_test.go
+++ b/internal/hosted/directory_test.go
@@ -43,7 +43,7 @@
 
 func announceAs(t *testing.T, d *directory, node string, millicores uint64) {
 	t.Helper()
-	d.apply([]sharedlog.KeyedRecord{entryOf(t, node, millicores)})
+	d.apply([]sharedlog.KeyedRecord{entryOf(t, node, millicores)}, 1)
 }
 
 func TestAnnouncedCapacitiesAreKnownUntilTheyAreOld(t *testing.T) {
@@ -59,7 +59,7 @@
 		announceAs(t, d, "small", 192)
 		announceAs(t, d, "large", 800)
 		announceAs(t, d, "large", 700)
-		d.apply([]sharedlog.KeyedRecord{{Key: "mad", Value: []byte{0xff}}})
+		d.apply([]sharedlog.KeyedRecord{{Key: "mad", Value: []byte{0xff}}}, 1)
 		known, ok := d.Announced()
 		require.True(t, ok)
 		require.EqualValues(t, 700, known.largest)
@@ -192,6 +192,7 @@
 	for offset, entry := range l.entries[min(int(from), len(l.entries)):] {
 		entry.Offset = from + uint64(offset)
 		read.Records = append(read.Records, entry)
+		read.Next = entry.Offset + 1
 	}
 	return read, nil
 }
@@ -248,7 +249,7 @@
 	for name, zone := range map[string]string{"near": "a", "far": "b"} {
 		value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: name, Zone: zone, Address: name + ":1"})
 		require.NoError(t, err)
-		node.directory.apply([]sharedlog.KeyedRecord{{Key: name, Value: value}})
+		node.directory.apply([]sharedlog.KeyedRecord{{Key: name, Value: value}}, 1)
 	}
 	peers := node.Peers()
 	require.Len(t, peers, 1)
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -15,12 +15,10 @@
 // former process of the machine may have held them for up to two seconds.
 const listenPause = 500 * time.Millisecond
 
-// takesCalls reports whether other nodes may need this one: where there is one region, no
-// work has to be carried elsewhere. The first port of the range is that for calls to the
-// log (PeerAddress).
-func (s *Settings) takesCalls() bool {
-	return len(s.Topology.Regions()) > 1 && s.PeerPorts[1] > s.PeerPorts[0]
-}
+// takesCalls reports whether other nodes can call this one: to carry work that is bound to a
+// region, or to hear of samplers. The first port of the range is that for calls to the log
+// (PeerAddress).
+func (s *Settings) takesCalls() bool { return s.PeerPorts[1] > s.PeerPorts[0] }
 
 // listen takes calls of other nodes on the first free port of the range but its first,
 // until ctx ends.
@@ -28,7 +26,7 @@
 	if !n.settings.takesCalls() {
 		return
 	}
-	server := peer.NewServer(n.worker, n.logger)
+	server := peer.NewServer(peerCalls{n}, n.logger)
 	for ctx.Err() == nil {
 		listener, err := n.listenInRange()
 		if err != nil {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/pathbend/pathbend/internal/dispatch"
+	"github.com/pathbend/pathbend/internal/feed"
 	"github.com/pathbend/pathbend/internal/quarantine"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/roundtrip"
@@ -46,8 +47,20 @@
 	// incarnations.
 	samplersRejected prometheus.Counter
 	samplersFormer   prometheus.Counter
+	// entriesRead counts readings of the samplers' entries, entriesServed the bytes that
+	// this node read for others.
+	entriesRead   *prometheus.CounterVec
+	entriesServed prometheus.Counter
 }
 
+// EntriesRead implements feed.Counter.
+func (m *Metrics) EntriesRead(source feed.Source, answered bool) {
+	m.entriesRead.WithLabelValues(string(source), strconv.FormatBool(answered)).Inc()
+}
+
+// EntriesServed implements feed.Counter.
+func (m *Metrics) EntriesServed(bytes int) { m.entriesServed.Add(float64(bytes)) }
+
 // PeerCallAsked counts a call to the log that a peer was asked to make.
 func (m *Metrics) PeerCallAsked(answered bool) {
 	m.peerCalls.WithLabelValues("asked", strconv.FormatBool(answered)).Inc()
@@ -82,7 +95,11 @@
 	m.samplersFormer = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "pathbend_sampler_entries_former_total", Help: "Entries of former incarnations of samplers that came after a newer one's.",
 	})
-	m.registry.MustRegister(m.samplersRejected, m.samplersFormer)
+	m.entriesRead = counters("pathbend_sampler_entries_read_total", "Readings of the samplers' entries, by where from and whether they were answered.", "source", "answered")
+	m.entriesServed = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pathbend_sampler_entries_served_bytes_total", Help: "Bytes of samplers' entries sent to nodes for which this one reads them.",
+	})
+	m.registry.MustRegister(m.samplersRejected, m.samplersFormer, m.entriesRead, m.entriesServed)
 	m.reports = counters("pathbend_usage_reports_total", "Reports of usage, by whether the platform took them.", "taken")
 	m.reportAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pathbend_usage_report_age_seconds", Help: "Time from the end of a window until the platform took its report.",
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -14,6 +14,7 @@
 	"github.com/pathbend/pathbend/internal/election"
 	"github.com/pathbend/pathbend/internal/evacuation"
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/feed"
 	"github.com/pathbend/pathbend/internal/fleet"
 	"github.com/pathbend/pathbend/internal/metering"
 	"github.com/pathbend/pathbend/internal/network"
@@ -31,6 +32,8 @@
 	Protocol  dispatch.Protocol
 	Generator Generator
 	Control   Control
+	// Topics are the keyed topics that nodes read for each other.
+	Topics Topics
 	// Usage takes reports of usage; it may be nil where there are none.
 	Usage metering.Sender
 	// Scaler takes orders of samplers; it may be nil where there are none.
@@ -59,6 +62,12 @@
 	usage      *usage
 	scaler     *scaler
 	suspects   *suspects
+	// readers tells who reads keyed topics for others, the feeds bring them to this node, and
+	// entries brings them to others.
+	readers      *readers
+	samplerFeed  *feed.Feed
+	operatorFeed *feed.Feed
+	entries      *feed.Server
 
 	// rejections bounds the lines about records that cannot be read.
 	rejections event.Limiter
@@ -118,7 +127,10 @@
 	n.claims = &claims{node: n}
 	n.usage = newUsage(n)
 	n.scaler = &scaler{node: n}
+	n.readers = &readers{node: n}
 	n.ownership = newOwnership(settings, n.log, n.directory, n.executor.flush, logger)
+	n.ownership.candidacy = n.readers
+	n.shareTopics(ports.Topics)
 	return n
 }
 
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -58,6 +58,16 @@
 	of      func(node string) uint64
 }
 
+// candidacy is what an election needs to know of this node's preparation.
+type candidacy interface {
+	// Candidate reports whether this node is among those that are prepared to execute, and
+	// how many are.
+	Candidate() (stands bool, candidates int)
+	// Able reports whether it has all that it needs by now, Prepare makes it get that.
+	Able() bool
+	Prepare()
+}
+
 // group deals the partitions out, and tells how much longer its answers take than those of
 // a service next door.
 type group interface {
@@ -72,6 +82,8 @@
 	settings   Settings
 	group      group
 	capacities capacities
+	// candidacy tells whether this node is prepared to execute; nil where all are.
+	candidacy candidacy
 	// handOver saves what this node executes before it leaves the group.
 	handOver func(ctx context.Context)
 	logger   *event.Logger
@@ -123,12 +135,20 @@
 		return false
 	}
 	view := election.View{Largest: announced.largest}
-	regular := view.Regular(o.settings.Millicores)
+	candidates := announced.nodes
+	if o.candidacy != nil {
+		stands, count := o.candidacy.Candidate()
+		if view.Reserve = !stands; stands {
+			candidates = count
+		}
+		view.Unready = !o.candidacy.Able()
+	}
+	regular := view.Regular(o.settings.Millicores) && !view.Reserve
 	stale := o.standing.Joined() && !o.renewedWithin(o.settings.shareTTL(), now)
 	if !stale && (now.Before(o.lookAt) || regular && o.holds(jobPartition, now)) {
 		return o.standing.Joined()
 	}
-	o.lookAt = now.Add(spreadLook(lookEvery(announced.nodes, regular)))
+	o.lookAt = now.Add(spreadLook(lookEvery(candidates, regular)))
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout+o.group.Beyond())
 	defer cancel()
 	owners, err := o.group.Owners(callCtx, jobGroup)
@@ -138,6 +158,9 @@
 	before := o.standing.Joined()
 	view.Owners, view.Far = o.describe(owners, announced), o.group.Away() > farAway
 	o.standing.Look(view, o.settings.Millicores)
+	if view.Unready && o.standing.Wanted(view, o.settings.Millicores) {
+		o.candidacy.Prepare()
+	}
 	if joined := o.standing.Joined(); joined != before {
 		o.logger.Log(event.StandingChanged, "joins", joined, "millicores", o.settings.Millicores, "largest", view.Largest,
 			"owners", len(owners))
--- a/internal/hosted/pace.go
+++ b/internal/hosted/pace.go
@@ -26,9 +26,16 @@
 	return n.readPause(leastJobsPause, jobsReadShare)
 }
 
+// leastSharedPause is leastSamplersPause where few nodes read the entries for the others:
+// what they rest, all others wait.
+const leastSharedPause = 100 * time.Millisecond
+
 // SamplersPause is how long this node rests between two reads of the samplers'
 // entries.
 func (n *Node) SamplersPause() time.Duration {
+	if plan := n.readers.Plan(); plan.Shared && (plan.Reads || len(plan.Parents) > 0) {
+		return leastSharedPause
+	}
 	return n.readPause(leastSamplersPause, samplersReadShare)
 }
 
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -8,6 +8,7 @@
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/duty"
+	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/locality"
 	"github.com/pathbend/pathbend/internal/schedule"
 )
@@ -135,6 +136,8 @@
 	// each other, 0 where there are none; IP is the address of the machine.
 	PeerPorts [2]int
 	IP        string
+	// Sharing tells from when on nodes share what they read of the samplers.
+	Sharing fanout.Sizes
 	// NodesTopic is a keyed topic in which nodes tell of their machines.
 	NodesTopic string
 	// MaxRecordBytes bounds a record of the log, MaxCallBytes one append.
--- /dev/null
+++ b/internal/hosted/readers.go
@@ -0,0 +1,157 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/election"
+	"github.com/pathbend/pathbend/internal/fanout"
+	"github.com/pathbend/pathbend/internal/feed"
+	"github.com/pathbend/pathbend/internal/sharedlog"
+)
+
+// planAge is how old a plan may be while the directory does not change: entries of nodes
+// that are gone run out (chosen).
+const planAge = 5 * time.Second
+
+// readers tells which nodes read the samplers' entries for the others, by the directory.
+type readers struct {
+	node *Node
+
+	mutex   sync.Mutex
+	plan    fanout.Plan
+	madeAt  time.Time
+	changes uint64
+	// whole is set while this node needs every entry although it does not read for others.
+	whole bool
+}
+
+// Plan returns what this node does now.
+func (r *readers) Plan() fanout.Plan {
+	now := time.Now()
+	changes := r.node.directory.changed()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if changes != r.changes || now.Sub(r.madeAt) > planAge {
+		settings := &r.node.settings
+		r.plan = fanout.Make(settings.Sharing, settings.Name, settings.Zone, r.node.directory.answering())
+		r.changes, r.madeAt = changes, now
+	}
+	return r.plan
+}
+
+// WantWhole makes this node read every entry, or leave that again.
+func (r *readers) WantWhole(whole bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.whole = whole
+}
+
+// wanted returns the services whose samplers this node needs: those to which requests of
+// clients and reward calls may go. Who executes needs all.
+func (r *readers) wanted() fanout.Groups {
+	r.mutex.Lock()
+	whole := r.whole
+	r.mutex.Unlock()
+	current := r.node.Catalog()
+	if whole || current == nil {
+		return fanout.All()
+	}
+	return fanout.Only(current.RequestServices()...)
+}
+
+// Candidate implements candidacy: where some nodes read for the others, they stand for the
+// jobs, as they have the list of samplers already.
+func (r *readers) Candidate() (stands bool, candidates int) {
+	plan := r.Plan()
+	return plan.Reads, plan.Readers
+}
+
+// Able implements candidacy.
+func (r *readers) Able() bool { return !r.node.samplerFeed.Partial() }
+
+// Prepare implements candidacy.
+func (r *readers) Prepare() { r.WantWhole(true) }
+
+// Topics are the keyed topics that nodes read for each other.
+type Topics struct {
+	// Samplers holds the samplers' entries; ServiceOf names the service of one, empty if it
+	// names no sampler.
+	Samplers  string
+	ServiceOf func(sharedlog.KeyedRecord) string
+	// Operator holds what the operator writes.
+	Operator string
+}
+
+// shareTopics makes the feeds through which topics are read.
+func (n *Node) shareTopics(topics Topics) {
+	shared := feed.Config{
+		Log: n.log, Plan: n.readers.Plan, Caller: n.peers, Known: n.directoryRead, Counts: n.metrics, Logger: n.logger,
+	}
+	samplers, operator := shared, shared
+	samplers.Topic, samplers.GroupOf, samplers.Wanted = topics.Samplers, topics.serviceOf, n.readers.wanted
+	operator.Topic, operator.GroupOf, operator.Wanted = topics.Operator, ungrouped, fanout.All
+	// Routes are small, and nothing is served without them.
+	operator.Hurried = true
+	n.samplerFeed, n.operatorFeed = feed.New(samplers), feed.New(operator)
+	n.entries = feed.NewServer(n.samplerFeed, n.operatorFeed)
+}
+
+// serviceOf names the service of a sampler's entry.
+func (t Topics) serviceOf(record sharedlog.KeyedRecord) string {
+	if t.ServiceOf == nil {
+		return ""
+	}
+	return t.ServiceOf(record)
+}
+
+func ungrouped(sharedlog.KeyedRecord) string { return "" }
+
+// SamplerFeed returns what the samplers' entries are read through, OperatorFeed what the
+// operator's documents are.
+func (n *Node) SamplerFeed() *feed.Feed  { return n.samplerFeed }
+func (n *Node) OperatorFeed() *feed.Feed { return n.operatorFeed }
+
+// peerCalls hands calls of other nodes to whoever they are for.
+type peerCalls struct{ node *Node }
+
+// HandlePeer implements peer.Handler.
+func (c peerCalls) HandlePeer(ctx context.Context, call *pathbendv1.Envelope) (*pathbendv1.Envelope, error) {
+	question := call.GetReadEntries()
+	if question == nil {
+		return c.node.worker.HandlePeer(ctx, call)
+	}
+	answer, err := c.node.entries.Answer(ctx, question)
+	if err != nil {
+		return nil, err
+	}
+	return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_EntryBatch{EntryBatch: answer}}, nil
+}
+
+// answering lists the nodes that take questions of others.
+func (d *directory) answering() []fanout.Node {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var largest uint64
+	for _, node := range d.nodes {
+		largest = max(largest, node.millicores)
+	}
+	view := election.View{Largest: largest}
+	var answering []fanout.Node
+	for name, node := range d.nodes {
+		if node.worker != "" && now.Sub(node.readAt) <= announcedFor {
+			answering = append(answering, fanout.Node{Name: name, Zone: node.zone, Address: node.worker, Large: view.Regular(node.millicores)})
+		}
+	}
+	return answering
+}
+
+// changed counts the changes of the directory.
+func (d *directory) changed() uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.changes
+}
--- a/internal/platformsim/store.go
+++ b/internal/platformsim/store.go
@@ -46,6 +46,24 @@
 	changed chan struct{}
 	// handed is told which records a machine gets; it may be nil.
 	handed func(machine string, records []byte)
+	// reads counts the reads of a topic by a machine.
+	reads map[topicReader]int
+}
+
+// topicReader is a machine that reads a topic.
+type topicReader struct{ topic, machine string }
+
+// Reads returns how often machines read a topic, by machine.
+func (s *Store) Reads(topic string) map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	reads := make(map[string]int)
+	for reader, count := range s.reads {
+		if reader.topic == topic {
+			reads[reader.machine] = count
+		}
+	}
+	return reads
 }
 
 // NewStore returns an empty store.
@@ -53,7 +71,7 @@
 	return &Store{
 		random: rand.New(rand.NewPCG(seed, 1)), topics: make(map[string][][][]byte),
 		first: make(map[string]int), groups: make(map[string]*group),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), reads: make(map[topicReader]int),
 	}
 }
 
@@ -194,6 +212,9 @@
 
 func (s *Store) serveRead(writer http.ResponseWriter, request *http.Request) {
 	topic, part := partOf(request)
+	s.mutex.Lock()
+	s.reads[topicReader{topic, hostOf(request.RemoteAddr)}]++
+	s.mutex.Unlock()
 	from, _ := strconv.Atoi(request.URL.Query().Get("from"))
 	hold, _ := strconv.Atoi(request.URL.Query().Get("waitMs"))
 	kilobytes, _ := strconv.Atoi(request.URL.Query().Get("max_kb"))
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -18,6 +18,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/platform"
 )
@@ -65,6 +66,8 @@
 	// Nameless is set where samplers cannot tell from which node a request comes:
 	// then trouble of one machine counts as trouble of all.
 	Nameless bool
+	// Sharing tells from when on nodes share what they read of the samplers.
+	Sharing fanout.Sizes
 	// Suspends is set where machines are suspended. Then no other world may run beside it.
 	Suspends bool
 }
@@ -255,6 +258,7 @@
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = w.storeAddress, 32<<10, 256<<10
 	settings.Store.Parts = storeParts
 	settings.Store.TTLMinMS = 1000
+	settings.Sharing = w.options.Sharing
 	if w.options.Regions != nil {
 		settings.Zones = w.options.Regions
 	}
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -82,7 +82,7 @@
 	if from >= uint64(len(l.keyed)) {
 		return KeyedBatch{End: uint64(len(l.keyed))}, nil
 	}
-	return KeyedBatch{End: uint64(len(l.keyed)), Records: l.keyed[from:]}, nil
+	return KeyedBatch{End: uint64(len(l.keyed)), Next: uint64(len(l.keyed)), Records: l.keyed[from:]}, nil
 }
 
 func (l *fakeLog) Newest(context.Context, Partition, string) (KeyedPage, error) {
@@ -190,7 +190,7 @@
 		}
 		log := &fakeLog{keyed: []KeyedRecord{record(0)}, newest: []KeyedRecord{record(0)}}
 		var got []byte
-		take := func(records []KeyedRecord) {
+		take := func(records []KeyedRecord, _ uint64) {
 			for _, one := range records {
 				got = append(got, one.Value[0])
 			}
--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -26,9 +26,10 @@
 	Partition Partition
 	Observer  Observer
 	// Reset applies the newest record of every key; keys that are missing are
-	// dropped. Apply applies later records in order.
-	Reset func(records []KeyedRecord)
-	Apply func(records []KeyedRecord)
+	// dropped. Apply applies later records in order. next is the offset up to which records
+	// were read by then.
+	Reset func(records []KeyedRecord, next uint64)
+	Apply func(records []KeyedRecord, next uint64)
 	// Early, if set, is told of the records that were read so far while the first pages
 	// come, each time that there are twice as many.
 	Early func(records []KeyedRecord)
@@ -75,16 +76,18 @@
 			wait.For(ctx, retryPause)
 			continue
 		case !known:
-			f.Reset(batch.Records)
+			f.Reset(batch.Records, batch.End)
 			known, next = true, batch.End
-		case len(batch.Records) > 0:
-			f.Apply(f.unread(batch.Records))
-			next = batch.Records[len(batch.Records)-1].Offset + 1
+		case batch.Next > next:
+			next = batch.Next
+			f.Apply(f.unread(batch.Records), next)
 		}
-		if regained, after := f.Health.answered(began); regained {
+		if regained, after := f.Health.answered(began.Add(-batch.Age)); regained {
 			f.Observer.ReadRecovered(f.Partition, after)
 		}
-		rest(ctx, f.Pause)
+		if next >= batch.End {
+			rest(ctx, f.Pause)
+		}
 	}
 }
 
--- a/internal/sharedlog/keyed_test.go
+++ b/internal/sharedlog/keyed_test.go
@@ -49,6 +49,7 @@
 	for _, record := range l.later {
 		if record.Offset >= from {
 			batch.Records = append(batch.Records, record)
+			batch.Next = record.Offset + 1
 		}
 	}
 	if len(batch.Records) == 0 {
@@ -62,8 +63,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &KeyedFollower{
 			Log: log, Observer: &silentObserver{}, Pause: shortPause,
-			Reset: func(records []KeyedRecord) { reset = append(reset, records...) },
-			Apply: func(records []KeyedRecord) { applied = append(applied, records...) },
+			Reset: func(records []KeyedRecord, _ uint64) { reset = append(reset, records...) },
+			Apply: func(records []KeyedRecord, _ uint64) { applied = append(applied, records...) },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -117,9 +118,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var told []int
 		follower := &KeyedFollower{
-			Log: log, Apply: func([]KeyedRecord) {},
+			Log: log, Apply: func([]KeyedRecord, uint64) {},
 			Early: func(records []KeyedRecord) { told = append(told, len(records)) },
-			Reset: func([]KeyedRecord) { cancel() },
+			Reset: func([]KeyedRecord, uint64) { cancel() },
 		}
 		follower.Run(ctx)
 		require.Equal(t, []int{1, 2, 4}, told, "each record is handled about twice in all")
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -39,6 +39,11 @@
 type KeyedBatch struct {
 	End     uint64
 	Records []KeyedRecord
+	// Next is the offset from which reading goes on: records between may be left out that
+	// nobody here wants. It is 0 where there is nothing new.
+	Next uint64
+	// Age is how old the batch was when it was handed out, 0 if it came from the log itself.
+	Age time.Duration
 }
 
 // KeyedPage is a page of the newest records of a keyed partition. The pages are no
