Wait until the directory is whole before samplers are followed; keep who executes whole

A reader's age grew to 1.3 s while nothing happened, since an empty answer counted from its question on, so that every reader lagged at 1.2 s. The newest entries of a reader that was still behind were refused for entries newer than its end. And all nodes followed all samplers for the 8 s until the directory was known, which the log could not bear.

Ruled out: a longer bound for a reader's age (a sampler that leaves gets work longer).

Change: samplers are followed once the directory has not grown for 0.3 s, or the machine's entry was found there; it is read each 0.2 s while it grows. Who stands for the jobs wants every entry. An empty answer is as young as the end of its hold.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,6 +73,7 @@
 	SamplersCold         Number = 520
 	ColdWorkWaits        Number = 521
 	EndpointRestarted    Number = 522
+	EndpointsGone        Number = 523
 	LeaseTaken           Number = 601
 	LeaseLost            Number = 602
 	WeightsOrdered       Number = 603
@@ -174,6 +175,7 @@
 	{SamplersCold, "samplers_cold", slog.LevelInfo, "The number of model samplers that are cold, or may be, changed; the line tells it of all that are listed.", "A zone that stays cold: see docs/OPERATIONS.md."},
 	{ColdWorkWaits, "cold_work_waits", slog.LevelInfo, "Items wait, at most once a second, though samplers have free slots: they got all that a sampler may get in a second that is cold or may be; the line tells how many of each.", "None while samplers are cold; else look for samplers that turn cold again and again."},
 	{EndpointRestarted, "endpoint_restarted", slog.LevelInfo, "An engine or back end started again under its id: what was known of its former incarnation is forgotten.", "None."},
+	{EndpointsGone, "endpoints_gone", slog.LevelInfo, "Several engines or back ends are not on the list of machines any more.", "None, unless nobody took them away."},
 	{LeaseTaken, "lease_taken", slog.LevelInfo, "This node holds a lease.", "None."},
 	{LeaseLost, "lease_lost", slog.LevelInfo, "Another node's claim replaced this node's lease.", "None."},
 	{WeightsOrdered, "weights_ordered", slog.LevelInfo, "An engine was ordered to load or switch to a weight version.", "None."},
--- a/internal/feed/ask.go
+++ b/internal/feed/ask.go
@@ -72,7 +72,8 @@
 		return sharedlog.KeyedBatch{}, err
 	}
 	for _, record := range records {
-		if record.Offset >= answer.Next || !question.Newest && record.Offset < question.From {
+		// The newest of each key are no snapshot: some may be newer than the offset to go on from.
+		if !question.Newest && (record.Offset >= answer.Next || record.Offset < question.From) {
 			return sharedlog.KeyedBatch{}, result.New(result.FrameMalformed, "an entry at %d, outside of %d to %d", record.Offset, question.From, answer.Next)
 		}
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,7 +11,6 @@
 	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/sharedlog"
-	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // Caller makes calls to other nodes.
@@ -46,9 +45,7 @@
 	Plan   func() fanout.Plan
 	Wanted func() fanout.Groups
 	Caller Caller
-	// Known reports whether it is known by now which nodes there are. A feed waits a little
-	// for that unless it is Hurried.
-	Known   func() bool
+	// Hurried is set for a topic that is read from the log itself where no reader has it yet.
 	Hurried bool
 	Counts  Counter
 	Logger  *event.Logger
@@ -116,9 +113,6 @@
 // Newest implements sharedlog.Log. The first page is asked of a reader, which answers with
 // all that this node wants.
 func (f *Feed) Newest(ctx context.Context, partition sharedlog.Partition, after string) (sharedlog.KeyedPage, error) {
-	if after == "" && !f.config.Hurried {
-		f.awaitNodes(ctx)
-	}
 	plan := f.config.Plan()
 	if after == "" && !plan.Reads {
 		wanted := f.wanted(plan)
@@ -139,16 +133,6 @@
 	return page, err
 }
 
-// knownPause is the pause between two looks whether nodes are known.
-const knownPause = 10 * time.Millisecond
-
-// awaitNodes waits a little until it is known which nodes there are: where many start at
-// once, each would read all entries itself before it knows of any other.
-func (f *Feed) awaitNodes(ctx context.Context) {
-	for !f.config.Known() && f.choice.Waits(time.Now()) && wait.For(ctx, knownPause) {
-	}
-}
-
 // ReadKeyed implements sharedlog.Log. A node whose list lacks what it wants by now reads it
 // anew, as after a truncation.
 func (f *Feed) ReadKeyed(ctx context.Context, partition sharedlog.Partition, from uint64, hold time.Duration) (sharedlog.KeyedBatch, error) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,17 +77,28 @@
 	for _, endpoint := range changes.Leaving {
 		f.logger.Log(event.EndpointLeaving, "endpoint", endpoint.ID, "source", "list")
 	}
-	for _, endpoint := range changes.Gone {
-		delete(f.states, endpoint.ID)
-		f.logger.Log(event.EndpointGone, "endpoint", endpoint.ID)
-	}
+	f.noteGone(changes.Gone)
 	for _, endpoint := range changes.Restarted {
 		delete(f.states, endpoint.ID)
 		f.logger.Log(event.EndpointRestarted, "endpoint", endpoint.ID, "address", endpoint.Address)
 	}
 }
 
-// eachLogged is how many endpoints that appear together get a line each: a few are
+// noteGone forgets endpoints that are not listed any more.
+func (f *Fleet) noteGone(gone []*routing.Endpoint) {
+	for _, endpoint := range gone {
+		delete(f.states, endpoint.ID)
+	}
+	if len(gone) > eachLogged {
+		f.logger.Log(event.EndpointsGone, "count", len(gone), "pools", len(f.table.Pools()))
+		return
+	}
+	for _, endpoint := range gone {
+		f.logger.Log(event.EndpointGone, "endpoint", endpoint.ID)
+	}
+}
+
+// eachLogged is how many endpoints that appear or go together get a line each: a few are
 // news of a back end, many are the list that a node has just read (chosen).
 const eachLogged = 4
 
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -34,9 +34,16 @@
 	// directoryPause is the pause between two reads of the directory. A node that is
 	// missing for so long only counts less in shares of reads (chosen).
 	directoryPause = 5 * time.Second
-	// emptyPause is that pause while the directory is empty: all nodes of a new deployment
-	// announce themselves within a moment (chosen).
-	emptyPause = 100 * time.Millisecond
+	// growingPause is that pause while the directory is empty, or grew at the last read; it
+	// doubles from there. All nodes of a new deployment announce themselves at once, and
+	// their entries take turns in a partition: 985 need 4 s. That is as long as no node can
+	// tell who reads for whom (chosen; 985 nodes make 4,900 reads a second of 16,000).
+	growingPause = 200 * time.Millisecond
+	// settledAfter is how long the directory must not grow to count as whole, and
+	// settlePatience how long a node waits for that. A process that finds its machine's entry
+	// has started again, among nodes that are all there (chosen: 75 turns of the partition).
+	settledAfter   = 300 * time.Millisecond
+	settlePatience = 6 * time.Second
 	// emptyPatience is how long a node that announces itself waits for the first entry
 	// before it takes part in the group: what cannot be written must not stop the jobs
 	// (chosen).
@@ -54,6 +61,14 @@
 	nodes map[string]announcedNode
 	// changes counts entries of new nodes and those that say something else than before.
 	changes uint64
+	// began is when this process began to read, grownAt when an entry came last, and resting
+	// the pause before the next read. found is set if the machine's entry stood there at first.
+	began   time.Time
+	grownAt time.Time
+	resting time.Duration
+	found   bool
+	// self is this node's name.
+	self string
 }
 
 // announcedNode is what a node announced last.
@@ -69,11 +84,11 @@
 	readAt time.Time
 }
 
-func newDirectory(log *sharedlog.Measured, topic string, observer sharedlog.Observer, logger *event.Logger) *directory {
-	d := &directory{logger: logger, nodes: make(map[string]announcedNode)}
+func newDirectory(log *sharedlog.Measured, topic, self string, observer sharedlog.Observer, logger *event.Logger) *directory {
+	d := &directory{logger: logger, nodes: make(map[string]announcedNode), began: time.Now(), self: self}
 	d.follower = &sharedlog.KeyedFollower{
 		Log: log, Partition: sharedlog.Partition{Topic: topic}, Observer: observer,
-		Reset: d.apply, Apply: d.apply, Pause: d.pause, Beyond: log.Beyond,
+		Reset: d.reset, Apply: d.apply, Pause: d.pause, Beyond: log.Beyond,
 	}
 	return d
 }
@@ -100,6 +115,7 @@
 		before := d.nodes[record.Key]
 		if before.readAt = now; before != entry {
 			d.changes++
+			d.grownAt, d.resting = now, growingPause
 		}
 		d.nodes[record.Key] = entry
 	}
@@ -130,12 +146,37 @@
 	return announced, true
 }
 
+// reset applies the first reading, and those after a truncation.
+func (d *directory) reset(records []sharedlog.KeyedRecord, next uint64) {
+	d.apply(records, next)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.follower.Health.CurrentAt().IsZero() {
+		_, d.found = d.nodes[d.self]
+	}
+}
+
 // pause is the pause between two reads.
 func (d *directory) pause() time.Duration {
-	if announced, _ := d.Announced(); announced.nodes == 0 {
-		return emptyPause
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if len(d.nodes) == 0 {
+		return growingPause
 	}
-	return directoryPause
+	rests := max(d.resting, growingPause)
+	d.resting = min(2*rests, directoryPause)
+	return rests
+}
+
+// settled reports whether the directory is likely to hold all nodes that there are.
+func (d *directory) settled() bool {
+	if d.follower.Health.CurrentAt().IsZero() {
+		return false
+	}
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.found || now.Sub(d.began) > settlePatience || !d.grownAt.IsZero() && now.Sub(d.grownAt) > settledAfter
 }
 
 // awaitAnnouncements waits until any node's machine is known. The nodes of a new deployment
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -119,7 +119,7 @@
 	n.suspects = newSuspects(n)
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, n.suspects.requests, settings.Zone, newID, logger)
-	n.directory = newDirectory(n.log, settings.NodesTopic, n, logger)
+	n.directory = newDirectory(n.log, settings.NodesTopic, settings.Name, n, logger)
 	n.jobs = newJobBook(n)
 	n.executor = newExecutor(n)
 	n.worker = newWorker(n)
--- a/internal/hosted/ownership.go
+++ b/internal/hosted/ownership.go
@@ -63,9 +63,11 @@
 	// Candidate reports whether this node is among those that are prepared to execute, and
 	// how many are.
 	Candidate() (stands bool, candidates int)
-	// Able reports whether it has all that it needs by now, Prepare makes it get that.
+	// Able reports whether it has all that it needs by now, Prepare makes it get and keep
+	// that, Release lets it go.
 	Able() bool
 	Prepare()
+	Release()
 }
 
 // group deals the partitions out, and tells how much longer its answers take than those of
@@ -158,9 +160,7 @@
 	before := o.standing.Joined()
 	view.Owners, view.Far = o.describe(owners, announced), o.group.Away() > farAway
 	o.standing.Look(view, o.settings.Millicores)
-	if view.Unready && o.standing.Wanted(view, o.settings.Millicores) {
-		o.candidacy.Prepare()
-	}
+	o.prepare(view)
 	if joined := o.standing.Joined(); joined != before {
 		o.logger.Log(event.StandingChanged, "joins", joined, "millicores", o.settings.Millicores, "largest", view.Largest,
 			"owners", len(owners))
@@ -171,6 +171,17 @@
 	return o.standing.Joined()
 }
 
+// prepare lets the node have what it needs to execute, or not, by its standing.
+func (o *ownership) prepare(view election.View) {
+	switch {
+	case o.candidacy == nil:
+	case o.standing.Joined() || o.standing.Wanted(view, o.settings.Millicores):
+		o.candidacy.Prepare()
+	default:
+		o.candidacy.Release()
+	}
+}
+
 // renewedWithin reports whether the share was renewed of late. A node that was out of
 // touch for longer than the share lasts looks who holds it now before it enters the
 // group again: its entry alone would make the service deal anew.
--- a/internal/hosted/readers.go
+++ b/internal/hosted/readers.go
@@ -10,6 +10,7 @@
 	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/feed"
 	"github.com/pathbend/pathbend/internal/sharedlog"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // planAge is how old a plan may be while the directory does not change: entries of nodes
@@ -72,8 +73,9 @@
 // Able implements candidacy.
 func (r *readers) Able() bool { return !r.node.samplerFeed.Partial() }
 
-// Prepare implements candidacy.
+// Prepare and Release implement candidacy: who executes needs every entry.
 func (r *readers) Prepare() { r.WantWhole(true) }
+func (r *readers) Release() { r.WantWhole(false) }
 
 // Topics are the keyed topics that nodes read for each other.
 type Topics struct {
@@ -88,7 +90,7 @@
 // shareTopics makes the feeds through which topics are read.
 func (n *Node) shareTopics(topics Topics) {
 	shared := feed.Config{
-		Log: n.log, Plan: n.readers.Plan, Caller: n.peers, Known: n.directoryRead, Counts: n.metrics, Logger: n.logger,
+		Log: n.log, Plan: n.readers.Plan, Caller: n.peers, Counts: n.metrics, Logger: n.logger,
 	}
 	samplers, operator := shared, shared
 	samplers.Topic, samplers.GroupOf, samplers.Wanted = topics.Samplers, topics.serviceOf, n.readers.wanted
@@ -107,6 +109,14 @@
 	return t.ServiceOf(record)
 }
 
+// AwaitNodes waits until it is known which nodes there are, as far as they tell. Where many
+// start at once, each would follow all samplers itself before it knows of any other: 246
+// nodes that did so kept the log busy for 8 s.
+func (n *Node) AwaitNodes(ctx context.Context) {
+	for n.settings.takesCalls() && !n.directory.settled() && wait.For(ctx, unreadPause) {
+	}
+}
+
 func ungrouped(sharedlog.KeyedRecord) string { return "" }
 
 // SamplerFeed returns what the samplers' entries are read through, OperatorFeed what the
--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -60,7 +60,7 @@
 	var next uint64
 	for ctx.Err() == nil {
 		began := clock.Mark()
-		batch, err := f.read(ctx, known, next)
+		batch, held, err := f.read(ctx, known, next)
 		switch {
 		case result.Is(err, result.LogTruncated):
 			known = false
@@ -82,6 +82,10 @@
 			next = batch.Next
 			f.Apply(f.unread(batch.Records), next)
 		}
+		if len(batch.Records) == 0 {
+			// Whoever answered waited in vain: there was nothing new at the end of the wait.
+			began = began.Add(held)
+		}
 		if regained, after := f.Health.answered(began.Add(-batch.Age)); regained {
 			f.Observer.ReadRecovered(f.Partition, after)
 		}
@@ -91,9 +95,11 @@
 	}
 }
 
-func (f *KeyedFollower) read(ctx context.Context, known bool, next uint64) (KeyedBatch, error) {
+// read makes one read, which is held for a time if there is nothing new.
+func (f *KeyedFollower) read(ctx context.Context, known bool, next uint64) (batch KeyedBatch, held time.Duration, err error) {
 	if !known {
-		return f.gather(ctx)
+		batch, err = f.gather(ctx)
+		return batch, 0, err
 	}
 	poll := pollFor(f.Beyond)
 	timeout := poll + readTimeout
@@ -102,7 +108,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lengthened(timeout, f.Beyond))
 	defer cancel()
-	return f.Log.ReadKeyed(ctx, f.Partition, next, poll)
+	batch, err = f.Log.ReadKeyed(ctx, f.Partition, next, poll)
+	return batch, poll, err
 }
 
 // gather reads all pages of the newest records. After a failure the next call goes on
