Give the share of the jobs a package of its own

Change: internal/ownership (Holder) with its settings, what it asks of its surroundings, and its tests, which are untouched but for names and their package; the group that tests deal out with is internal/ownership/ownershiptest. No change of behaviour.

--- a/internal/hosted/claims.go
+++ b/internal/hosted/claims.go
@@ -9,6 +9,7 @@
 	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/duty"
 	"github.com/pathbend/pathbend/internal/ledger"
+	"github.com/pathbend/pathbend/internal/ownership"
 )
 
 const (
@@ -31,14 +32,14 @@
 
 // MayAct implements duty.Holder.
 func (c *claims) MayAct(now time.Time) bool {
-	_, ok := c.node.ownership.mayOrder(jobPartition, now)
+	_, ok := c.node.ownership.MayOrder(jobPartition, now)
 	return ok
 }
 
 // Claim implements duty.Holder.
 func (c *claims) Claim(ctx context.Context, subject string) (duty.Right, bool) {
 	holder := c.node.settings.Name
-	fence, ok := c.node.ownership.mayOrder(jobPartition, time.Now())
+	fence, ok := c.node.ownership.MayOrder(jobPartition, time.Now())
 	if !ok {
 		return duty.Right{}, false
 	}
@@ -62,7 +63,7 @@
 		return duty.Right{}, false
 	}
 	// The share may have ended while the log was slow.
-	fence, ok = c.node.ownership.mayOrder(jobPartition, time.Now())
+	fence, ok = c.node.ownership.MayOrder(jobPartition, time.Now())
 	return duty.Right{Holder: holder, Fence: fence}, ok
 }
 
@@ -82,7 +83,7 @@
 	waits := false
 	c.node.jobs.withLedger(func(known *ledger.Ledger) {
 		last := known.LastClaimByOthers(subject, c.node.settings.Name)
-		waits = !last.IsZero() && now.Sub(last) < c.node.settings.OrderGrace+orderMargin
+		waits = !last.IsZero() && now.Sub(last) < c.node.settings.OrderGrace+ownership.OrderMargin
 	})
 	return waits
 }
--- a/internal/hosted/contact_test.go
+++ b/internal/hosted/contact_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/ownership/ownershiptest"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 )
@@ -48,11 +49,11 @@
 
 func TestQuietLogThatAnswersLeavesANodeReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		group := &scriptedGroup{}
+		group := &ownershiptest.Group{}
 		node := informedNode(t, group)
 		time.Sleep(contactLimit - time.Millisecond)
 		require.True(t, node.Ready(t.Context()))
-		group.set(func() { group.down = true })
+		group.Set(func() { group.Down = true })
 		require.True(t, node.Ready(t.Context()), "it answered just now")
 		time.Sleep(time.Millisecond)
 		require.False(t, node.Ready(t.Context()), "the ledger was not read of late")
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -12,12 +12,15 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/carry"
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ownership"
 	"github.com/pathbend/pathbend/internal/relay"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/wait"
 )
 
 const (
+	// unreadPause is the pause of a node that waits for what it has not read yet.
+	unreadPause = 20 * time.Millisecond
 	// announceInterval is how often a node repeats what it says of its machine.
 	announceInterval = 45 * time.Second
 	// announceSpread is drawn on top, so that nodes do not announce together.
@@ -126,13 +129,13 @@
 	d.logger.Log(event.RecordSkipped, "topic", d.follower.Partition.Topic, "offset", record.Offset, "detail", detail)
 }
 
-// Announced implements capacities.
-func (d *directory) Announced() (announcements, bool) {
+// Announced implements ownership.Capacities.
+func (d *directory) Announced() (ownership.Announcements, bool) {
 	if d.follower.Health.CurrentAt().IsZero() {
-		return announcements{}, false
+		return ownership.Announcements{}, false
 	}
 	now := time.Now()
-	announced := announcements{of: d.millicores}
+	announced := ownership.Announcements{Of: d.millicores}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for name, node := range d.nodes {
@@ -140,8 +143,8 @@
 			delete(d.nodes, name)
 			continue
 		}
-		announced.nodes++
-		announced.largest = max(announced.largest, node.millicores)
+		announced.Nodes++
+		announced.Largest = max(announced.Largest, node.millicores)
 	}
 	return announced, true
 }
@@ -189,7 +192,7 @@
 	defer cancel()
 	for {
 		announced, _ := n.directory.Announced()
-		if announced.nodes > 0 || !wait.For(ctx, unreadPause) {
+		if announced.Nodes > 0 || !wait.For(ctx, unreadPause) {
 			return
 		}
 	}
--- a/internal/hosted/directory_test.go
+++ b/internal/hosted/directory_test.go
@@ -14,6 +14,8 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/ownership"
+	"github.com/pathbend/pathbend/internal/ownership/ownershiptest"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 )
@@ -62,14 +64,14 @@
 		d.apply([]sharedlog.KeyedRecord{{Key: "mad", Value: []byte{0xff}}}, 1)
 		known, ok := d.Announced()
 		require.True(t, ok)
-		require.EqualValues(t, 700, known.largest)
-		require.Equal(t, 2, known.nodes)
-		require.EqualValues(t, 192, known.of("small"))
-		require.Zero(t, known.of("other"))
+		require.EqualValues(t, 700, known.Largest)
+		require.Equal(t, 2, known.Nodes)
+		require.EqualValues(t, 192, known.Of("small"))
+		require.Zero(t, known.Of("other"))
 		time.Sleep(announcedFor + time.Second)
 		known, _ = d.Announced()
-		require.Zero(t, known.largest)
-		require.Zero(t, known.nodes)
+		require.Zero(t, known.Largest)
+		require.Zero(t, known.Nodes)
 		cancel()
 		<-done
 	})
@@ -139,7 +141,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := &startLog{entries: []sharedlog.KeyedRecord{entryOf(t, "n", 800), entryOf(t, "other", 800)}}
 		settings := Settings{Name: "n", Millicores: 800, ShortestTTL: time.Second, OrderGrace: time.Second, KeepJobs: time.Minute}
-		node := New(settings, Ports{Network: network.TCP{}, Log: log, Group: &scriptedGroup{}}, event.Discard())
+		node := New(settings, Ports{Network: network.TCP{}, Log: log, Group: &ownershiptest.Group{}}, event.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		node.Start(ctx)
 		time.Sleep(time.Second)
@@ -202,7 +204,7 @@
 func TestSmallNodeOfANewDeploymentLeavesTheJobsToALargeOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &keptLog{}
-		groups := map[uint64]*scriptedGroup{192: {share: holding(1)}, 800: {share: holding(1)}}
+		groups := map[uint64]*ownershiptest.Group{192: {Share: ownershiptest.Holding(1)}, 800: {Share: ownershiptest.Holding(1)}}
 		ctx, cancel := context.WithCancel(context.Background())
 		var nodes []*Node
 		for millicores, group := range groups {
@@ -213,9 +215,9 @@
 			node.TakeSamplers([]schedule.Sampler{})
 			nodes = append(nodes, node)
 		}
-		time.Sleep(shortestLook)
-		require.Positive(t, groups[800].joins())
-		require.Zero(t, groups[192].joins())
+		time.Sleep(ownership.ShortestLook)
+		require.Positive(t, groups[800].Joins())
+		require.Zero(t, groups[192].Joins())
 		cancel()
 		for _, node := range nodes {
 			node.Stop()
@@ -225,7 +227,7 @@
 
 func TestNodeThatCannotAnnounceItselfTakesPartAllTheSame(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		group := &scriptedGroup{share: holding(4, 0)}
+		group := &ownershiptest.Group{Share: ownershiptest.Holding(4, 0)}
 		settings := Settings{Name: "n", Millicores: 800, ShortestTTL: time.Second, OrderGrace: time.Second, KeepJobs: time.Minute}
 		log := &startLog{}
 		node := New(settings, Ports{Network: network.TCP{}, Log: log, Group: group}, event.Discard())
@@ -234,9 +236,9 @@
 		node.TakeCatalog(catalogOf(t, 1))
 		node.TakeSamplers([]schedule.Sampler{})
 		time.Sleep(emptyPatience / 2)
-		require.Zero(t, group.joins())
+		require.Zero(t, group.Joins())
 		time.Sleep(emptyPatience)
-		require.Positive(t, group.joins())
+		require.Positive(t, group.Joins())
 		cancel()
 		node.Stop()
 	})
--- a/internal/hosted/executor.go
+++ b/internal/hosted/executor.go
@@ -133,7 +133,7 @@
 
 func (e *executor) step(ctx context.Context) {
 	now := time.Now()
-	executes := e.node.ownership.executes(jobPartition, now)
+	executes := e.node.ownership.Executes(jobPartition, now)
 	if executes && !e.executing() {
 		e.begin(ctx)
 	}
@@ -220,7 +220,7 @@
 		e.adopt(job)
 		open++
 	}
-	e.node.logger.Log(event.ExecutorStarted, "generation", e.node.ownership.current(), "open_jobs", open)
+	e.node.logger.Log(event.ExecutorStarted, "generation", e.node.ownership.Current(), "open_jobs", open)
 	e.node.metrics.executing.Set(1)
 }
 
@@ -266,7 +266,7 @@
 	e.stopRuns()
 	e.remote = newRemoteWork()
 	e.scheduler = nil
-	e.node.logger.Log(event.ExecutorStopped, "generation", e.node.ownership.current())
+	e.node.logger.Log(event.ExecutorStopped, "generation", e.node.ownership.Current())
 	e.node.metrics.executing.Set(0)
 }
 
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// jobTopic holds the records of batch jobs; its holders form jobGroup.
+	jobTopic = "pathbend-jobs"
+	jobGroup = "pathbend-executors"
 	// jobPartition is the partition that holds all jobs. One executor sees all
 	// work on all samplers; docs/design/0012 tells when there are more.
 	jobPartition = 0
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -134,7 +134,7 @@
 	})
 	m.gauge("pathbend_requests_active", "Requests in progress.", func() float64 { return float64(n.active.Load()) })
 	m.gauge("pathbend_group_generation", "Generation of the group that deals the job partitions out.", func() float64 {
-		return float64(n.ownership.current())
+		return float64(n.ownership.Current())
 	})
 	m.gauge("pathbend_log_current_age_seconds", "Age of what this node knows of the batch jobs.", func() float64 {
 		return n.jobs.follower.Health.Age().Seconds()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -18,6 +18,7 @@
 	"github.com/pathbend/pathbend/internal/fleet"
 	"github.com/pathbend/pathbend/internal/metering"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/ownership"
 	"github.com/pathbend/pathbend/internal/peer"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
@@ -54,7 +55,7 @@
 	dispatcher *dispatch.Dispatcher
 	directory  *directory
 	jobs       *jobBook
-	ownership  *ownership
+	ownership  *ownership.Holder
 	executor   *executor
 	worker     *worker
 	peers      *peer.Pool
@@ -128,8 +129,7 @@
 	n.usage = newUsage(n)
 	n.scaler = &scaler{node: n}
 	n.readers = &readers{node: n}
-	n.ownership = newOwnership(settings, n.log, n.directory, n.executor.flush, logger)
-	n.ownership.candidacy = n.readers
+	n.ownership = ownership.New(settings.member(), n.log, n.directory, n.readers, n.executor.flush, logger)
 	n.shareTopics(ports.Topics)
 	return n
 }
@@ -157,7 +157,7 @@
 	select {
 	case <-n.informed:
 		n.awaitAnnouncements(ctx)
-		n.ownership.run(ctx)
+		n.ownership.Run(ctx)
 	case <-ctx.Done():
 	}
 }
@@ -191,11 +191,11 @@
 // ledgerDelay is how long this node leaves the ledger to others.
 func (n *Node) ledgerDelay() time.Duration {
 	announced, ok := n.directory.Announced()
-	view := election.View{Largest: announced.largest}
-	if !ok || announced.nodes == 0 || view.Regular(n.settings.Millicores) {
+	view := election.View{Largest: announced.Largest}
+	if !ok || announced.Nodes == 0 || view.Regular(n.settings.Millicores) {
 		return 0
 	}
-	return rand.N(min(time.Duration(announced.nodes)*ledgerShare, longestLedgerDelay))
+	return rand.N(min(time.Duration(announced.Nodes)*ledgerShare, longestLedgerDelay))
 }
 
 // Drain makes the node unready and hands its share over. Requests go on.
@@ -205,7 +205,7 @@
 	}
 	n.logger.Log(event.NodeDraining, "active", n.active.Load())
 	n.worker.drain(ctx)
-	n.ownership.leave(ctx)
+	n.ownership.Leave(ctx)
 }
 
 // Stop ends the node's loops.
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -11,6 +11,7 @@
 	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/ownership/ownershiptest"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
@@ -101,17 +102,17 @@
 // could not read the list of samplers, which every other node knew.
 func TestNodeWithoutSamplersLeavesTheJobsToOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		group := &scriptedGroup{share: holding(4, 0)}
+		group := &ownershiptest.Group{Share: ownershiptest.Holding(4, 0)}
 		settings := Settings{Name: "n", Zone: "a", ShortestTTL: time.Second, OrderGrace: time.Second, KeepJobs: time.Minute}
 		node := New(settings, Ports{Network: network.TCP{}, Log: emptyLog{}, Group: group}, event.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		node.Start(ctx)
 		node.TakeCatalog(catalogOf(t, 1))
 		time.Sleep(5 * time.Second)
-		require.Zero(t, group.joins())
+		require.Zero(t, group.Joins())
 		node.TakeSamplers([]schedule.Sampler{})
 		time.Sleep(time.Second)
-		require.Positive(t, group.joins())
+		require.Positive(t, group.Joins())
 		cancel()
 		node.Stop()
 	})
--- a/internal/hosted/pace.go
+++ b/internal/hosted/pace.go
@@ -45,6 +45,6 @@
 	if !ok || n.settings.ReadsPerSecond <= 0 {
 		return least
 	}
-	even := time.Duration(float64(announced.nodes) / (share * n.settings.ReadsPerSecond) * float64(time.Second))
+	even := time.Duration(float64(announced.Nodes) / (share * n.settings.ReadsPerSecond) * float64(time.Second))
 	return min(max(least, even), longestPause)
 }
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -10,6 +10,7 @@
 	"github.com/pathbend/pathbend/internal/duty"
 	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/locality"
+	"github.com/pathbend/pathbend/internal/ownership"
 	"github.com/pathbend/pathbend/internal/schedule"
 )
 
@@ -199,5 +200,12 @@
 	return time.Duration(float64(s.ShortestTTL) * shareTTLs)
 }
 
+// member is what the node is a member of the group with.
+func (s *Settings) member() ownership.Settings {
+	return ownership.Settings{
+		Member: s.Name, Millicores: s.Millicores, Group: jobGroup, Topic: jobTopic, Partition: jobPartition, TTL: s.shareTTL(),
+	}
+}
+
 // freshness is how old a node's knowledge may be when it denies something.
 func (s *Settings) freshness() time.Duration { return max(s.Settle-settleMargin, settleMargin) }
--- a/internal/hosted/readers.go
+++ b/internal/hosted/readers.go
@@ -63,17 +63,17 @@
 	return fanout.Only(current.RequestServices()...)
 }
 
-// Candidate implements candidacy: where some nodes read for the others, they stand for the
+// Candidate implements ownership.Candidacy: where some nodes read for the others, they stand for the
 // jobs, as they have the list of samplers already.
 func (r *readers) Candidate() (stands bool, candidates int) {
 	plan := r.Plan()
 	return plan.Reads, plan.Readers
 }
 
-// Able implements candidacy.
+// Able implements ownership.Candidacy.
 func (r *readers) Able() bool { return !r.node.samplerFeed.Partial() }
 
-// Prepare and Release implement candidacy: who executes needs every entry.
+// Prepare and Release implement ownership.Candidacy: who executes needs every entry.
 func (r *readers) Prepare() { r.WantWhole(true) }
 func (r *readers) Release() { r.WantWhole(false) }
 
--- a/internal/hosted/remote.go
+++ b/internal/hosted/remote.go
@@ -94,7 +94,7 @@
 	opened := &link{
 		executor: e, worker: chosen, cancel: cancel, given: ctx.Done(), began: e.beganAt, woken: make(chan struct{}, 1),
 		session: carry.Session{
-			Decider: e.node.settings.Name, Generation: e.node.ownership.current(), ID: e.sessionID,
+			Decider: e.node.settings.Name, Generation: e.node.ownership.Current(), ID: e.sessionID,
 		},
 		outlines: make(map[string][]chan *pathbendv1.JobOutline), runs: make(map[uint64]schedule.Start),
 	}
--- a/internal/hosted/scaler.go
+++ b/internal/hosted/scaler.go
@@ -40,7 +40,7 @@
 }
 
 func (s *scaler) step(ctx context.Context) {
-	if generation := s.node.ownership.current(); generation != s.generation {
+	if generation := s.node.ownership.Current(); generation != s.generation {
 		s.generation, s.planners = generation, make(map[string]*scaling.Planner)
 	}
 	current := s.node.Catalog()
--- a/internal/hosted/split_brain.go
+++ b/internal/hosted/split_brain.go
@@ -69,7 +69,7 @@
 
 // detectSplitBrain asks a sampler, if that is due. It is called under the lock.
 func (e *executor) detectSplitBrain(now time.Time) {
-	if !e.splitBrain.due(e.node.ownership.outOfTouch(now), now) {
+	if !e.splitBrain.due(e.node.ownership.OutOfTouch(now), now) {
 		return
 	}
 	load, ok := e.splitBrain.choose(e.scheduler.Loads())
@@ -88,11 +88,11 @@
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.scheduler != scheduler || !e.node.ownership.outOfTouch(time.Now()) || !e.splitBrain.heard(report.Work, own) {
+	if e.scheduler != scheduler || !e.node.ownership.OutOfTouch(time.Now()) || !e.splitBrain.heard(report.Work, own) {
 		return
 	}
 	e.node.logger.Log(event.ExecutorYielded, "sampler", sampler.ID, "work", report.Work, "own", own)
-	e.node.ownership.yield()
+	e.node.ownership.Yield()
 	// Their slots are wanted before the log can be told how far they came.
 	e.stopRuns()
 	e.wake()
--- a/internal/hosted/split_brain_test.go
+++ b/internal/hosted/split_brain_test.go
@@ -55,23 +55,3 @@
 	_, ok := w.choose(nil)
 	require.False(t, ok)
 }
-
-// A holder that was cut off came back and entered the group before it looked: the
-// service dealt anew, and the node that executed by then stopped all its runs.
-func TestHolderThatWasOutOfTouchLooksBeforeItEnters(t *testing.T) {
-	own(t, func(o *ownership, group *scriptedGroup) {
-		time.Sleep(4 * time.Second)
-		group.set(func() { group.down = true })
-		time.Sleep(4 * time.Second)
-		require.True(t, o.outOfTouch(time.Now()))
-		before := 0
-		group.set(func() {
-			group.down = false
-			before = group.joined
-			group.owners = append(group.owners, ownerOf("other", jobPartition))
-		})
-		time.Sleep(time.Second)
-		require.Equal(t, before, group.joins())
-		require.False(t, o.executes(0, time.Now()))
-	})
-}
--- a/internal/hosted/suspended_test.go
+++ b/internal/hosted/suspended_test.go
@@ -23,31 +23,6 @@
 	return s
 }
 
-// A holder that was suspended for longer than its share took it for its own, since the
-// steady clock had stood, until its next renewal was answered.
-func TestShareEndsWhileTheMachineIsSuspended(t *testing.T) {
-	suspended := suspendable(t)
-	own(t, func(o *ownership, group *scriptedGroup) {
-		time.Sleep(4 * time.Second)
-		_, ok := o.mayOrder(jobPartition, time.Now())
-		require.True(t, ok)
-		require.True(t, o.executes(jobPartition, time.Now()))
-		group.set(func() { group.down = true })
-		suspended.slept += 2 * time.Second
-		_, ok = o.mayOrder(jobPartition, time.Now())
-		require.False(t, ok)
-		require.False(t, o.holds(jobPartition, time.Now()))
-		require.True(t, o.outOfTouch(time.Now()))
-		require.True(t, o.executes(jobPartition, time.Now()), "for as long as one that is isolated")
-		suspended.slept += isolatedLimit
-		require.False(t, o.executes(jobPartition, time.Now()))
-		group.set(func() { group.down = false })
-		time.Sleep(time.Second)
-		_, ok = o.mayOrder(jobPartition, time.Now())
-		require.True(t, ok, "it was renewed since")
-	})
-}
-
 func TestSuspendedNodeIsOutOfTouch(t *testing.T) {
 	suspended := suspendable(t)
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/hosted/usage.go
+++ b/internal/hosted/usage.go
@@ -67,7 +67,7 @@
 	if !ok {
 		return leastGather
 	}
-	return min(max(leastGather, time.Duration(announced.nodes)*gatherPerNode), longestGather)
+	return min(max(leastGather, time.Duration(announced.Nodes)*gatherPerNode), longestGather)
 }
 
 // count counts a request of a tenant that began at a time.
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -28,7 +28,7 @@
 
 // orderWeights begins the orders that are due. It is called under the lock.
 func (e *executor) orderWeights(now time.Time) {
-	if _, ok := e.node.ownership.mayOrder(jobPartition, now); !ok {
+	if _, ok := e.node.ownership.MayOrder(jobPartition, now); !ok {
 		return
 	}
 	targets := e.node.targets()
--- a/internal/hosted/weights_test.go
+++ b/internal/hosted/weights_test.go
@@ -13,6 +13,8 @@
 	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/network"
+	"github.com/pathbend/pathbend/internal/ownership"
+	"github.com/pathbend/pathbend/internal/ownership/ownershiptest"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/weights"
@@ -52,7 +54,7 @@
 		Name: name, Zone: "a", ShortestTTL: time.Second, OrderGrace: 3 * time.Second, MaxRecordBytes: 1 << 10, MaxCallBytes: 1 << 12,
 	}
 	node := New(settings, Ports{Network: network.TCP{}, Log: log}, event.Discard())
-	node.ownership.take(holding(generation, jobPartition), clock.Mark())
+	node.ownership.Take(ownershiptest.Holding(generation, jobPartition), clock.Mark())
 	return node.executor
 }
 
@@ -60,7 +62,7 @@
 	t.Helper()
 	right, ok := e.node.claims.Claim(t.Context(), samplerID)
 	if ok {
-		require.Equal(t, e.node.ownership.current(), right.Fence)
+		require.Equal(t, e.node.ownership.Current(), right.Fence)
 	}
 	return ok
 }
@@ -94,8 +96,8 @@
 		require.True(t, announces(t, former, "s1"))
 		require.False(t, announces(t, next, "s1"))
 		require.True(t, announces(t, next, "s2"))
-		time.Sleep(3*time.Second + 2*orderMargin)
-		next.node.ownership.take(holding(5, jobPartition), clock.Mark())
+		time.Sleep(3*time.Second + 2*ownership.OrderMargin)
+		next.node.ownership.Take(ownershiptest.Holding(5, jobPartition), clock.Mark())
 		require.True(t, announces(t, next, "s1"))
 	})
 }
--- a/internal/hosted/ownership.go
+++ b/internal/ownership/holder.go
@@ -1,4 +1,4 @@
-package hosted
+package ownership
 
 import (
 	"context"
@@ -15,9 +15,6 @@
 )
 
 const (
-	// jobTopic holds the records of batch jobs; its holders form jobGroup.
-	jobTopic = "pathbend-jobs"
-	jobGroup = "pathbend-executors"
 	// renewalsPerTTL is how often a share is renewed within its time.
 	renewalsPerTTL = 3
 	// confirmPause is the pause before a new generation is confirmed.
@@ -35,31 +32,46 @@
 	// are any: regions of one country are some 20 ms away and back, on a new connection
 	// twice that; those of a continent 50 to 100 ms (chosen between them).
 	farAway = 45 * time.Millisecond
-	// orderMargin is kept between the last order and the end of the share.
-	orderMargin = 200 * time.Millisecond
-	// isolatedLimit is how long a node that cannot renew its share goes on with
+	// OrderMargin is kept between the last order and the end of the share.
+	OrderMargin = 200 * time.Millisecond
+	// IsolatedLimit is how long a node that cannot renew its share goes on with
 	// its jobs: the log service may be down for all, and then nobody else can
 	// take them over.
-	isolatedLimit = 8 * time.Second
+	IsolatedLimit = 8 * time.Second
 )
 
-// capacities is what nodes announced of their machines.
-type capacities interface {
+// Settings are what a holder is a member with.
+type Settings struct {
+	// Member is the node's name, Millicores the processor time a second that it may use, 0 if
+	// that is not known.
+	Member     string
+	Millicores uint64
+	// Group deals out the partitions of Topic. Who holds Partition executes.
+	Group     string
+	Topic     string
+	Partition int
+	// TTL is how long a share outlasts its last renewal.
+	TTL time.Duration
+}
+
+// Capacities is what nodes announced of their machines.
+type Capacities interface {
 	// Announced returns what an election needs: the largest capacity known, the
 	// number of nodes and a way to look a node up. ok is false until the log was
 	// read once.
-	Announced() (announced announcements, ok bool)
+	Announced() (announced Announcements, ok bool)
 }
 
-// announcements are capacities in thousandths of a core.
-type announcements struct {
-	largest uint64
-	nodes   int
-	of      func(node string) uint64
+// Announcements are capacities in thousandths of a core.
+type Announcements struct {
+	// Largest is the largest known, Nodes the number of nodes, Of looks a node up.
+	Largest uint64
+	Nodes   int
+	Of      func(node string) uint64
 }
 
-// candidacy is what an election needs to know of this node's preparation.
-type candidacy interface {
+// Candidacy is what an election needs to know of this node's preparation.
+type Candidacy interface {
 	// Candidate reports whether this node is among those that are prepared to execute, and
 	// how many are.
 	Candidate() (stands bool, candidates int)
@@ -70,22 +82,22 @@
 	Release()
 }
 
-// group deals the partitions out, and tells how much longer its answers take than those of
+// Group deals the partitions out, and tells how much longer its answers take than those of
 // a service next door.
-type group interface {
+type Group interface {
 	sharedlog.Group
 	Beyond() time.Duration
 	// Away is the round trip to it.
 	Away() time.Duration
 }
 
-// ownership keeps this node's share of the job partitions.
-type ownership struct {
+// Holder keeps this node's share of the job partitions.
+type Holder struct {
 	settings   Settings
-	group      group
-	capacities capacities
+	group      Group
+	capacities Capacities
 	// candidacy tells whether this node is prepared to execute; nil where all are.
-	candidacy candidacy
+	candidacy Candidacy
 	// handOver saves what this node executes before it leaves the group.
 	handOver func(ctx context.Context)
 	logger   *event.Logger
@@ -102,26 +114,29 @@
 	left       bool
 }
 
-func newOwnership(settings Settings, group group, known capacities, handOver func(context.Context), logger *event.Logger) *ownership {
-	return &ownership{
-		settings: settings, group: group, capacities: known, handOver: handOver, logger: logger,
+// New returns a holder that holds nothing. handOver saves what the node executes before it
+// leaves the group; candidacy is nil where all nodes are prepared alike.
+func New(settings Settings, group Group, known Capacities, candidacy Candidacy, handOver func(context.Context), logger *event.Logger) *Holder {
+	return &Holder{
+		settings: settings, group: group, capacities: known, candidacy: candidacy, handOver: handOver, logger: logger,
 		held: make(map[int]struct{}),
 	}
 }
 
-func (o *ownership) run(ctx context.Context) {
+// Run takes part in the group until ctx ends or the node leaves it.
+func (o *Holder) Run(ctx context.Context) {
 	for ctx.Err() == nil && !o.hasLeft() {
 		began := time.Now()
 		if !o.stands(ctx, began) {
 			wait.Until(ctx, o.lookAt)
 			continue
 		}
-		next := began.Add(o.settings.shareTTL() / renewalsPerTTL)
+		next := began.Add(o.settings.TTL / renewalsPerTTL)
 		if o.renew(ctx) {
 			// A partition that is to move passes on only once its holder has
 			// answered with the new generation.
 			next = began.Add(confirmPause)
-		} else if !o.holds(jobPartition, began) {
+		} else if !o.holds(o.settings.Partition, began) {
 			next = began.Add(awaitPause)
 		}
 		wait.Until(ctx, next)
@@ -130,14 +145,14 @@
 
 // stands decides whether this node is to be in the group, and leaves the group
 // if it is not any more.
-func (o *ownership) stands(ctx context.Context, now time.Time) bool {
+func (o *Holder) stands(ctx context.Context, now time.Time) bool {
 	announced, ok := o.capacities.Announced()
 	if !ok {
 		o.lookAt = now.Add(unreadPause)
 		return false
 	}
-	view := election.View{Largest: announced.largest}
-	candidates := announced.nodes
+	view := election.View{Largest: announced.Largest}
+	candidates := announced.Nodes
 	if o.candidacy != nil {
 		stands, count := o.candidacy.Candidate()
 		if view.Reserve = !stands; stands {
@@ -146,14 +161,14 @@
 		view.Unready = !o.candidacy.Able()
 	}
 	regular := view.Regular(o.settings.Millicores) && !view.Reserve
-	stale := o.standing.Joined() && !o.renewedWithin(o.settings.shareTTL(), now)
-	if !stale && (now.Before(o.lookAt) || regular && o.holds(jobPartition, now)) {
+	stale := o.standing.Joined() && !o.renewedWithin(o.settings.TTL, now)
+	if !stale && (now.Before(o.lookAt) || regular && o.holds(o.settings.Partition, now)) {
 		return o.standing.Joined()
 	}
 	o.lookAt = now.Add(spreadLook(lookEvery(candidates, regular)))
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout+o.group.Beyond())
 	defer cancel()
-	owners, err := o.group.Owners(callCtx, jobGroup)
+	owners, err := o.group.Owners(callCtx, o.settings.Group)
 	if err != nil {
 		return o.standing.Joined() && !stale
 	}
@@ -172,7 +187,7 @@
 }
 
 // prepare lets the node have what it needs to execute, or not, by its standing.
-func (o *ownership) prepare(view election.View) {
+func (o *Holder) prepare(view election.View) {
 	switch {
 	case o.candidacy == nil:
 	case o.standing.Joined() || o.standing.Wanted(view, o.settings.Millicores):
@@ -185,26 +200,26 @@
 // renewedWithin reports whether the share was renewed of late. A node that was out of
 // touch for longer than the share lasts looks who holds it now before it enters the
 // group again: its entry alone would make the service deal anew.
-func (o *ownership) renewedWithin(limit time.Duration, now time.Time) bool {
+func (o *Holder) renewedWithin(limit time.Duration, now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	return o.renewedAt.AgeAt(now) < limit
 }
 
 // holds reports whether this node's share surely lasts.
-func (o *ownership) holds(partition int, now time.Time) bool {
+func (o *Holder) holds(partition int, now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[partition]
-	return held && o.renewedAt.AgeAt(now) < o.settings.shareTTL()
+	return held && o.renewedAt.AgeAt(now) < o.settings.TTL
 }
 
 const (
 	// unreadPause is the pause of a node that has not read the log yet.
 	unreadPause = 20 * time.Millisecond
-	// shortestLook is the shortest pause between looks at the owners by a node with
+	// ShortestLook is the shortest pause between looks at the owners by a node with
 	// a large machine, shortestSmallLook that by a node with a small one.
-	shortestLook      = 300 * time.Millisecond
+	ShortestLook      = 300 * time.Millisecond
 	shortestSmallLook = time.Second
 	// lookPerNode and smallLookPerNode lengthen these so that all nodes together
 	// ask no more than some hundred times a second.
@@ -214,7 +229,7 @@
 
 func lookEvery(nodes int, regular bool) time.Duration {
 	if regular {
-		return max(shortestLook, time.Duration(nodes)*lookPerNode)
+		return max(ShortestLook, time.Duration(nodes)*lookPerNode)
 	}
 	return max(shortestSmallLook, time.Duration(nodes)*smallLookPerNode)
 }
@@ -226,22 +241,22 @@
 	return time.Duration(float64(length) * (least + width*rand.Float64()))
 }
 
-func (o *ownership) describe(owners []sharedlog.Owner, announced announcements) []election.Owner {
+func (o *Holder) describe(owners []sharedlog.Owner, announced Announcements) []election.Owner {
 	var described []election.Owner
 	for _, owner := range owners {
-		if owner.Partition.Topic != jobTopic {
+		if owner.Partition.Topic != o.settings.Topic {
 			continue
 		}
 		described = append(described, election.Owner{
-			Millicores: announced.of(owner.Member), Self: owner.Member == o.settings.Name,
-			Jobs: owner.Partition.Number == jobPartition,
+			Millicores: announced.Of(owner.Member), Self: owner.Member == o.settings.Member,
+			Jobs: owner.Partition.Number == o.settings.Partition,
 		})
 	}
 	return described
 }
 
 // withdraw leaves the group until the node stands again.
-func (o *ownership) withdraw(ctx context.Context) {
+func (o *Holder) withdraw(ctx context.Context) {
 	o.mutex.Lock()
 	o.held = make(map[int]struct{})
 	o.generation = 0
@@ -249,7 +264,7 @@
 	o.giveBack(ctx)
 }
 
-func (o *ownership) hasLeft() bool {
+func (o *Holder) hasLeft() bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	return o.left
@@ -257,7 +272,7 @@
 
 // renew makes one join. It reports whether the generation is new, so that it is
 // confirmed at once.
-func (o *ownership) renew(ctx context.Context) (changed bool) {
+func (o *Holder) renew(ctx context.Context) (changed bool) {
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout+o.group.Beyond())
 	defer cancel()
 	o.mutex.Lock()
@@ -280,7 +295,7 @@
 		o.logger.Log(event.GroupContactRegained, "generation", answer.share.Generation, "after_ms", (o.renewedAt.Age() - answer.began.Age()).Milliseconds())
 	}
 	o.lost = false
-	o.take(answer.share, answer.began)
+	o.Take(answer.share, answer.began)
 	return answer.share.Generation != generation
 }
 
@@ -292,17 +307,17 @@
 }
 
 // join makes one renewal, of several calls if they are not answered.
-func (o *ownership) join(ctx context.Context, generation uint64) (joined, error) {
+func (o *Holder) join(ctx context.Context, generation uint64) (joined, error) {
 	bounds := hedge.Call{Most: mostRenewals, After: func() time.Duration { return renewHedge + o.group.Beyond() }}
 	return hedge.First(ctx, bounds, func(int) (joined, error) {
 		began := clock.Mark()
-		share, err := o.group.Join(ctx, jobGroup, o.settings.Name, jobTopic, o.settings.shareTTL(), generation)
+		share, err := o.group.Join(ctx, o.settings.Group, o.settings.Member, o.settings.Topic, o.settings.TTL, generation)
 		return joined{share: share, began: began}, err
 	})
 }
 
-// take puts an answer in force.
-func (o *ownership) take(share sharedlog.Share, began clock.Moment) {
+// Take puts an answer in force.
+func (o *Holder) Take(share sharedlog.Share, began clock.Moment) {
 	held := make(map[int]struct{}, len(share.Partitions))
 	for _, partition := range share.Partitions {
 		held[partition.Number] = struct{}{}
@@ -313,46 +328,46 @@
 	o.generation, o.held, o.renewedAt = share.Generation, held, began
 }
 
-// executes reports whether this node runs the jobs of a partition.
-func (o *ownership) executes(partition int, now time.Time) bool {
+// Executes reports whether this node runs the jobs of a partition.
+func (o *Holder) Executes(partition int, now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[partition]
-	return held && !o.left && o.renewedAt.AgeAt(now) < isolatedLimit
+	return held && !o.left && o.renewedAt.AgeAt(now) < IsolatedLimit
 }
 
-// outOfTouch reports whether this node executes although another may hold its share
+// OutOfTouch reports whether this node executes although another may hold its share
 // by now.
-func (o *ownership) outOfTouch(now time.Time) bool {
+func (o *Holder) OutOfTouch(now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	_, held := o.held[jobPartition]
-	return held && o.renewedAt.AgeAt(now) > o.settings.shareTTL()+orderMargin
+	_, held := o.held[o.settings.Partition]
+	return held && o.renewedAt.AgeAt(now) > o.settings.TTL+OrderMargin
 }
 
-// yield gives up what this node holds, when it found out otherwise that another
+// Yield gives up what this node holds, when it found out otherwise that another
 // executes.
-func (o *ownership) yield() {
+func (o *Holder) Yield() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.held = make(map[int]struct{})
 }
 
-// mayOrder returns the fence for orders if this node may give them now, as far as
+// MayOrder returns the fence for orders if this node may give them now, as far as
 // its share tells. A holder that has not heard yet that its partition passed on
 // finds out when it announces an order in the log.
-func (o *ownership) mayOrder(partition int, now time.Time) (fence uint64, ok bool) {
+func (o *Holder) MayOrder(partition int, now time.Time) (fence uint64, ok bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, held := o.held[partition]
-	if !held || o.left || o.renewedAt.AgeAt(now) > o.settings.shareTTL()-orderMargin {
+	if !held || o.left || o.renewedAt.AgeAt(now) > o.settings.TTL-OrderMargin {
 		return 0, false
 	}
 	return o.generation, true
 }
 
-// leave gives the share back.
-func (o *ownership) leave(ctx context.Context) {
+// Leave gives the share back.
+func (o *Holder) Leave(ctx context.Context) {
 	o.mutex.Lock()
 	o.left = true
 	o.held = make(map[int]struct{})
@@ -362,17 +377,17 @@
 
 // giveBack hands over what this node executed and tells the group. The share is
 // no longer held by then, so that nothing begins anew meanwhile.
-func (o *ownership) giveBack(ctx context.Context) {
+func (o *Holder) giveBack(ctx context.Context) {
 	o.handOver(ctx)
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout+o.group.Beyond())
 	defer cancel()
-	if err := o.group.Leave(callCtx, jobGroup, o.settings.Name); err != nil {
-		o.logger.Log(event.GroupContactLost, "generation", o.current(), "detail", err.Error())
+	if err := o.group.Leave(callCtx, o.settings.Group, o.settings.Member); err != nil {
+		o.logger.Log(event.GroupContactLost, "generation", o.Current(), "detail", err.Error())
 	}
 }
 
-// current returns the generation last heard.
-func (o *ownership) current() uint64 {
+// Current returns the generation last heard.
+func (o *Holder) Current() uint64 {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	return o.generation
