--- a/internal/platformsim/sharing_test.go
+++ b/internal/platformsim/sharing_test.go
@@ -83,6 +83,28 @@
 	}
 }
 
+// What the log hands out of the topics that are shared grows with the readers, and not with
+// the nodes: twice as many nodes with as many readers read it no more often.
+func TestReadsOfTheLogGrowWithReadersAndNotWithNodes(t *testing.T) {
+	total := func(nodesPerZone int) map[string]int {
+		options := sharing(322, nil)
+		options.NodesPerZone, options.Sharing.PerReader = nodesPerZone, nodesPerZone
+		world := play(t, options, nil)
+		require.Empty(t, world.Truth.Violations())
+		sums := make(map[string]int)
+		for _, topic := range []string{platform.TopicSamplers, platform.TopicOperator} {
+			for _, count := range world.Store.Reads(topic) {
+				sums[topic] += count
+			}
+		}
+		return sums
+	}
+	few, many := total(4), total(8)
+	for topic, count := range few {
+		require.Less(t, float64(many[topic]), 1.25*float64(count), "%s: %d reads by 12 nodes, %d by 24", topic, count, many[topic])
+	}
+}
+
 // Drawn faults, as TestSeeds has.
 func TestSeedsWhereNodesShareReadings(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+min(*seeds, 3); seed++ {
