--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -71,23 +71,15 @@
 	return spread(result.New(result.NotReady, "%s", detail).WithRetryAfter(notReadyHint))
 }
 
-const (
-	// denialLimit is how old the configuration may be by which a node denies a route or a
-	// key: a follower that is in touch reads every 0.7 s or sooner. The caller of an older
-	// one is sent to another node. Where a configuration may take longer to be in force, it
-	// is the denialParts-th part of that: nodes that hear of it from others know less newly.
-	denialLimit = 1500 * time.Millisecond
-	denialParts = 2
-)
-
-func (n *Node) denialLimit() time.Duration {
-	return max(denialLimit, n.settings.ApplyWithin/denialParts)
-}
+// denialLimit is how old the configuration may be by which a node denies a route or a
+// key: a follower that is in touch reads every 0.7 s or sooner. The caller of an older
+// one is sent to another node.
+const denialLimit = 1500 * time.Millisecond
 
 // deny returns a denial if the node knows the newest configuration. A node that does
 // not cannot tell a key or a route that was added meanwhile from one that never was.
 func (n *Node) deny(denial error) error {
-	if n.configurationAge() <= n.denialLimit() {
+	if n.configurationAge() <= denialLimit {
 		return denial
 	}
 	return notReady("not in the configuration that this node knows, which may be out of date")
--- a/internal/hosted/pace.go
+++ b/internal/hosted/pace.go
@@ -30,8 +30,8 @@
 	// leastSharedPause is leastSamplersPause where few nodes read the entries for the others:
 	// what they rest, all others wait.
 	leastSharedPause = 100 * time.Millisecond
-	// boundParts is the part of the time within which a fact must be in force everywhere that a
-	// node which hears of it from another lets its question be held, and rests after an answer:
+	// boundParts is the part of the time within which a sampler that leaves must get nothing new
+	// that a node which hears of it from another lets its question be held, and rests after an answer:
 	// the age of a reader that lags, 1.2 s, and both stay within the time. While samplers come,
 	// each entry would be a call to each node otherwise: 954 nodes that rested for 0.1 s made
 	// 9,000 calls a second, and a call wakes two processes where a read of the log wakes one.
@@ -54,17 +54,10 @@
 // SamplersPoll is how long this node lets a question for the samplers' entries be held, 0 for
 // as long as usual. Without one the log is asked as often as a node must know that it reaches it.
 func (n *Node) SamplersPoll() time.Duration {
-	return n.sharedPoll(n.settings.DrainWithin)
-}
-
-// OperatorPoll is the same for what the operator writes.
-func (n *Node) OperatorPoll() time.Duration { return n.sharedPoll(n.settings.ApplyWithin) }
-
-func (n *Node) sharedPoll(bound time.Duration) time.Duration {
 	if len(n.readers.Plan().Parents) == 0 {
 		return 0
 	}
-	return bound / boundParts
+	return n.settings.DrainWithin / boundParts
 }
 
 // readPause spreads a share of the reads that the log allows over all nodes.
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -139,8 +139,6 @@
 	IP        string
 	// DrainWithin is how soon a sampler that leaves must get nothing new, 0 if that is not told.
 	DrainWithin time.Duration
-	// ApplyWithin is how soon a configuration must be in force, 0 if that is not told.
-	ApplyWithin time.Duration
 	// Sharing tells from when on nodes share what they read of the samplers.
 	Sharing fanout.Sizes
 	// NodesTopic is a keyed topic in which nodes tell of their machines.
