--- a/internal/hosted/pace.go
+++ b/internal/hosted/pace.go
@@ -30,11 +30,11 @@
 	// leastSharedPause is leastSamplersPause where few nodes read the entries for the others:
 	// what they rest, all others wait.
 	leastSharedPause = 100 * time.Millisecond
-	// boundParts is the part of the time within which a sampler that leaves must get nothing new
-	// that a node which hears of it from another lets its question be held, and rests after an answer:
-	// the age of a reader that lags, 1.2 s, and both stay within the time. While samplers come,
-	// each entry would be a call to each node otherwise: 954 nodes that rested for 0.1 s made
-	// 9,000 calls a second, and a call wakes two processes where a read of the log wakes one.
+	// boundParts is the part of the time within which a sampler that leaves must get nothing
+	// new for which a node that hears of it from another lets its question be held, and rests
+	// after an answer: the age of a reader that lags, 1.2 s, and both stay within the time.
+	// While samplers come, each entry would be a call to each node otherwise, up to 9,000 a
+	// second by 954 nodes that rest for 0.1 s (worked out).
 	boundParts = 4
 )
 
--- a/internal/hosted/readers.go
+++ b/internal/hosted/readers.go
@@ -62,8 +62,8 @@
 	return fanout.Only(current.RequestServices()...)
 }
 
-// Candidate implements ownership.Candidacy: where some nodes read for the others, they stand for the
-// jobs, as they have the list of samplers already.
+// Candidate implements ownership.Candidacy: where some nodes read for the others, they stand
+// for the jobs, as they have the list of samplers already.
 func (r *readers) Candidate() (stands bool, candidates int) {
 	plan := r.Plan()
 	return plan.Reads, plan.Readers
@@ -108,8 +108,8 @@
 	return t.ServiceOf(record)
 }
 
-// nodesPause is the pause between two looks whether all nodes are known (chosen: 985 nodes
-// that looked each 20 ms woke up 49,000 times a second).
+// nodesPause is the pause between two looks whether all nodes are known (chosen; 985 nodes
+// that look each 20 ms wake up 49,000 times a second, worked out).
 const nodesPause = 100 * time.Millisecond
 
 // AwaitNodes waits until it is known which nodes there are, as far as they tell. Where many
