Count calls to the log service by operation, topic, route and outcome

Cause: the log of the incident cannot tell its hypotheses apart: it shows neither which topic takes the calls and bytes of the log service, nor whether calls go directly or through peers, nor how many are late, given up or made needless by another answer. Change: three metrics (calls, bytes of answers, duration), and one line a second of a node in which calls failed, with all calls of that second. No change of logic.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,6 +40,7 @@
 	LogReadRecovered      Number = 205
 	LogAppendFailed       Number = 206
 	SnapshotAppended      Number = 207
+	LogCallsFailed        Number = 208
 	MemberJoined          Number = 301
 	MemberSuspected       Number = 302
 	MemberLeaving         Number = 303
@@ -142,6 +143,7 @@
 	{LogReadRecovered, "log_read_recovered", slog.LevelInfo, "The log can be read again.", "None."},
 	{LogAppendFailed, "log_append_failed", slog.LevelWarn, "An append failed or its response was lost; the same record is appended again.", "Check the platform's log service if it persists."},
 	{SnapshotAppended, "snapshot_appended", slog.LevelInfo, "A snapshot record was appended, so that nodes catch up faster.", "None."},
+	{LogCallsFailed, "log_calls_failed", slog.LevelInfo, "Calls to the log service failed; the line shows all calls of the last second by operation, topic and route, with their outcomes, the bytes of the answers and the slowest call beyond the time for which it was to be held. Logged at most once per second.", "If many nodes log it: compare the calls of all nodes with the limits of the log service."},
 	{MemberJoined, "member_joined", slog.LevelInfo, "A node was seen for the first time.", "None."},
 	{MemberSuspected, "member_suspected", slog.LevelInfo, "A node misses heartbeats.", "None, unless it repeats for one node."},
 	{MemberLeaving, "member_leaving", slog.LevelInfo, "A node announced that it is draining.", "None."},
--- a/internal/platformnode/metrics.go
+++ b/internal/platformnode/metrics.go
@@ -51,6 +51,12 @@
 	// that this node sent to others.
 	entriesRead   *prometheus.CounterVec
 	entriesServed prometheus.Counter
+	// logCalls counts calls to the log service, logCallBytes the bytes of its answers, and
+	// logCallDuration their duration, unless the service was asked to hold them.
+	logCalls        *prometheus.CounterVec
+	logCallBytes    *prometheus.CounterVec
+	logCallDuration *prometheus.HistogramVec
+	logCallSummary  *logCallSummary
 }
 
 // EntriesRead implements topicreader.Counter.
@@ -102,6 +108,13 @@
 		Name: "pathbend_sampler_entries_served_bytes_total", Help: "Bytes of samplers' entries sent to nodes for which this one reads them.",
 	})
 	m.registry.MustRegister(m.rejectedSamplerEntries, m.staleSamplerEntries, m.entriesRead, m.entriesServed)
+	m.logCallSummary = newLogCallSummary(n.logger)
+	m.logCalls = newCounterVec("pathbend_log_calls_total", "Calls to the log service, by operation, topic or group, route and outcome.", "operation", "topic", "route", "outcome")
+	m.logCallBytes = newCounterVec("pathbend_log_call_bytes_total", "Bytes of the log service's answers, by operation and topic or group.", "operation", "topic")
+	m.logCallDuration = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "pathbend_log_call_duration_seconds", Help: "Duration of calls to the log service that it was not asked to hold, by route.", Buckets: latencyBuckets(),
+	}, []string{"route"})
+	m.registry.MustRegister(m.logCalls, m.logCallBytes, m.logCallDuration)
 	m.usageReports = newCounterVec("pathbend_usage_reports_total", "Reports of usage, by whether the platform took them.", "taken")
 	m.usageReportAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pathbend_usage_report_age_seconds", Help: "Time from the end of a window until the platform took its report.",
