Count the bytes of the batch jobs' topic by the kind of entry

Change: ledger.Change names the kind of the entry of each record, and a metric counts its bytes. No change of logic.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -120,10 +120,46 @@
 	RequestSuspected
 )
 
+// Fact is the kind of a ledger entry. Its values are metric labels.
+type Fact string
+
+// Facts of ledger entries. Incomplete is a record that completes no entry.
+const (
+	Submitted  Fact = "submitted"
+	Ended      Fact = "ended"
+	Listed     Fact = "listed"
+	Progressed Fact = "progress"
+	Claimed    Fact = "claimed"
+	Suspected  Fact = "suspect"
+	Incomplete Fact = "incomplete"
+)
+
+// factOf returns the kind of an entry. Entries that only earlier releases wrote count as
+// Incomplete.
+func factOf(entry *pathbendv1.LedgerEntry) Fact {
+	switch entry.Fact.(type) {
+	case *pathbendv1.LedgerEntry_Submitted:
+		return Submitted
+	case *pathbendv1.LedgerEntry_Ended:
+		return Ended
+	case *pathbendv1.LedgerEntry_Listed:
+		return Listed
+	case *pathbendv1.LedgerEntry_Progress:
+		return Progressed
+	case *pathbendv1.LedgerEntry_Claimed:
+		return Claimed
+	case *pathbendv1.LedgerEntry_Suspect:
+		return Suspected
+	}
+	return Incomplete
+}
+
 // Change describes the effect of an applied record. It may be read without the caller's
 // lock, except for the fields of Job that later records change.
 type Change struct {
 	Kind ChangeKind
+	// Fact is the kind of the entry that the record completes.
+	Fact Fact
 	// Job is the job that changed, nil for NoChange and RequestSuspected.
 	Job *Job
 	// NewResults are the new results of a ResultsAdded change.
@@ -141,23 +177,29 @@
 func (l *Ledger) Apply(record []byte, now time.Time) (Change, error) {
 	entry, err := l.assembler.add(record)
 	if err != nil || entry == nil {
-		return Change{}, err
+		return Change{Fact: Incomplete}, err
 	}
+	change := l.applyEntry(entry, now)
+	change.Fact = factOf(entry)
+	return change, nil
+}
+
+func (l *Ledger) applyEntry(entry *pathbendv1.LedgerEntry, now time.Time) Change {
 	switch fact := entry.Fact.(type) {
 	case *pathbendv1.LedgerEntry_Submitted:
-		return l.submit(entry.JobId, fact.Submitted, now), nil
+		return l.submit(entry.JobId, fact.Submitted, now)
 	case *pathbendv1.LedgerEntry_Ended:
-		return l.end(entry.JobId), nil
+		return l.end(entry.JobId)
 	case *pathbendv1.LedgerEntry_Listed:
-		return l.addResults(entry.JobId, fact.Listed.Results), nil
+		return l.addResults(entry.JobId, fact.Listed.Results)
 	case *pathbendv1.LedgerEntry_Progress:
-		return l.addProgress(entry.JobId, fact.Progress.Items), nil
+		return l.addProgress(entry.JobId, fact.Progress.Items)
 	case *pathbendv1.LedgerEntry_Claimed:
 		l.claims.record(fact.Claimed, now)
 	case *pathbendv1.LedgerEntry_Suspect:
-		return Change{Kind: RequestSuspected, Suspect: fact.Suspect}, nil
+		return Change{Kind: RequestSuspected, Suspect: fact.Suspect}
 	}
-	return Change{}, nil
+	return Change{}
 }
 
 func (l *Ledger) submit(id string, spec *pathbendv1.BatchJob, now time.Time) Change {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -243,3 +243,19 @@
 	require.False(t, known)
 	require.Zero(t, l.LastClaimByOthersReadAt("s", "a"))
 }
+
+// The kind of an entry is reported whether or not the entry changes a job.
+func TestChangeNamesTheFactOfItsEntry(t *testing.T) {
+	state := New()
+	apply := func(entry *pathbendv1.LedgerEntry) Change {
+		records, err := Encode(entry, 1, 1<<10)
+		require.NoError(t, err)
+		change, err := state.Apply(records[0], time.Unix(1, 0))
+		require.NoError(t, err)
+		return change
+	}
+	ended := &pathbendv1.LedgerEntry{JobId: "unknown", Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}}
+	require.Equal(t, Change{Fact: Ended}, apply(ended))
+	claimed := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Claimed{Claimed: &pathbendv1.Claim{Subject: "s"}}}
+	require.Equal(t, Change{Fact: Claimed}, apply(claimed))
+}
--- a/internal/platformnode/jobs.go
+++ b/internal/platformnode/jobs.go
@@ -107,6 +107,7 @@
 	defer s.mutex.Unlock()
 	for i, record := range records {
 		change, err := s.ledger.Apply(record, now)
+		s.node.metrics.ledgerBytes.WithLabelValues(string(change.Fact)).Add(float64(len(record)))
 		if err != nil {
 			s.node.logger.Log(event.RecordSkipped, "topic", jobTopic, "offset", offset+uint64(i), "detail", err.Error())
 			continue
--- a/internal/platformnode/metrics.go
+++ b/internal/platformnode/metrics.go
@@ -57,6 +57,8 @@
 	logCallBytes    *prometheus.CounterVec
 	logCallDuration *prometheus.HistogramVec
 	logCallSummary  *logCallSummary
+	// ledgerBytes counts the bytes of the ledger's records that this node read.
+	ledgerBytes *prometheus.CounterVec
 }
 
 // EntriesRead implements topicreader.Counter.
@@ -114,7 +116,8 @@
 	m.logCallDuration = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "pathbend_log_call_duration_seconds", Help: "Duration of calls to the log service that it was not asked to hold, by route.", Buckets: latencyBuckets(),
 	}, []string{"route"})
-	m.registry.MustRegister(m.logCalls, m.logCallBytes, m.logCallDuration)
+	m.ledgerBytes = newCounterVec("pathbend_ledger_bytes_total", "Bytes of the records of the batch jobs' topic that this node read, by the kind of entry.", "fact")
+	m.registry.MustRegister(m.logCalls, m.logCallBytes, m.logCallDuration, m.ledgerBytes)
 	m.usageReports = newCounterVec("pathbend_usage_reports_total", "Reports of usage, by whether the platform took them.", "taken")
 	m.usageReportAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pathbend_usage_report_age_seconds", Help: "Time from the end of a window until the platform took its report.",
