Give the simulated store the limits of the real one

Cause: the stand-in of the log service answers any number of calls and bytes at once, so that no simulation can show an overload. Change: platformsim.StoreLimits, an option of the world: reads a second over all machines (status 429 above), bytes a second shared by the answers of all reads in the order of their reads (also for callers that have gone), and appends executed one at a time by each partition (status 503 behind more than 2 s of others). The zero value sets no limit. Store.LoadBetween returns calls and bytes by operation, topic and outcome over an interval of time.

--- a/internal/platformsim/store.go
+++ b/internal/platformsim/store.go
@@ -44,11 +44,15 @@
 	firstOffsets map[string]int
 	groups       map[string]*consumerGroup
 	faults       StoreFaults
+	limits       StoreLimits
+	capacity     capacity
 	changed      chan struct{}
 	// onRead is called with the records that are returned to a machine; it may be nil.
 	onRead func(machine string, records []byte)
 	// readCounts is the number of reads of each topic by each machine.
 	readCounts map[topicReader]int
+	// loads is the load of the calls that have ended.
+	loads map[loadKey]StoreLoad
 }
 
 // topicReader identifies a machine that reads a topic.
@@ -73,6 +77,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), topics: make(map[string][][][]byte),
 		firstOffsets: make(map[string]int), groups: make(map[string]*consumerGroup),
 		changed: make(chan struct{}), readCounts: make(map[topicReader]int),
+		loads: make(map[loadKey]StoreLoad),
 	}
 }
 
@@ -142,6 +147,17 @@
 	if err != nil {
 		return
 	}
+	recorder := &callRecorder{ResponseWriter: writer, status: http.StatusOK}
+	defer s.recordCall(request, recorder)
+	if !s.admit(request) {
+		recorder.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	s.serveWithFaults(recorder, request, body)
+}
+
+// serveWithFaults serves a call under the faults in force.
+func (s *Store) serveWithFaults(writer http.ResponseWriter, request *http.Request, body []byte) {
 	s.mutex.Lock()
 	faults := s.faults
 	loseAnswer := request.Method == http.MethodPost && s.random.Float64() < faults.LostWriteRate
@@ -207,6 +223,10 @@
 		body = body[4+length:]
 	}
 	topic, partition := topicPartition(request)
+	if !s.awaitAppend(topic, partition) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.mutex.Lock()
 	offset := s.append(topic, partition, records)
 	s.mutex.Unlock()
@@ -244,7 +264,7 @@
 			if s.onRead != nil {
 				s.onRead(hostOf(request.RemoteAddr), answer)
 			}
-			_, _ = writer.Write(answer)
+			s.sendAnswer(writer, request, answer)
 			return
 		}
 		select {
@@ -302,14 +322,21 @@
 			document.Records = append(document.Records, record)
 		}
 	}
-	writeJSON(writer, document)
+	writer.Header().Set("Content-Type", contentTypeJSON)
+	s.sendAnswer(writer, request, encodeJSON(document))
 }
 
+const contentTypeJSON = "application/json"
+
 func writeJSON(writer http.ResponseWriter, document any) {
+	writer.Header().Set("Content-Type", contentTypeJSON)
+	_, _ = writer.Write(encodeJSON(document))
+}
+
+func encodeJSON(document any) []byte {
 	content, err := json.Marshal(document)
 	if err != nil {
 		panic(err)
 	}
-	writer.Header().Set("Content-Type", "application/json")
-	_, _ = writer.Write(content)
+	return content
 }
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -70,6 +70,8 @@
 	// Sharing sets the cluster size from which nodes share what they read from the log,
 	// and the number of nodes per reader.
 	Sharing fanout.Sizes
+	// StoreLimits limit the capacity of the store. Nodes are told the limit of reads.
+	StoreLimits StoreLimits
 	// SimulateSuspension is set where machines are suspended. The simulated clock is global,
 	// so no other world may run at the same time.
 	SimulateSuspension bool
@@ -166,6 +168,7 @@
 	for _, model := range options.Models {
 		w.versions[model] = 1
 	}
+	w.Store.SetLimits(options.StoreLimits)
 	listener, address := w.listen(storeMachine, zones[0], storePort)
 	w.storeAddress = address
 	w.serve(listener, w.Store)
@@ -263,6 +266,7 @@
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = w.storeAddress, 32<<10, 256<<10
 	settings.Store.Parts = storePartitions
 	settings.Store.TTLMinMS = 1000
+	settings.Store.ReadsPerS = float64(w.options.StoreLimits.ReadsPerSecond)
 	settings.Sharing = w.options.Sharing
 	if w.options.Regions != nil {
 		settings.Zones = w.options.Regions
