Simulate a store that stops answering a share of the nodes

Cause: the simulation cuts one node from the store, but the incident began with a third of them. Change: the fault NodesCutFromStore holds back all traffic between the store and 35 % of the nodes, chosen by the fault's target; isolateNode becomes isolateNodes.

--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -66,8 +67,13 @@
 	// Suspension makes all nodes observe that their machines were suspended for the fault's
 	// duration.
 	Suspension
+	// NodesCutFromStore is NodeCutFromStore for cutNodeShare of the nodes, chosen by the target.
+	NodesCutFromStore
 )
 
+// cutNodeShare is the share of the nodes that NodesCutFromStore affects.
+const cutNodeShare = 0.35
+
 // faultNames holds the name of each kind, as logs and reports show it.
 var faultNames = [...]string{
 	"node_kill", "node_freeze", "node_cut_from_store", "node_cut_from_all", "node_term", "herd_kill", "kill_all",
@@ -78,6 +84,7 @@
 	"cold_return", "samplers_turn_cold", "evacuate", "zone_cut", "zone_lost",
 	"region_cut",
 	"crashing_request", "crashing_item", "crashing_reward", "sampler_reborn", "foreign_entries", "suspension",
+	"nodes_cut_from_store",
 }
 
 // String implements fmt.Stringer.
@@ -132,9 +139,11 @@
 		w.environment.Resume(node.name)
 		w.Checker.RecordHeldTraffic(node.name)
 	case NodeCutFromStore:
-		w.isolateNode(fault, node.name, []string{storeMachine})
+		w.isolateNodes(fault, []string{node.name}, []string{storeMachine})
+	case NodesCutFromStore:
+		w.isolateNodes(fault, chooseNodes(w.Nodes(), fault.Target), []string{storeMachine})
 	case NodeCutFromAll:
-		w.isolateNode(fault, node.name, w.otherMachines(node.name))
+		w.isolateNodes(fault, []string{node.name}, w.otherMachines(node.name))
 	case ConfigChange:
 		w.PutConfig(int(fault.Target % 50))
 	case KeysRevoked:
@@ -332,14 +341,25 @@
 	return others
 }
 
-// isolateNode holds back all traffic between a node and other machines for the fault's duration.
-func (w *World) isolateNode(fault Fault, name string, others []string) {
-	w.disturb(fault, name)
-	w.environment.Isolate([]string{name}, others)
+// chooseNodes returns cutNodeShare of the nodes, rounded up. Another target chooses other nodes.
+func chooseNodes(nodes []string, target uint64) []string {
+	random := rand.New(rand.NewPCG(target, 5))
+	random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	return nodes[:int(math.Ceil(cutNodeShare*float64(len(nodes))))]
+}
+
+// isolateNodes holds back all traffic between nodes and other machines for the fault's duration.
+func (w *World) isolateNodes(fault Fault, names, others []string) {
+	for _, name := range names {
+		w.disturb(fault, name)
+	}
+	w.environment.Isolate(names, others)
 	time.Sleep(fault.For)
-	w.environment.Rejoin([]string{name}, others)
-	w.Checker.RecordHeldTraffic(name)
-	w.recordRecovery(name)
+	w.environment.Rejoin(names, others)
+	for _, name := range names {
+		w.Checker.RecordHeldTraffic(name)
+		w.recordRecovery(name)
+	}
 }
 
 // applyStoreFaults applies faults of the store for the fault's duration.
--- a/internal/platformsim/zones.go
+++ b/internal/platformsim/zones.go
@@ -76,6 +76,10 @@
 	switch fault.Kind {
 	case NodeKill, NodePause, NodeCutFromStore, NodeCutFromAll:
 		record(node.name, until)
+	case NodesCutFromStore:
+		for _, name := range chooseNodes(w.Nodes(), fault.Target) {
+			record(name, until)
+		}
 	case NodeTerminate:
 		endings = append(endings, w.Checker.RecordDisruption(node.name, name, time.Now().Add((gracePeriodS+1)*time.Second), true))
 	case KillMostNodes, KillAllNodes, RegionCut:
