Pace the check of accepted jobs at a store with limits

Cause: CheckAcceptedJobs reads all jobs at all nodes without a pause. At 48 nodes and a limit of 780 reads a second this alone was 1,006 and 1,197 reads in two of the five seconds counted, and 147 reads of jobs were answered with an error in a world without any fault. Change: a pause of 20 ms between two jobs where the store has limits. What is checked stays. Result: no violation in the same world, at most 248 reads in a second of those five.

--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -453,8 +453,12 @@
 	return accepted
 }
 
+// checkPause is the pause between the checks of two jobs at a store with limits.
+const checkPause = 20 * time.Millisecond
+
 // CheckAcceptedJobs reads every recently accepted job from its first result at every node and
-// reports results that are missing. It is called once all faults are over.
+// reports results that are missing. It is called once all faults are over. It pauses between jobs
+// if the store has limits, which the reads of all jobs at once would exceed.
 func (w *World) CheckAcceptedJobs(ctx context.Context) {
 	reader := w.newCaller("judge", zones[0], host, 99)
 	for _, machine := range w.presentNodes() {
@@ -463,6 +467,9 @@
 		w.mutex.Unlock()
 		for _, job := range w.Checker.acceptedJobs() {
 			w.checkJob(ctx, reader, machine.name, job)
+			if w.options.StoreLimits != (StoreLimits{}) {
+				wait.For(ctx, checkPause)
+			}
 		}
 	}
 }
