--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -69,11 +69,16 @@
 	Suspension
 	// NodesCutFromStore is NodeCutFromStore for cutNodeShare of the nodes, chosen by the target.
 	NodesCutFromStore
+	// StoreStalls makes the store answer after stalledLatency.
+	StoreStalls
 )
 
 // cutNodeShare is the share of the nodes that NodesCutFromStore affects.
 const cutNodeShare = 0.35
 
+// stalledLatency is longer than nodes wait for the answer to a read of a log that they follow.
+const stalledLatency = 1500 * time.Millisecond
+
 // faultNames holds the name of each kind, as logs and reports show it.
 var faultNames = [...]string{
 	"node_kill", "node_freeze", "node_cut_from_store", "node_cut_from_all", "node_term", "herd_kill", "kill_all",
@@ -84,7 +89,7 @@
 	"cold_return", "samplers_turn_cold", "evacuate", "zone_cut", "zone_lost",
 	"region_cut",
 	"crashing_request", "crashing_item", "crashing_reward", "sampler_reborn", "foreign_entries", "suspension",
-	"nodes_cut_from_store",
+	"nodes_cut_from_store", "store_stalls",
 }
 
 // String implements fmt.Stringer.
@@ -188,6 +193,8 @@
 		w.applyStoreFaults(fault, StoreFaults{Unresponsive: true})
 	case StoreSlow:
 		w.applyStoreFaults(fault, StoreFaults{SlowdownFactor: 60})
+	case StoreStalls:
+		w.applyStoreFaults(fault, StoreFaults{SlowdownFactor: float64(stalledLatency) / float64(storeLatency)})
 	case StoreLosesWrites:
 		w.applyStoreFaults(fault, StoreFaults{LostWriteRate: 0.35})
 	case StoreDelaysWrites:
--- a/internal/platformsim/simulation_test.go
+++ b/internal/platformsim/simulation_test.go
@@ -35,6 +35,13 @@
 // runSimulation runs a world under traffic, injects the faults, checks the accepted jobs at the
 // end and returns the closed world.
 func runSimulation(t *testing.T, options Options, faults []Fault) *World {
+	t.Helper()
+	return runSimulationFor(t, options, faults, faultTime+healTime, nil)
+}
+
+// runSimulationFor does the same with traffic for a given time, meanwhile calling observe, if it is
+// not nil, which must return before the traffic ends.
+func runSimulationFor(t *testing.T, options Options, faults []Fault, trafficTime time.Duration, observe func(*World)) *World {
 	t.Helper()
 	var world *World
 	synctest.Test(t, func(t *testing.T) {
@@ -53,8 +60,11 @@
 		world.PutConfig(0)
 		time.Sleep(settleTime)
 		var running conc.WaitGroup
-		traffic, stopTraffic := context.WithTimeout(background, faultTime+healTime)
+		traffic, stopTraffic := context.WithTimeout(background, trafficTime)
 		running.Go(func() { world.RunTraffic(traffic) })
+		if observe != nil {
+			running.Go(func() { observe(world) })
+		}
 		startedAt := time.Now()
 		for _, fault := range faults {
 			time.Sleep(time.Until(startedAt.Add(fault.At)))
--- a/internal/platformsim/zones.go
+++ b/internal/platformsim/zones.go
@@ -93,7 +93,7 @@
 			record(machine.name, until)
 		}
 		record(PlaceSamplers, until)
-	case StoreDown, StoreUnresponsive, StoreSlow, StoreLosesWrites, StoreDelaysWrites, StoreRebalance, StoreDropsHistory:
+	case StoreDown, StoreUnresponsive, StoreSlow, StoreStalls, StoreLosesWrites, StoreDelaysWrites, StoreRebalance, StoreDropsHistory:
 		record(placeStore, until)
 	case ConfigChange, KeysRevoked, Evacuate:
 		record(placeOperator, until)
