--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -70,6 +70,8 @@
 	// Sharing sets the cluster size from which nodes share what they read from the log,
 	// and the number of nodes per reader.
 	Sharing fanout.Sizes
+	// StoreLimits limit the capacity of the store. Nodes are told the limit of reads.
+	StoreLimits StoreLimits
 	// SimulateSuspension is set where machines are suspended. The simulated clock is global,
 	// so no other world may run at the same time.
 	SimulateSuspension bool
@@ -166,6 +168,7 @@
 	for _, model := range options.Models {
 		w.versions[model] = 1
 	}
+	w.Store.SetLimits(options.StoreLimits)
 	listener, address := w.listen(storeMachine, zones[0], storePort)
 	w.storeAddress = address
 	w.serve(listener, w.Store)
@@ -263,6 +266,7 @@
 	settings.Store.Address, settings.Store.RecordBytes, settings.Store.CallBytes = w.storeAddress, 32<<10, 256<<10
 	settings.Store.Parts = storePartitions
 	settings.Store.TTLMinMS = 1000
+	settings.Store.ReadsPerS = float64(w.options.StoreLimits.ReadsPerSecond)
 	settings.Sharing = w.options.Sharing
 	if w.options.Regions != nil {
 		settings.Zones = w.options.Regions
@@ -449,8 +453,12 @@
 	return accepted
 }
 
+// checkPause is the pause between the checks of two jobs at a store with limits.
+const checkPause = 20 * time.Millisecond
+
 // CheckAcceptedJobs reads every recently accepted job from its first result at every node and
-// reports results that are missing. It is called once all faults are over.
+// reports results that are missing. It is called once all faults are over. It pauses between jobs
+// if the store has limits, which the reads of all jobs at once would exceed.
 func (w *World) CheckAcceptedJobs(ctx context.Context) {
 	reader := w.newCaller("judge", zones[0], host, 99)
 	for _, machine := range w.presentNodes() {
@@ -459,6 +467,9 @@
 		w.mutex.Unlock()
 		for _, job := range w.Checker.acceptedJobs() {
 			w.checkJob(ctx, reader, machine.name, job)
+			if w.options.StoreLimits != (StoreLimits{}) {
+				wait.For(ctx, checkPause)
+			}
 		}
 	}
 }
