Read the batch jobs' topic through readers on large fleets

Change: where nodes share readers, only the readers and the executor read the topic; the others ask a reader for the records from an offset on (topicreader.RecordFeed, messages ReadLogRecords and LogRecordBatch). The reader's age is added to the caller's; a late answer is used and causes no read of the log. Without any usable answer the node reads the log itself, bounded by fanout.DirectReadPacer. Clusters that do not share readers read as before.

--- a/internal/platformnode/jobs.go
+++ b/internal/platformnode/jobs.go
@@ -11,9 +11,11 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/blobstore"
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/sharedlog"
+	"github.com/pathbend/pathbend/internal/topicreader"
 	"github.com/pathbend/pathbend/internal/wait"
 )
 
@@ -55,6 +57,8 @@
 type jobStore struct {
 	node     *Node
 	follower *sharedlog.Follower
+	// feed reads the log, or asks a node that does, and serves other nodes.
+	feed     *topicreader.RecordFeed
 	appender *sharedlog.Appender
 	blobs    *blobstore.Store
 	// following is set once the node follows the log continuously; before that it reads the
@@ -74,10 +78,15 @@
 			MaxRecordBytes: n.settings.MaxRecordBytes, MaxCallBytes: n.settings.MaxCallBytes, Partitions: n.settings.Partitions,
 		}, n.metrics.recordAppend),
 	}
+	store.feed = topicreader.NewRecordFeed(topicreader.RecordConfig{
+		Log: n.log, Topic: jobTopic, Plan: n.readers.Plan, NeedsLog: n.needsJobsLog, Caller: n.peers,
+		DirectReads: fanout.NewDirectReadPacer(), Counter: n.metrics, Logger: n.logger,
+	})
 	store.follower = &sharedlog.Follower{
-		Log: n.log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
+		Log: store.feed, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
 		Observer: n, Apply: store.apply, Pause: n.jobsPause, ExtraLatency: n.log.ExtraLatency,
 	}
+	store.feed.SetFollower(store.follower)
 	store.appender = &sharedlog.Appender{
 		Log: n.log, Partition: store.follower.Partition, MaxBytes: n.settings.MaxCallBytes,
 		Observe: n.metrics.recordAppend, ExtraLatency: n.log.AppendTime().ExtraLatency,
@@ -85,6 +94,12 @@
 	return store
 }
 
+// needsJobsLog reports whether this node reads the jobs' records from the log whatever its plan:
+// the work of the executor depends on what it reads.
+func (n *Node) needsJobsLog() bool {
+	return n.executor.executing() || n.ownership.ShouldExecute(jobPartition, time.Now())
+}
+
 // appendHedgeDelay returns how long to wait for an append before sending it again in parallel,
 // and whether the log answers other appends as usual meanwhile.
 func (s *jobStore) appendHedgeDelay() (pause time.Duration, answers bool) {
--- a/internal/platformnode/metrics.go
+++ b/internal/platformnode/metrics.go
@@ -57,6 +57,10 @@
 	logCallBytes    *prometheus.CounterVec
 	logCallDuration *prometheus.HistogramVec
 	logCallSummary  *logCallSummary
+	// ledgerReads counts reads of the batch jobs' topic, ledgerServed the bytes of its records
+	// that this node sent to others.
+	ledgerReads  *prometheus.CounterVec
+	ledgerServed prometheus.Counter
 	// ledgerBytes counts the bytes of the ledger's records that this node read.
 	ledgerBytes *prometheus.CounterVec
 }
@@ -69,6 +73,14 @@
 // EntriesServed implements topicreader.Counter.
 func (m *Metrics) EntriesServed(bytes int) { m.entriesServed.Add(float64(bytes)) }
 
+// RecordsRead implements topicreader.RecordCounter.
+func (m *Metrics) RecordsRead(source topicreader.Source, answered bool) {
+	m.ledgerReads.WithLabelValues(string(source), strconv.FormatBool(answered)).Inc()
+}
+
+// RecordsServed implements topicreader.RecordCounter.
+func (m *Metrics) RecordsServed(bytes int) { m.ledgerServed.Add(float64(bytes)) }
+
 // PeerCallAsked counts a call to the log that this node asked a peer to make, and whether the
 // log answered.
 func (m *Metrics) PeerCallAsked(answered bool) {
@@ -116,6 +128,11 @@
 	m.logCallDuration = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "pathbend_log_call_duration_seconds", Help: "Duration of calls to the log service that it was not asked to hold, by route.", Buckets: latencyBuckets(),
 	}, []string{"route"})
+	m.ledgerReads = newCounterVec("pathbend_ledger_reads_total", "Reads of the batch jobs' topic, by where from and whether they were answered.", "source", "answered")
+	m.ledgerServed = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pathbend_ledger_served_bytes_total", Help: "Bytes of the batch jobs' records sent to nodes for which this one reads them.",
+	})
+	m.registry.MustRegister(m.ledgerReads, m.ledgerServed)
 	m.ledgerBytes = newCounterVec("pathbend_ledger_bytes_total", "Bytes of the records of the batch jobs' topic that this node read, by the kind of entry.", "fact")
 	m.registry.MustRegister(m.logCalls, m.logCallBytes, m.logCallDuration, m.ledgerBytes)
 	m.usageReports = newCounterVec("pathbend_usage_reports_total", "Reports of usage, by whether the platform took them.", "taken")
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -127,14 +127,14 @@
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, n.suspects.requests, settings.Zone, newID, logger)
 	n.directory = nodedirectory.New(n.log, settings.NodesTopic, settings.Name, n, logger)
+	n.readers = &readers{node: n}
+	n.peers = peer.NewPool(ports.Network, settings.Name)
 	n.jobs = newJobStore(n)
 	n.executor = newExecutor(n)
 	n.worker = newWorker(n)
-	n.peers = peer.NewPool(ports.Network, settings.Name)
 	n.claims = &claims{node: n}
 	n.usage = newUsage(n)
 	n.scaler = &scaler{node: n}
-	n.readers = &readers{node: n}
 	n.ownership = ownership.New(settings.member(), n.log, n.directory, n.readers,
 		ownership.Callbacks{BeforeRelease: n.executor.flush, OnChange: n.executor.wake}, logger)
 	n.createFeeds(ports.Topics)
--- a/internal/platformnode/read_pause.go
+++ b/internal/platformnode/read_pause.go
@@ -6,6 +6,9 @@
 	// minJobsPause is the minimum pause between two reads of the job log. It lets one read
 	// return several records.
 	minJobsPause = 40 * time.Millisecond
+	// askerJobsPause is the pause between two requests for the jobs' records to a node that
+	// reads them. It lets one request return several records.
+	askerJobsPause = 100 * time.Millisecond
 	// minSamplersPause is the minimum pause between two reads of the samplers' entries. It
 	// lets one read return several entries: every sampler writes one per heartbeat.
 	minSamplersPause = 300 * time.Millisecond
@@ -24,6 +27,12 @@
 	if n.executor.executing() {
 		return minJobsPause
 	}
+	switch plan := n.readers.Plan(); {
+	case plan.Shared && plan.ReadsLog:
+		return n.readPauseOf(plan.Readers, minJobsPause, jobsReadShare)
+	case len(plan.Parents) > 0:
+		return askerJobsPause
+	}
 	return n.readPause(minJobsPause, jobsReadShare)
 }
 
@@ -66,9 +75,17 @@
 // nodes or the read limit is unknown.
 func (n *Node) readPause(minPause time.Duration, share float64) time.Duration {
 	announced, ok := n.directory.Announced()
-	if !ok || n.settings.ReadsPerSecond <= 0 {
+	if !ok {
+		return minPause
+	}
+	return n.readPauseOf(announced.NodeCount, minPause, share)
+}
+
+// readPauseOf is readPause for a given number of nodes that read the log.
+func (n *Node) readPauseOf(nodes int, minPause time.Duration, share float64) time.Duration {
+	if n.settings.ReadsPerSecond <= 0 {
 		return minPause
 	}
-	pause := time.Duration(float64(announced.NodeCount) / (share * n.settings.ReadsPerSecond) * float64(time.Second))
+	pause := time.Duration(float64(nodes) / (share * n.settings.ReadsPerSecond) * float64(time.Second))
 	return min(max(minPause, pause), maxReadPause)
 }
--- a/internal/platformnode/readers.go
+++ b/internal/platformnode/readers.go
@@ -16,8 +16,8 @@
 // renewed because entries of nodes that are gone expire without a change.
 const maxPlanAge = 5 * time.Second
 
-// readers determines from the directory which nodes read the samplers' entries on behalf of
-// the others.
+// readers determines from the directory which nodes read the samplers' entries, the operator's
+// documents and the jobs' records on behalf of the others.
 type readers struct {
 	node *Node
 
@@ -136,19 +136,25 @@
 // OperatorFeed returns the feed of the operator's documents.
 func (n *Node) OperatorFeed() *topicreader.Feed { return n.operatorFeed }
 
-// peerHandler dispatches calls of other nodes: reads of entries to the feeds' server, all
-// others to the worker.
+// peerHandler dispatches calls of other nodes: reads of entries to the feeds' server, reads of
+// the jobs' records to their feed, all others to the worker.
 type peerHandler struct{ node *Node }
 
 // HandlePeer implements peer.Handler.
 func (h peerHandler) HandlePeer(ctx context.Context, call *pathbendv1.Envelope) (*pathbendv1.Envelope, error) {
-	request := call.GetReadEntries()
-	if request == nil {
-		return h.node.worker.HandlePeer(ctx, call)
+	switch body := call.Body.(type) {
+	case *pathbendv1.Envelope_ReadEntries:
+		answer, err := h.node.entryServer.Serve(ctx, body.ReadEntries)
+		if err != nil {
+			return nil, err
+		}
+		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_EntryBatch{EntryBatch: answer}}, nil
+	case *pathbendv1.Envelope_ReadLogRecords:
+		answer, err := h.node.jobs.feed.Serve(ctx, body.ReadLogRecords)
+		if err != nil {
+			return nil, err
+		}
+		return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_LogRecordBatch{LogRecordBatch: answer}}, nil
 	}
-	answer, err := h.node.entryServer.Serve(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_EntryBatch{EntryBatch: answer}}, nil
+	return h.node.worker.HandlePeer(ctx, call)
 }
--- a/internal/platformsim/sharing_test.go
+++ b/internal/platformsim/sharing_test.go
@@ -65,6 +65,10 @@
 	}
 }
 
+// sharedTopics are the topics that some nodes read for the others: the samplers' entries, the
+// operator's documents and the records of batch jobs.
+var sharedTopics = []string{platform.TopicSamplers, platform.TopicOperator, "pathbend-jobs"}
+
 // Without faults, only the readers, one of the four nodes of each zone, follow the shared topics.
 func TestOnlyReadersFollowSharedTopics(t *testing.T) {
 	world := runSimulation(t, sharingOptions(321, nil), nil)
@@ -72,7 +76,7 @@
 	counts := world.Checker.counts
 	require.Zero(t, counts["requests refused"]+counts["requests lost"], counts)
 	require.Equal(t, counts["steps"], counts["steps whole"], counts)
-	for _, topic := range []string{platform.TopicSamplers, platform.TopicOperator} {
+	for _, topic := range sharedTopics {
 		followers, reads := 0, world.Store.ReadCounts(topic)
 		for _, count := range reads {
 			if count > 60 {
@@ -92,7 +96,7 @@
 		world := runSimulation(t, options, nil)
 		require.Empty(t, world.Checker.Violations())
 		sums := make(map[string]int)
-		for _, topic := range []string{platform.TopicSamplers, platform.TopicOperator} {
+		for _, topic := range sharedTopics {
 			for _, count := range world.Store.ReadCounts(topic) {
 				sums[topic] += count
 			}
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -240,7 +240,7 @@
 		// call, so that the follower is current as of the call's start plus the wait.
 		asOf = asOf.Add(poll)
 	}
-	if recovered, after := f.Health.recordSuccess(asOf); recovered {
+	if recovered, after := f.Health.recordSuccess(asOf.Add(-batch.Age)); recovered {
 		f.Observer.ReadRecovered(f.Partition, after)
 	}
 	return true, nil
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -24,6 +24,10 @@
 	// LogTruncated.
 	OldestOffset uint64
 	Records      [][]byte
+	// Age is how long before the call the batch had every record, or before the end of the wait
+	// if it is empty. It is 0 if the batch comes from the log. It is negative if the batch comes
+	// from a cache that was renewed after the call.
+	Age time.Duration
 }
 
 // KeyedRecord is a record of a keyed topic. An empty value deletes the key.
