Ask another reader for the jobs' records after a late answer

Cause: a reader that is cut off from the log keeps answering from its cache. Its answers are used with their age, so that its askers grew as old as it is, and were not ready, although other readers were current.

Change: an answer to a held request that has no record and for which the reader did not read the log changes the order of the readers (fanout.LateReaders), as does a reader that cannot read the log for a request without a hold. Such a reader is not avoided: when the log is slow, all readers are late, and askers go on using them instead of the log.

TestNodesThatShareReadersPauseBriefly holds the pauses of readers and askers.

--- a/internal/platformnode/read_pause_test.go
+++ b/internal/platformnode/read_pause_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/network"
 )
 
@@ -42,3 +43,20 @@
 		require.Equal(t, fleet.samplers, node.SamplersPause(), "%d nodes", fleet.nodes)
 	}
 }
+
+// Where nodes share readers, the pause of a reader depends on the number of readers, and that of
+// the others does not depend on the fleet, as they do not read the log.
+func TestNodesThatShareReadersPauseBriefly(t *testing.T) {
+	node := nodeAmong(t, 300, 2000)
+	require.Equal(t, 500*time.Millisecond, node.jobsPause())
+	setPlan := func(plan fanout.Plan) {
+		node.readers.Plan()
+		node.readers.plan = plan
+	}
+	setPlan(fanout.Plan{Shared: true, ReadsLog: true, Readers: 12})
+	require.Equal(t, minJobsPause, node.jobsPause())
+	setPlan(fanout.Plan{Shared: true, ReadsLog: true, Readers: 60})
+	require.Equal(t, 100*time.Millisecond, node.jobsPause())
+	setPlan(fanout.Plan{Shared: true, Parents: []fanout.Node{{Name: "r"}}})
+	require.Equal(t, askerJobsPause, node.jobsPause())
+}
--- a/internal/platformsim/sharing_test.go
+++ b/internal/platformsim/sharing_test.go
@@ -105,6 +105,7 @@
 	}
 	few, many := total(4), total(8)
 	for topic, count := range few {
+		t.Logf("%s: %d reads by 12 nodes, %d by 24", topic, count, many[topic])
 		require.Less(t, float64(many[topic]), 1.25*float64(count), "%s: %d reads by 12 nodes, %d by 24", topic, count, many[topic])
 	}
 }
--- a/internal/topicreader/record_feed.go
+++ b/internal/topicreader/record_feed.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
@@ -54,6 +56,8 @@
 	cache    *fanout.RecordCache
 	// logLimiter limits the rate of log entries about failed readers.
 	logLimiter event.Limiter
+	// order changes the order of the readers while their answers are late.
+	order fanout.LateReaders
 	// slots limits the requests of other nodes that are served at once.
 	slots chan struct{}
 	// follower follows the partition through this feed. It is nil until it is set.
@@ -142,14 +146,15 @@
 }
 
 // fetch asks the readers in turn until one gives a usable answer. It reports false if none did.
-// A reader that is unreachable or gives an invalid answer is avoided for a while; one that is
-// merely late is not.
+// A reader that is unreachable or gives an invalid answer is avoided for a while. A late answer is
+// used, and another reader is asked next.
 func (f *RecordFeed) fetch(ctx context.Context, plan fanout.Plan, from uint64, hold time.Duration) (sharedlog.Batch, bool) {
 	began := time.Now()
 	requestHold := hold
 	if hold > 0 {
 		requestHold += readerPause
 	}
+	plan.Parents = f.order.Apply(plan.Parents, began)
 	for _, reader := range f.selector.Select(plan, began) {
 		sentAfter := time.Since(began)
 		request := &pathbendv1.ReadLogRecords{
@@ -158,6 +163,9 @@
 		batch, err := f.fetchFrom(ctx, reader, request)
 		f.config.Counter.RecordsRead(FromReader, err == nil)
 		if err == nil {
+			if isLate(batch, request) {
+				f.order.RecordLate(time.Now())
+			}
 			// fetchFrom gives the age at the time of its call.
 			batch.Age -= sentAfter
 			if len(batch.Records) == 0 {
@@ -168,16 +176,28 @@
 		if ctx.Err() == context.Canceled {
 			return sharedlog.Batch{}, false
 		}
-		f.recordFailure(reader, err)
+		f.recordFailure(reader, request, err)
 	}
 	return sharedlog.Batch{}, false
 }
 
-// recordFailure avoids a reader for a while, unless it does not keep the requested records or
-// does not consider itself a reader yet, and logs its error.
-func (f *RecordFeed) recordFailure(reader fanout.Node, err error) {
+// isLate reports whether a reader held a request without a new record and without having read
+// the log in the meantime. The age of the batch is relative to the time of the call.
+func isLate(batch sharedlog.Batch, request *pathbendv1.ReadLogRecords) bool {
+	known := time.Duration(request.AgeMs) * time.Millisecond
+	return request.HoldMs > 0 && len(batch.Records) == 0 && batch.Age > known-minRenewal/2
+}
+
+// recordFailure records and logs that a reader gave no usable answer. The reader is avoided for a
+// while, unless it does not keep the requested records, does not consider itself a reader yet,
+// or could not read the log, or not in time: then the fault may lie with the log.
+func (f *RecordFeed) recordFailure(reader fanout.Node, request *pathbendv1.ReadLogRecords, err error) {
 	now := time.Now()
-	if !result.Is(err, result.NotReady) && !result.Is(err, result.LogTruncated) {
+	switch {
+	case result.Is(err, result.NotReady), result.Is(err, result.LogTruncated):
+	case result.Is(err, result.LogUnavailable), request.HoldMs == 0 && errors.Is(err, context.DeadlineExceeded):
+		f.order.RecordLate(now)
+	default:
 		f.selector.RecordFailure(reader.Name, now)
 	}
 	if f.logLimiter.Allow(now) {
