--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -154,7 +154,7 @@
 	{PeerProtocol, "peer_protocol", slog.LevelWarn, "A peer uses another protocol version.", "Upgrade the older node."},
 	{PeerListening, "peer_listening", slog.LevelInfo, "The node accepts calls from other nodes.", "None."},
 	{PeerPortsTaken, "peer_ports_taken", slog.LevelWarn, "No port of the range for calls between nodes is free; the node tries again.", "Check which processes use the ports."},
-	{ReaderUnhelpful, "reader_unhelpful", slog.LevelWarn, "A node that reads samplers' entries on behalf of this one gave no usable response; another node, or the log, is asked.", "If one node causes many: check its network links and its log lines about the platform's store."},
+	{ReaderUnhelpful, "reader_unhelpful", slog.LevelWarn, "A node that reads a topic on behalf of this one gave no usable response; another node, or the log, is asked.", "If one node causes many: check its network links and its log lines about the platform's store."},
 	{EndpointAdded, "endpoint_added", slog.LevelInfo, "An engine or back end appeared in the machine list.", "None."},
 	{EndpointLeaving, "endpoint_leaving", slog.LevelInfo, "An engine or back end is leaving and gets no new work.", "None."},
 	{EndpointGone, "endpoint_gone", slog.LevelInfo, "An engine or back end disappeared from the machine list.", "None."},
--- a/internal/fanout/doc.go
+++ b/internal/fanout/doc.go
@@ -13,5 +13,9 @@
 // reader's entries, which the requesting node adds to the age of its own. A node whose
 // readers fail or lag reads the log itself.
 //
+// A topic without keys, the records of the batch jobs, is shared in the same way (RecordCache).
+// Its readers' answers are used whatever their age, and another reader is asked after a late one
+// (LateReaders). The log is read only without any answer, and rarely (DirectReadPacer).
+//
 // The package makes no calls; package topicreader makes them.
 package fanout
--- a/internal/topicreader/doc.go
+++ b/internal/topicreader/doc.go
@@ -1,4 +1,4 @@
-// Package topicreader reads a keyed topic of the log either from the log itself or through
+// Package topicreader reads a topic of the log either from the log itself or through
 // another node that reads the log (a reader). Package fanout decides which.
 //
 // Feed is a sharedlog.Log whose keyed reads use either source, so that the topic's follower
@@ -6,4 +6,7 @@
 // the groups that the follower has loaded, and the readers that failed recently. It starts
 // no goroutines; it calls the log, calls other nodes through a Caller, and serves their
 // read requests.
+//
+// RecordFeed does the same for a topic without keys, whose readers keep consecutive records
+// and which a follower reads from an offset on.
 package topicreader
