Read the log lines of the record feed's tests under a lock

The race detector found that TestNodeWithoutUsableReadersReadsTheLog read the log buffer while a follower wrote to it. Test code only; no race in go test -race -count=3 of topicreader and fanout.

--- a/internal/topicreader/record_feed_test.go
+++ b/internal/topicreader/record_feed_test.go
@@ -135,12 +135,30 @@
 	return n.calls
 }
 
+// lockedBuilder is a strings.Builder for concurrent use.
+type lockedBuilder struct {
+	mutex   sync.Mutex
+	builder strings.Builder
+}
+
+func (b *lockedBuilder) Write(content []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.builder.Write(content)
+}
+
+func (b *lockedBuilder) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.builder.String()
+}
+
 // recordCluster is a set of nodes that read one log through each other.
 type recordCluster struct {
 	t     *testing.T
 	log   *recordLog
 	nodes map[string]*recordNode
-	logs  strings.Builder
+	logs  lockedBuilder
 }
 
 func newRecordCluster(t *testing.T) *recordCluster {
