Know the demand of a model before its first version is announced

Cause: the demand of the models was first recorded when a version of any model was announced. The job that led to the version had ended by then, so that its model counted as one of unknown demand and got an even share of the announced models' fleet, which was all of it: a fifth of the fleet started to load at once. The demand was also forgotten when no job was submitted for two windows, as in an outage, and when a job ended before a slow log had returned its items. Change: a job's demand is recorded when the job is added, and in each review while jobs are open. A job that ends before it is loaded is recorded as well. The rolling update gets ExpectedDemand, which falls back to the demand at the model's latest job, however long ago; PeakDemand, by which samplers are ordered, still forgets models without recent jobs. A model for which no job was ever seen gets an even share of all models that its samplers serve: before, announcing one version took the samplers of all models whose first version came later.

--- a/internal/platformnode/load_job.go
+++ b/internal/platformnode/load_job.go
@@ -33,9 +33,27 @@
 			e.node.logger.Log(event.JobUnread, "job_id", job.ID, "detail", err.Error())
 			wait.For(session, loadRetryPause)
 		}
+		e.recordUnloaded(scheduler, job)
 	})
 }
 
+// recordUnloaded records the demand of a job that ended before it was loaded.
+func (e *executor) recordUnloaded(scheduler *schedule.Scheduler, job *ledger.Job) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.scheduler == scheduler {
+		e.recordJobDemand(job)
+	}
+}
+
+// recordJobDemand records the demand of a job that is not added to the scheduler. The caller
+// holds e.mutex.
+func (e *executor) recordJobDemand(job *ledger.Job) {
+	unfinished := 0
+	e.node.jobs.withLedger(func(*ledger.Ledger) { unfinished = job.ItemCount() - len(job.Results) })
+	e.scheduler.RecordDemand(job.Spec.Model, unfinished, time.Now())
+}
+
 // awaitRoute waits until the configuration has a route for a job. Without one nothing can
 // serve the job, and the regions in which its bodies may be read are unknown.
 func (e *executor) awaitRoute(session context.Context, job *ledger.Job) {
@@ -185,11 +203,15 @@
 	}
 	var finished []schedule.Finished
 	var stopped []schedule.Key
+	open := false
 	e.node.jobs.withLedger(func(*ledger.Ledger) {
-		if job.Open() {
+		if open = job.Open(); open {
 			finished, stopped = scheduler.AddJob(job, loaded.items, policy, loaded)
 		}
 	})
+	if !open {
+		e.recordJobDemand(job)
+	}
 	for _, run := range stopped {
 		e.cancel(run)
 	}
--- a/internal/platformnode/weights.go
+++ b/internal/platformnode/weights.go
@@ -28,6 +28,8 @@
 // orderWeights starts the weight changes that are due, each in its own goroutine. The caller
 // holds the lock.
 func (e *executor) orderWeights(now time.Time) {
+	// The demand is recorded before any version is announced as well.
+	e.rollingUpdate.SetDemand(e.scheduler.ExpectedDemand(now))
 	if _, ok := e.node.ownership.OrderFencingToken(jobPartition, now); !ok {
 		return
 	}
@@ -35,7 +37,6 @@
 	if len(targets) == 0 {
 		return
 	}
-	e.rollingUpdate.SetDemand(e.scheduler.PeakDemand(now))
 	for _, update := range e.rollingUpdate.Next(now, samplerFleet{executor: e, now: now}, targets) {
 		sampler, ok := e.scheduler.Sampler(update.SamplerID)
 		if !ok {
--- a/internal/platformnode/weights_test.go
+++ b/internal/platformnode/weights_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,12 +11,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/event"
+	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/ownership"
 	"github.com/pathbend/pathbend/internal/ownership/ownershiptest"
 	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 	"github.com/pathbend/pathbend/internal/weights"
 )
@@ -123,3 +127,93 @@
 	require.Len(t, e.rollingUpdate.Next(time.Now(), weights.MemberList(members), map[string]uint64{"m": 2}), 500)
 	require.Equal(t, 500*time.Second/maxPollsPerSecond, e.pollInterval())
 }
+
+// silentControl is the control interface of samplers that answer no call.
+type silentControl struct{}
+
+func (silentControl) Report(ctx context.Context, _ schedule.Sampler) (SamplerReport, error) {
+	<-ctx.Done()
+	return SamplerReport{}, result.New(result.BackEndRefused, "no answer")
+}
+
+func (silentControl) Order(ctx context.Context, _ schedule.Sampler, _ VersionOrder) (OrderAnswer, error) {
+	<-ctx.Done()
+	return OrderUnknown, result.New(result.BackEndRefused, "no answer")
+}
+
+// executorOfFleet returns an executor of a large fleet whose samplers serve two models.
+func executorOfFleet(t *testing.T) *executor {
+	t.Helper()
+	e := newHolder("a", 1, emptyLog{})
+	e.node.ports.Control = silentControl{}
+	session, cancel := context.WithCancel(t.Context())
+	e.session, e.scheduler = session, schedule.New(func() uint64 { return 1 })
+	t.Cleanup(e.work.Wait)
+	t.Cleanup(cancel)
+	var listed []schedule.Sampler
+	for i := range 8000 {
+		listed = append(listed, schedule.Sampler{
+			ID: fmt.Sprintf("s%04d", i), Service: "llm", Slots: 6, Versions: map[string]uint64{"m": 1, "n": 1},
+		})
+	}
+	e.scheduler.SetSamplers(listed, time.Now())
+	return e
+}
+
+// Guards against 1,555 updates at once for a model with 128 items: its job ended before any
+// version was announced, and its demand had not been recorded.
+func TestFirstVersionAfterTheEndOfItsJobIsLoadedForItsDemandOnly(t *testing.T) {
+	e := executorOfFleet(t)
+	job := submitItems(t, e, "j", 128)
+	items := make([]*pathbendv1.BatchItem, 0, 128)
+	for _, id := range job.Spec.ItemIds {
+		items = append(items, &pathbendv1.BatchItem{Id: id})
+	}
+	e.addJob(e.scheduler, job, loadedJob{items: items})
+	e.review(time.Now())
+	e.applyChange(ledger.Change{Kind: ledger.JobEnded, Job: job})
+	e.node.ApplyVersion("m", 2)
+	e.review(time.Now())
+	const slotsPerItem, slots = 2, 6
+	require.Equal(t, (128*slotsPerItem+slots-1)/slots, e.updatesInProgress())
+}
+
+// A job can also end before its items have been read from a slow log.
+func TestDemandOfAJobThatEndedBeforeItWasLoadedIsKnown(t *testing.T) {
+	e := executorOfFleet(t)
+	job := submitItems(t, e, "j", 12)
+	applyEntry(t, e, &pathbendv1.LedgerEntry{JobId: "j", Fact: &pathbendv1.LedgerEntry_Ended{Ended: &pathbendv1.BatchEnd{}}})
+	e.addJob(e.scheduler, job, loadedJob{})
+	e.recordUnloaded(e.scheduler, job)
+	require.False(t, e.scheduler.HasJob("j"))
+	require.Equal(t, map[string]int{"m": 12}, e.scheduler.ExpectedDemand(time.Now()))
+}
+
+// submitItems adds a job of model m with a number of items to the executor's ledger.
+func submitItems(t *testing.T, e *executor, id string, items int) *ledger.Job {
+	t.Helper()
+	spec := &pathbendv1.BatchJob{Model: "m", MinVersion: 1}
+	for i := range items {
+		spec.ItemIds = append(spec.ItemIds, fmt.Sprint(i))
+	}
+	applyEntry(t, e, &pathbendv1.LedgerEntry{JobId: id, Fact: &pathbendv1.LedgerEntry_Submitted{Submitted: spec}})
+	var job *ledger.Job
+	e.node.jobs.withLedger(func(state *ledger.Ledger) { job = state.Job(id) })
+	require.NotNil(t, job)
+	return job
+}
+
+// applyEntry applies an entry to the executor's ledger.
+func applyEntry(t *testing.T, e *executor, entry *pathbendv1.LedgerEntry) {
+	t.Helper()
+	records, err := ledger.Encode(entry, rand.Uint64(), 1<<16)
+	require.NoError(t, err)
+	e.node.jobs.apply(0, records)
+}
+
+// updatesInProgress returns the number of weight updates in progress.
+func (e *executor) updatesInProgress() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.rollingUpdate.InProgress()
+}
--- a/internal/schedule/demand.go
+++ b/internal/schedule/demand.go
@@ -14,6 +14,9 @@
 type demand struct {
 	windowStart       time.Time
 	previous, current map[string]int
+	// atLatestJob is the number of items wanted of each model when its latest job with
+	// unfinished items was added. It does not expire.
+	atLatestJob map[string]int
 }
 
 // record raises the peaks of the current window to the number of items wanted now, and
@@ -27,18 +30,52 @@
 	}
 }
 
+// recordJob records the number of items wanted of a model when a job was added.
+func (d *demand) recordJob(model string, wanted int, now time.Time) {
+	if wanted == 0 {
+		return
+	}
+	d.record(map[string]int{model: wanted}, now)
+	if d.atLatestJob == nil {
+		d.atLatestJob = make(map[string]int)
+	}
+	d.atLatestJob[model] = wanted
+}
+
 // peaks returns the peak of both windows for each model.
-func (d *demand) peaks() map[string]int {
-	peaks := maps.Clone(d.current)
-	for model, count := range d.previous {
-		peaks[model] = max(peaks[model], count)
+func (d *demand) peaks() map[string]int { return maxOfEach(d.current, d.previous) }
+
+// expected returns the peaks, but for each model at least the demand at its latest job.
+func (d *demand) expected() map[string]int { return maxOfEach(d.peaks(), d.atLatestJob) }
+
+// maxOfEach returns the higher count of each model.
+func maxOfEach(a, b map[string]int) map[string]int {
+	higher := make(map[string]int, len(a))
+	maps.Copy(higher, a)
+	for model, count := range b {
+		higher[model] = max(higher[model], count)
 	}
-	return peaks
+	return higher
 }
 
 // PeakDemand returns, by model, the recent peak number of unfinished items of open jobs. Models
 // without recent jobs are absent.
 func (s *Scheduler) PeakDemand(now time.Time) map[string]int {
+	s.demand.record(s.openItems(), now)
+	return s.demand.peaks()
+}
+
+// ExpectedDemand returns, by model, the number of items to expect at once of the next jobs: the
+// recent peak, but at least the number when the model's latest job was added, however long
+// ago. Without jobs during an outage the demand of a model is still known. Only models that
+// never had a job are absent.
+func (s *Scheduler) ExpectedDemand(now time.Time) map[string]int {
+	s.demand.record(s.openItems(), now)
+	return s.demand.expected()
+}
+
+// openItems returns the number of unfinished items of the open jobs of each model.
+func (s *Scheduler) openItems() map[string]int {
 	wanted := make(map[string]int)
 	for _, open := range s.jobs {
 		for _, entry := range open.items {
@@ -47,13 +84,12 @@
 			}
 		}
 	}
-	s.demand.record(wanted, now)
-	return s.demand.peaks()
+	return wanted
 }
 
-// RecordDemand records the number of items that a job of a model had. A new executor uses it
-// to account for jobs that have already ended: otherwise a model of unknown demand would get
-// an even share of the fleet, however little work it has.
+// RecordDemand records the number of items that a job of a model had. The executor uses it to
+// account for jobs that ended before they could be added: otherwise a model of unknown demand
+// would get an even share of the fleet, however little work it has.
 func (s *Scheduler) RecordDemand(model string, items int, now time.Time) {
-	s.demand.record(map[string]int{model: items}, now)
+	s.demand.recordJob(model, items, now)
 }
--- a/internal/schedule/demand_test.go
+++ b/internal/schedule/demand_test.go
@@ -33,3 +33,32 @@
 	s.PeakDemand(now.Add(demandWindow))
 	require.Empty(t, s.PeakDemand(now.Add(2*demandWindow)), "models without work are removed after two windows")
 }
+
+// Guards against a first version that is announced after the only job of its model has ended:
+// the demand was first recorded when any version was announced, so that the model got an even
+// share of the fleet, which was all of it.
+func TestDemandIsKnownOfAJobThatEndedBeforeTheDemandWasRead(t *testing.T) {
+	h := newHarness(t, sampler("s", 1, 1))
+	h.addJob(h.newJob("j", 1, "g:9", "g:9", "g:9"), policy(time.Second), storedTexts{})
+	h.addJob(h.newJob("k", 1, "g:9", "g:9"), policy(time.Second), storedTexts{})
+	h.scheduler.DropJob("j", h.now)
+	h.scheduler.DropJob("k", h.now)
+	require.Equal(t, map[string]int{"m": 5}, h.scheduler.PeakDemand(h.now))
+	require.Equal(t, map[string]int{"m": 5}, h.scheduler.ExpectedDemand(h.now))
+}
+
+// No job is submitted while an outage lasts. The demand of the models is not unknown after it.
+func TestExpectedDemandOutlastsAnOutage(t *testing.T) {
+	h := newHarness(t, sampler("s", 1, 1))
+	h.addJob(h.newJob("j", 1, "g:9", "g:9", "g:9"), policy(time.Second), storedTexts{})
+	h.scheduler.DropJob("j", h.now)
+	for range 10 {
+		h.now = h.now.Add(demandWindow)
+		require.Equal(t, map[string]int{"m": 3}, h.scheduler.ExpectedDemand(h.now))
+	}
+	require.Empty(t, h.scheduler.PeakDemand(h.now))
+	h.addJob(h.newJob("k", 1, "g:9"), policy(time.Second), storedTexts{})
+	require.Equal(t, map[string]int{"m": 1}, h.scheduler.ExpectedDemand(h.now), "the latest job replaces earlier ones")
+	h.scheduler.RecordDemand("m", 0, h.now)
+	require.Equal(t, map[string]int{"m": 1}, h.scheduler.ExpectedDemand(h.now), "a job without unfinished items tells nothing")
+}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -148,6 +148,7 @@
 	}
 	s.rank(added)
 	s.recordGroups(items, open.ReceivedAt)
+	s.RecordDemand(open.Spec.Model, s.openItems()[open.Spec.Model], open.ReceivedAt)
 	return finished, stopped
 }
 
--- a/internal/weights/rolling_update.go
+++ b/internal/weights/rolling_update.go
@@ -84,7 +84,7 @@
 	replicasPerVersion map[string]int
 	// allowedLag is how many versions behind the newest the jobs of a model accept.
 	allowedLag map[string]uint64
-	// demand is the recent peak of concurrently requested work per model.
+	// demand is the concurrently requested work to expect per model.
 	demand map[string]int
 	// latestStep is the latest training step of a model passed to SetAllowedLag.
 	latestStep map[string]uint64
@@ -292,8 +292,9 @@
 	r.latestStep[model], r.allowedLag[model] = step, allowedLag
 }
 
-// SetDemand records the recent peak of concurrently requested work of each model. A model
-// without an entry gets its even share of the fleet.
+// SetDemand records the concurrently requested work to expect of each model. A model without
+// an entry gets its even share of its samplers among all models that these serve: nothing is
+// known of the other models either, whether or not a version of them is announced.
 func (r *RollingUpdate) SetDemand(demand map[string]int) { r.demand = demand }
 
 // isEligible reports whether a sampler can be a replica: it is not leaving, and not waiting
@@ -341,8 +342,12 @@
 			hosts = append(hosts, member)
 		}
 	}
+	demand, known := r.demand[model]
+	if !known {
+		models = max(countServedModels(hosts), models)
+	}
 	replicasPerVersion := min(max((len(hosts)+models-1)/models, minReplicas), len(hosts))
-	if demand, known := r.demand[model]; known {
+	if known {
 		replicasPerVersion = min(replicasPerVersion, max(replicasFor(demand, hosts), minReplicas))
 	}
 	replicaCount := replicasPerVersion
@@ -355,6 +360,17 @@
 	r.dropReplicas(model, hosts, replicaCount)
 }
 
+// countServedModels returns the number of models that at least one of the hosts serves.
+func countServedModels(hosts []Member) int {
+	served := make(map[string]struct{})
+	for _, host := range hosts {
+		for model := range host.Versions {
+			served[model] = struct{}{}
+		}
+	}
+	return len(served)
+}
+
 // replicasFor returns how many of the hosts are needed for the given demand, including
 // headroom. It returns all of them if their slots are unknown.
 func replicasFor(demand int, hosts []Member) int {
--- a/internal/weights/rolling_update_test.go
+++ b/internal/weights/rolling_update_test.go
@@ -267,3 +267,12 @@
 	rolling.Done(newUpdates[0], true, now)
 	require.Zero(t, rolling.InProgress())
 }
+
+// A model whose work is unknown must not take the share of the models that have announced no
+// version yet.
+func TestUnknownDemandGetsAnEvenShareOfAllServedModels(t *testing.T) {
+	now := time.Unix(100, 0)
+	rolling := NewRollingUpdate(2)
+	members := newMembers(800, map[string]uint64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1, "g": 1, "h": 1})
+	require.Equal(t, 100, applyAll(rolling, now, members, map[string]uint64{"a": 2}))
+}
