Write claims that are made together as one entry, and back off while they are not read back

Cause: each claim of an exclusive call was a ledger entry of its own, of 57 bytes, which every node reads: 1,500 updates that start at once are 85 kB times the number of nodes. A claim that was not read back in time was made again under a new serial at each retry, however slow the log was. Change: claims that arrive within 20 ms form a group with one serial, one append and one read, at most four groups at a time. Claim has further_subjects, so that a group is one entry. A node of an earlier release reads the first subject only, and as the next holder would not wait for the others: the field is set only if all nodes of the directory, the writer among them, announce that they read it; until then each subject has its entry, as before. The checks of a permit are unchanged and made for each subject: the group is in the log and read back, at most maxClaimAge old, no higher fencing token was read, and no other holder claimed the subject within the grace period. After a group that was not read back in time no claim is made, and no weight update is started, for a pause that doubles from 0.4 s to 3.2 s, with jitter; log event 608 names it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,7 @@
 	WeightsFailed         Number = 605
 	VersionAnnounced      Number = 606
 	LeaseClaimLost        Number = 607
+	ClaimsUnread          Number = 608
 	JobAccepted           Number = 701
 	JobCompleted          Number = 702
 	JobCancelled          Number = 703
@@ -185,6 +186,7 @@
 	{WeightsFailed, "weights_failed", slog.LevelWarn, "An engine failed to carry out an order; it is repaired.", "Check the engine if it repeats."},
 	{VersionAnnounced, "version_announced", slog.LevelInfo, "A trainer announced a new weight version.", "None."},
 	{LeaseClaimLost, "lease_claim_lost", slog.LevelDebug, "Another lease claim or release came first in the log.", "None."},
+	{ClaimsUnread, "claims_unread", slog.LevelWarn, "Claims of exclusive calls were not read back from the log in time; their number and the pause before the next claims are in the line.", "Check the log service if it repeats."},
 	{JobAccepted, "job_accepted", slog.LevelInfo, "A rollout job was accepted.", "None."},
 	{JobCompleted, "job_completed", slog.LevelInfo, "The trainer has the samples of every slot of a job.", "None."},
 	{JobCancelled, "job_cancelled", slog.LevelInfo, "A trainer cancelled a job.", "None."},
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -13,7 +13,7 @@
 	Holder string
 	// FencingToken is the fencing token of the claim; a later holder's token is higher.
 	FencingToken uint64
-	// Serial identifies this claim.
+	// Serial identifies the claims that were made together with this one.
 	Serial uint64
 	// ReadAt is when this process read the claim, which is after it was written.
 	ReadAt time.Time
@@ -30,15 +30,22 @@
 
 func (c *claims) record(claim *pathbendv1.Claim, now time.Time) {
 	recorded := Claim{Holder: claim.Holder, FencingToken: claim.Fence, Serial: claim.Serial, ReadAt: now}
-	if c.bySubject[claim.Subject] == nil {
-		c.bySubject[claim.Subject] = make(map[string]Claim)
+	c.recordSubject(claim.Subject, recorded)
+	for _, subject := range claim.FurtherSubjects {
+		c.recordSubject(subject, recorded)
 	}
-	c.bySubject[claim.Subject][claim.Holder] = recorded
 	if recorded.FencingToken >= c.newest.FencingToken {
 		c.newest = recorded
 	}
 }
 
+func (c *claims) recordSubject(subject string, recorded Claim) {
+	if c.bySubject[subject] == nil {
+		c.bySubject[subject] = make(map[string]Claim)
+	}
+	c.bySubject[subject][recorded.Holder] = recorded
+}
+
 func (c *claims) expire(before time.Time) {
 	maps.DeleteFunc(c.bySubject, func(_ string, holders map[string]Claim) bool {
 		maps.DeleteFunc(holders, func(_ string, last Claim) bool { return last.ReadAt.Before(before) })
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -259,3 +259,21 @@
 	claimed := &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Claimed{Claimed: &pathbendv1.Claim{Subject: "s"}}}
 	require.Equal(t, Change{Fact: Claimed}, apply(claimed))
 }
+
+// An entry of an earlier release has one subject.
+func TestAllSubjectsOfAClaimAreKnown(t *testing.T) {
+	l := New()
+	apply(t, l, &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Claimed{
+		Claimed: &pathbendv1.Claim{Subject: "s", FurtherSubjects: []string{"t", "u"}, Holder: "a", Fence: 2, Serial: 12},
+	}})
+	apply(t, l, &pathbendv1.LedgerEntry{Fact: &pathbendv1.LedgerEntry_Claimed{
+		Claimed: &pathbendv1.Claim{Subject: "t", Holder: "b", Fence: 3, Serial: 13},
+	}})
+	for _, subject := range []string{"s", "t", "u"} {
+		last, known := l.LastClaim(subject, "a")
+		require.True(t, known, subject)
+		require.Equal(t, Claim{Holder: "a", FencingToken: 2, Serial: 12, ReadAt: start}, last)
+		require.Equal(t, start, l.LastClaimByOthersReadAt(subject, "b"))
+	}
+	require.Equal(t, "b", l.NewestClaim().Holder)
+}
--- a/internal/nodedirectory/directory.go
+++ b/internal/nodedirectory/directory.go
@@ -57,6 +57,8 @@
 	// WorkerAddress is where the node answers requests and executes runs for other nodes, empty
 	// if it does not.
 	WorkerAddress string
+	// ReadsFurtherSubjects is set if the node reads all subjects of a claim, not only the first.
+	ReadsFurtherSubjects bool
 }
 
 // Directory holds the newest announcement of each node, from a keyed topic of its own. A
@@ -118,6 +120,7 @@
 		}
 		entry := announcedNode{readAt: now, Entry: Entry{
 			Millicores: announced.Millicores, Zone: announced.Zone, RelayAddress: announced.Address, WorkerAddress: announced.WorkerAddress,
+			ReadsFurtherSubjects: announced.ReadsFurtherSubjects,
 		}}
 		previous := d.nodes[record.Key]
 		if previous.readAt = now; previous != entry {
@@ -236,17 +239,38 @@
 	return workers
 }
 
-// HasEntry reports whether the entry of a node equals the given one.
+// AllReadFurtherSubjects reports whether all nodes, including this one, announced that they
+// read all subjects of a claim. It is false until this node's own entry has been read: a
+// deployment without announcements tells nothing of its nodes.
+func (d *Directory) AllReadFurtherSubjects() bool {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, node := range d.nodes {
+		if !node.ReadsFurtherSubjects && now.Sub(node.readAt) <= entryTTL {
+			return false
+		}
+	}
+	self, known := d.nodes[d.self]
+	return known && now.Sub(self.readAt) <= entryTTL
+}
+
+// HasEntry reports whether the entry of a node equals the given one. It ignores
+// ReadsFurtherSubjects: after an upgrade of all nodes at once, the entries that differ only in it
+// need not be replaced before they are due.
 func (d *Directory) HasEntry(node string, entry Entry) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.nodes[node].Entry == entry
+	known := d.nodes[node].Entry
+	known.ReadsFurtherSubjects = entry.ReadsFurtherSubjects
+	return known == entry
 }
 
 // Announce appends an entry for this node to the topic.
 func (d *Directory) Announce(ctx context.Context, entry Entry) error {
 	value, err := proto.Marshal(&pathbendv1.NodeCapacity{
 		Node: d.self, Millicores: entry.Millicores, Zone: entry.Zone, Address: entry.RelayAddress, WorkerAddress: entry.WorkerAddress,
+		ReadsFurtherSubjects: entry.ReadsFurtherSubjects,
 	})
 	if err != nil {
 		return err
--- a/internal/nodedirectory/directory_test.go
+++ b/internal/nodedirectory/directory_test.go
@@ -86,3 +86,41 @@
 		require.False(t, unread.LikelyComplete(), "nothing was read")
 	})
 }
+
+// A node of an earlier release would take a claim of many subjects for one of the first of them.
+func TestFurtherSubjectsAreReadOnlyIfAllNodesAnnounceIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(sharedlog.NewMeteredLog(&sharedlogtest.MemoryLog{}, nil), "nodes", "self", nil, event.Discard())
+		announce := func(node string, reads bool) {
+			value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: node, Millicores: 1, ReadsFurtherSubjects: reads})
+			require.NoError(t, err)
+			d.Apply([]sharedlog.KeyedRecord{{Key: node, Value: value}}, 1)
+		}
+		require.False(t, d.AllReadFurtherSubjects(), "nothing was announced")
+		announce("other", true)
+		require.False(t, d.AllReadFurtherSubjects(), "this node's entry was not read")
+		announce("self", true)
+		require.True(t, d.AllReadFurtherSubjects())
+		announce("earlier", false)
+		require.False(t, d.AllReadFurtherSubjects())
+		announce("earlier", true)
+		require.True(t, d.AllReadFurtherSubjects())
+		announce("other", false)
+		require.False(t, d.AllReadFurtherSubjects(), "it was taken back")
+		time.Sleep(entryTTL + time.Second)
+		require.False(t, d.AllReadFurtherSubjects(), "this node's entry has expired")
+		announce("self", true)
+		require.True(t, d.AllReadFurtherSubjects(), "the node of the earlier release has left")
+	})
+}
+
+func TestAnnouncementStatesThatFurtherSubjectsAreRead(t *testing.T) {
+	log := &sharedlogtest.MemoryLog{}
+	d := New(sharedlog.NewMeteredLog(log, nil), "nodes", "self", nil, event.Discard())
+	entry := Entry{Millicores: 1, ReadsFurtherSubjects: true}
+	require.NoError(t, d.Announce(t.Context(), entry))
+	batch, err := log.ReadKeyed(t.Context(), d.follower.Partition, 0, 0)
+	require.NoError(t, err)
+	d.Apply(batch.Records, 0)
+	require.Equal(t, entry, d.nodes["self"].Entry)
+}
--- a/internal/platformnode/announce.go
+++ b/internal/platformnode/announce.go
@@ -96,6 +96,7 @@
 func (n *Node) directoryEntry() nodedirectory.Entry {
 	return nodedirectory.Entry{
 		Millicores: n.settings.Millicores, Zone: n.settings.Zone, RelayAddress: n.settings.PeerAddress(), WorkerAddress: n.callAddress(),
+		ReadsFurtherSubjects: true,
 	}
 }
 
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -131,7 +131,7 @@
 	n.executor = newExecutor(n)
 	n.worker = newWorker(n)
 	n.peers = peer.NewPool(ports.Network, settings.Name)
-	n.claims = &claims{node: n}
+	n.claims = newClaims(n)
 	n.usage = newUsage(n)
 	n.scaler = &scaler{node: n}
 	n.readers = &readers{node: n}
--- a/internal/platformnode/weights.go
+++ b/internal/platformnode/weights.go
@@ -34,7 +34,7 @@
 		return
 	}
 	targets := e.node.targets()
-	if len(targets) == 0 {
+	if len(targets) == 0 || e.node.claims.backingOff(now) {
 		return
 	}
 	for _, update := range e.rollingUpdate.Next(now, samplerFleet{executor: e, now: now}, targets) {
--- a/internal/platformnode/weights_test.go
+++ b/internal/platformnode/weights_test.go
@@ -53,8 +53,13 @@
 
 // newHolder returns the executor of a node that believes it holds the jobs under a generation.
 func newHolder(name string, generation uint64, log sharedlog.Log) *executor {
+	return newHolderWithLimits(name, generation, log, 1<<10, 1<<12)
+}
+
+// newHolderWithLimits is newHolder with limits of the records and calls of the log, in bytes.
+func newHolderWithLimits(name string, generation uint64, log sharedlog.Log, maxRecordBytes, maxCallBytes int) *executor {
 	settings := Settings{
-		Name: name, Zone: "a", MinAssignmentTTL: time.Second, OrderGrace: 3 * time.Second, MaxRecordBytes: 1 << 10, MaxCallBytes: 1 << 12,
+		Name: name, Zone: "a", MinAssignmentTTL: time.Second, OrderGrace: 3 * time.Second, MaxRecordBytes: maxRecordBytes, MaxCallBytes: maxCallBytes,
 	}
 	node := New(settings, Ports{Network: network.TCP{}, Log: log}, event.Discard())
 	node.ownership.ApplyAssignment(ownershiptest.NewAssignment(generation, jobPartition), clock.CurrentMoment())
