--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -132,7 +132,7 @@
 	n.jobs = newJobStore(n)
 	n.executor = newExecutor(n)
 	n.worker = newWorker(n)
-	n.claims = &claims{node: n}
+	n.claims = newClaims(n)
 	n.usage = newUsage(n)
 	n.scaler = &scaler{node: n}
 	n.ownership = ownership.New(settings.member(), n.log, n.directory, n.readers,
