platformnode: repeat a hanging append when the log has just been regained

Cause: an append without an answer is repeated at the next hedge only if the log answers other appends or the follower of the jobs has lost it at that instant. If the follower regained the log just before, the appends that were sent into the silence were waited for until their timeout. Change: Health.LostAfter also tells that the log was regained after the last attempt. Result: the new test (outages of 4 to 5 s in steps of 25 ms) failed before: stored 575 ms after the log was back, 350 ms are allowed. It passes, as do the other tests of platformnode and sharedlog.

--- a/internal/platformnode/append_test.go
+++ b/internal/platformnode/append_test.go
@@ -15,19 +15,20 @@
 	"github.com/pathbend/pathbend/internal/sharedlog"
 )
 
-// unavailableLog never answers calls made before backAt, and answers later ones after latency.
+// unavailableLog never answers calls made from silentFrom until backAt, and answers all others
+// after latency.
 type unavailableLog struct {
 	sharedlog.Log
 
-	backAt  time.Time
-	latency time.Duration
+	silentFrom, backAt time.Time
+	latency            time.Duration
 
 	mutex   sync.Mutex
 	appends int
 }
 
 func (l *unavailableLog) answer(ctx context.Context) error {
-	if time.Now().Before(l.backAt) {
+	if now := time.Now(); !now.Before(l.silentFrom) && now.Before(l.backAt) {
 		<-ctx.Done()
 		return result.New(result.LogUnknown, "silent")
 	}
@@ -52,6 +53,10 @@
 	return sharedlog.Batch{}, l.answer(ctx)
 }
 
+func (l *unavailableLog) ReadAvailable(ctx context.Context, _ sharedlog.Partition, _ uint64, _ int) (sharedlog.Batch, error) {
+	return sharedlog.Batch{}, l.answer(ctx)
+}
+
 // Guards against waiting for hanging appends after an outage of the log: results were stored
 // 0.8 s after its recovery, while another executor generated the texts again.
 func TestAppendIsStoredSoonAfterASilentLogRecovers(t *testing.T) {
@@ -71,6 +76,29 @@
 	})
 }
 
+// Guards against waiting for hanging appends if the follower regains the log just before the
+// append would be repeated, so that the log no longer counts as lost then.
+func TestAppendIsStoredSoonWhereverInItsWaitTheLogRecovers(t *testing.T) {
+	const start, lastOutage, step = 5 * time.Second, 5 * time.Second, 25 * time.Millisecond
+	for outage := 4 * time.Second; outage <= lastOutage; outage += step {
+		synctest.Test(t, func(t *testing.T) {
+			log := &unavailableLog{silentFrom: time.Now().Add(start), backAt: time.Now().Add(start + outage)}
+			node := New(Settings{Name: "n"}, Ports{Network: network.TCP{}, Log: log}, event.Discard())
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			followed := make(chan struct{})
+			go func() { defer close(followed); node.jobs.follower.Run(ctx) }()
+			time.Sleep(start)
+			for node.jobs.appendOne(ctx, nil, nil) != nil {
+				time.Sleep(appendRetryPause)
+			}
+			require.Less(t, time.Since(log.backAt), maxAppendHedgeDelay+appendRetryPause, "outage of %v", outage)
+			cancel()
+			<-followed
+		})
+	}
+}
+
 func TestSlowLogGetsNoMoreThanTwoAppends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Ends between two checks whether to send another append.
--- a/internal/platformnode/jobs.go
+++ b/internal/platformnode/jobs.go
@@ -304,7 +304,7 @@
 	answers := make(chan error, maxAppends)
 	send := func() { answers <- s.appender.Append(ctx, records) }
 	go send()
-	sent, failed := 1, 0
+	sent, failed, sentAt := 1, 0, time.Now()
 	var unknown error
 	pause, _ := s.appendHedgeDelay()
 	hedge := time.NewTimer(pause)
@@ -327,8 +327,9 @@
 			}
 		case <-hedge.C:
 			pause, answers := s.appendHedgeDelay()
-			if sent == 1 || answers || s.follower.Health.Lost() {
+			if sent == 1 || answers || s.follower.Health.LostAfter(sentAt) {
 				go send()
+				sentAt = time.Now()
 				sent++
 			}
 			if sent < maxAppends {
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -37,6 +37,8 @@
 	mutex          sync.Mutex
 	currentAt      clock.Moment
 	lastReadFailed bool
+	// recoveredAt is the time of the last successful read that followed a failed one.
+	recoveredAt time.Time
 	// failures is the number of consecutive failed reads.
 	failures int
 }
@@ -65,12 +67,24 @@
 	return h.lastReadFailed
 }
 
+// LostAfter reports whether the last read failed, or a read that followed a failed one was
+// successful only after a time. A call that was made then may have got no answer for the same
+// reason as the failed read.
+func (h *Health) LostAfter(at time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.lastReadFailed || h.recoveredAt.After(at)
+}
+
 // recordSuccess records a successful read that is current as of a given time. It reports
 // whether the previous read failed, and for how long the follower was not current.
 func (h *Health) recordSuccess(asOf clock.Moment) (recovered bool, after time.Duration) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	recovered, after = h.lastReadFailed, h.currentAt.Age()-asOf.Age()
+	if recovered {
+		h.recoveredAt = time.Now()
+	}
 	h.lastReadFailed, h.failures = false, 0
 	if asOf.Time().After(h.currentAt.Time()) {
 		h.currentAt = asOf
