sharedlog: back off after failed reads, and await the answer of a slow log

Cause: a follower repeated a failed read after 0.1 s, for ever, with timeouts of 0.4 to 1.3 s. The log service queues answers for up to 2 s, so that under overload no read was answered in time; every answer was sent to a caller that had left, and cost as much as any other. Refused reads were repeated ten times a second by every node and topic. Reads after a failure have no hold. Beside them probes of the smallest size find out whether a silent log is back; upon the answer of one the read is made again. The limit of the pause is half a second, or follows from the number of nodes and the log's read limit, up to 2.5 s. A caller of CatchUp waits for half a second of the pause at most. Pages of the initial read use the same policy.

--- a/internal/nodedirectory/directory.go
+++ b/internal/nodedirectory/directory.go
@@ -90,12 +90,13 @@
 }
 
 // New returns a directory that has read nothing. self is this node's name. observer is
-// notified when reads fail and recover.
-func New(log *sharedlog.MeteredLog, topic, self string, observer sharedlog.Observer, logger *event.Logger) *Directory {
+// notified when reads fail and recover. maxRetryPause is that of sharedlog.KeyedFollower.
+func New(log *sharedlog.MeteredLog, topic, self string, observer sharedlog.Observer, maxRetryPause func() time.Duration, logger *event.Logger) *Directory {
 	d := &Directory{logger: logger, nodes: make(map[string]announcedNode), createdAt: time.Now(), self: self}
 	d.follower = &sharedlog.KeyedFollower{
 		Log: log, Partition: sharedlog.Partition{Topic: topic}, Observer: observer,
 		Reset: d.reset, Apply: d.Apply, Pause: d.pause, ExtraLatency: log.ExtraLatency,
+		MaxRetryPause: maxRetryPause,
 	}
 	return d
 }
--- a/internal/platformnode/jobs.go
+++ b/internal/platformnode/jobs.go
@@ -76,7 +76,7 @@
 	}
 	store.follower = &sharedlog.Follower{
 		Log: n.log, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
-		Observer: n, Apply: store.apply, Pause: n.jobsPause, ExtraLatency: n.log.ExtraLatency,
+		Observer: n, Apply: store.apply, Pause: n.jobsPause, ExtraLatency: n.log.ExtraLatency, MaxRetryPause: n.RetryPauseLimit,
 	}
 	store.appender = &sharedlog.Appender{
 		Log: n.log, Partition: store.follower.Partition, MaxBytes: n.settings.MaxCallBytes,
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -126,7 +126,7 @@
 	n.suspects = newSuspects(n)
 	n.metrics = newMetrics(n)
 	n.dispatcher = dispatch.NewDispatcher(n.exchanger, ports.Protocol, n.fleet, n.suspects.requests, settings.Zone, newID, logger)
-	n.directory = nodedirectory.New(n.log, settings.NodesTopic, settings.Name, n, logger)
+	n.directory = nodedirectory.New(n.log, settings.NodesTopic, settings.Name, n, n.RetryPauseLimit, logger)
 	n.jobs = newJobStore(n)
 	n.executor = newExecutor(n)
 	n.worker = newWorker(n)
--- a/internal/platformnode/read_pause.go
+++ b/internal/platformnode/read_pause.go
@@ -72,3 +72,29 @@
 	pause := time.Duration(float64(announced.NodeCount) / (share * n.settings.ReadsPerSecond) * float64(time.Second))
 	return min(max(minPause, pause), maxReadPause)
 }
+
+const (
+	// minRetryPauseLimit is the minimum of the upper limit of the pause after a failed read.
+	minRetryPauseLimit = 500 * time.Millisecond
+	// maxRetryPauseLimit is the maximum of that limit for any number of nodes. It bounds the
+	// time until a node notices that the log is back.
+	maxRetryPauseLimit = 2500 * time.Millisecond
+	// retryReadShare is the fraction of the log's read limit that all nodes together use for
+	// repeating failed reads, followedTopics the number of topics that each node follows.
+	retryReadShare = 0.2
+	followedTopics = 4
+)
+
+// RetryPauseLimit returns the upper limit of the pause after a failed read of one topic, with
+// which the repeated reads of all nodes stay within their share of the log's read limit. A
+// pause is half its limit on average. The limit is lowest on the executor, whose work depends
+// on what it reads.
+func (n *Node) RetryPauseLimit() time.Duration {
+	announced, ok := n.directory.Announced()
+	if !ok || n.settings.ReadsPerSecond <= 0 || n.executor.executing() {
+		return minRetryPauseLimit
+	}
+	const meanPauses = 2
+	limit := time.Duration(meanPauses * followedTopics * float64(announced.NodeCount) / (retryReadShare * n.settings.ReadsPerSecond) * float64(time.Second))
+	return min(max(minRetryPauseLimit, limit), maxRetryPauseLimit)
+}
--- a/internal/platformnode/read_pause_test.go
+++ b/internal/platformnode/read_pause_test.go
@@ -42,3 +42,21 @@
 		require.Equal(t, fleet.samplers, node.SamplersPause(), "%d nodes", fleet.nodes)
 	}
 }
+
+// Guards against retries at a fixed rate: 985 nodes repeated their failed reads of four topics
+// ten times a second each, which is 2.5 times the read limit of the log.
+func TestRepeatedReadsOfAllNodesStayWithinTheirShareOfTheReadLimit(t *testing.T) {
+	for _, fleet := range []struct {
+		nodes int
+		reads float64
+		limit time.Duration
+	}{
+		{1, 16000, minRetryPauseLimit},
+		{400, 16000, time.Second},
+		{985, 16000, 985 * time.Second / 400},
+		{5000, 16000, maxRetryPauseLimit},
+		{300, 0, minRetryPauseLimit},
+	} {
+		require.Equal(t, fleet.limit, nodeAmong(t, fleet.nodes, fleet.reads).RetryPauseLimit(), "%d nodes", fleet.nodes)
+	}
+}
--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -21,14 +21,6 @@
 	readTimeout = 700 * time.Millisecond
 	// bulkReadTimeout is the timeout of a read of records that exist already.
 	bulkReadTimeout = 2 * time.Second
-	// retryInterval is the pause after a failed read.
-	retryInterval = 100 * time.Millisecond
-	// probeTimeout is the timeout of a read that follows a failed one. It is short because
-	// the service may recover at any moment, and a read that was sent before that never has
-	// a response. Every readsPerProbeCycle-th read has the usual timeout, in case the service
-	// is slow.
-	probeTimeout       = 400 * time.Millisecond
-	readsPerProbeCycle = 4
 )
 
 // Health is the health of a follower. The zero value has read nothing. It is safe for
@@ -39,8 +31,6 @@
 	lastReadFailed bool
 	// recoveredAt is the time of the last successful read that followed a failed one.
 	recoveredAt time.Time
-	// failures is the number of consecutive failed reads.
-	failures int
 }
 
 // CurrentAt returns the time as of which the follower has read every record: the start of
@@ -85,7 +75,7 @@
 	if recovered {
 		h.recoveredAt = time.Now()
 	}
-	h.lastReadFailed, h.failures = false, 0
+	h.lastReadFailed = false
 	if asOf.Time().After(h.currentAt.Time()) {
 		h.currentAt = asOf
 	}
@@ -99,18 +89,9 @@
 	defer h.mutex.Unlock()
 	first := !h.lastReadFailed
 	h.lastReadFailed = true
-	h.failures++
 	return first
 }
 
-// nextIsProbe reports whether the next read is a probe, which does not wait for records and
-// has a short timeout.
-func (h *Health) nextIsProbe() bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.failures%readsPerProbeCycle != 0
-}
-
 // Observer is notified when a follower loses and regains contact with the log.
 type Observer interface {
 	// ReadFailed is called for the first of consecutive failed reads.
@@ -133,8 +114,12 @@
 	// ExtraLatency returns how much longer the log's responses take than those of a log in
 	// the same data center, to which the timeouts apply. It may be nil, which means 0.
 	ExtraLatency func() time.Duration
-	Health       Health
+	// MaxRetryPause returns the maximum pause after a failed read. It may be nil, which means
+	// half a second.
+	MaxRetryPause func() time.Duration
+	Health        Health
 
+	retry retrier
 	// applyMutex guards next and serializes calls of Apply.
 	applyMutex sync.Mutex
 	next       uint64
@@ -147,13 +132,13 @@
 func (f *Follower) Run(ctx context.Context) {
 	// The initial read is shared with callers of CatchUp.
 	for ctx.Err() == nil && f.CatchUp(ctx) != nil {
-		wait.For(ctx, retryInterval)
+		f.retry.wait(ctx)
 	}
 	for ctx.Err() == nil {
 		caughtUp, err := f.readOnce(ctx, pollWaitFor(f.ExtraLatency))
 		switch {
 		case err != nil:
-			wait.For(ctx, retryInterval)
+			f.retry.wait(ctx)
 		case caughtUp:
 			pauseAfterRead(ctx, f.Pause)
 		}
@@ -212,6 +197,9 @@
 }
 
 func (f *Follower) catchUp(ctx context.Context) error {
+	if !f.retry.waitAtMost(ctx, defaultMaxRetryPause) {
+		return ctx.Err()
+	}
 	for {
 		caughtUp, err := f.readOnce(ctx, 0)
 		if err != nil || caughtUp {
@@ -226,15 +214,20 @@
 	f.applyMutex.Lock()
 	from := f.next
 	f.applyMutex.Unlock()
-	asOf := clock.CurrentMoment()
-	timeout := poll + f.transferTimeout(poll)
-	if poll > 0 && f.Health.nextIsProbe() {
-		poll, timeout = 0, probeTimeout
-	}
-	timeout = withExtraLatency(timeout, f.ExtraLatency)
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	batch, err := f.Log.Read(callCtx, f.Partition, from, poll)
+	var asOf clock.Moment
+	var batch Batch
+	poll, err = f.retry.read(ctx, readAttempt{
+		hold: poll, timeout: f.transferTimeout(poll), maxTimeout: maxReadTimeout, extraLatency: f.ExtraLatency, maxPause: f.MaxRetryPause,
+		read: func(ctx context.Context, hold time.Duration) (readErr error) {
+			asOf = clock.CurrentMoment()
+			batch, readErr = f.Log.Read(ctx, f.Partition, from, hold)
+			return readErr
+		},
+		probe: func(ctx context.Context) error {
+			_, probeErr := f.Log.ReadAvailable(ctx, f.Partition, from, probeBytes)
+			return probeErr
+		},
+	})
 	if result.Is(err, result.LogTruncated) {
 		f.skipTo(batch.OldestOffset)
 		return false, err
--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -40,8 +40,12 @@
 	PollWait func() time.Duration
 	// ExtraLatency is the same as in Follower.
 	ExtraLatency func() time.Duration
-	Health       Health
+	// MaxRetryPause is the same as in Follower. It does not apply to the initial read, whose
+	// pauses are half a second at most.
+	MaxRetryPause func() time.Duration
+	Health        Health
 
+	retry       retrier
 	initialRead initialRead
 	// readAhead maps keys to the offset of their record if it was read before the offset from
 	// which the follower continues reached it.
@@ -55,8 +59,6 @@
 	// lastKey is the last key of the last page.
 	lastKey string
 	started bool
-	// timeout is the timeout of the next attempt, 0 for pageTimeout.
-	timeout time.Duration
 	// reported is the number of records at the last call of OnPartial.
 	reported int
 }
@@ -66,8 +68,7 @@
 	initialized := false
 	var next uint64
 	for ctx.Err() == nil {
-		asOf := clock.CurrentMoment()
-		batch, err := f.read(ctx, initialized, next)
+		batch, asOf, err := f.read(ctx, initialized, next)
 		switch {
 		case result.Is(err, result.LogTruncated):
 			initialized = false
@@ -76,7 +77,7 @@
 			if ctx.Err() == nil && f.Health.recordFailure() {
 				f.Observer.ReadFailed(f.Partition, err)
 			}
-			wait.For(ctx, retryInterval)
+			f.retry.wait(ctx)
 			continue
 		case !initialized && batch.EndOffset < next:
 			// The response is stale: later records were applied already.
@@ -103,21 +104,30 @@
 	}
 }
 
-func (f *KeyedFollower) read(ctx context.Context, initialized bool, next uint64) (KeyedBatch, error) {
+// read makes the next read. It returns the records and the time as of which they are current.
+func (f *KeyedFollower) read(ctx context.Context, initialized bool, next uint64) (batch KeyedBatch, asOf clock.Moment, err error) {
+	asOf = clock.CurrentMoment()
 	if !initialized {
-		return f.readNewest(ctx)
+		batch, err = f.readNewest(ctx)
+		return batch, asOf, err
 	}
 	poll := pollWaitFor(f.ExtraLatency)
 	if f.PollWait != nil {
 		poll = max(poll, f.PollWait())
 	}
-	timeout := poll + readTimeout
-	if f.Health.nextIsProbe() {
-		poll, timeout = 0, probeTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, withExtraLatency(timeout, f.ExtraLatency))
-	defer cancel()
-	return f.Log.ReadKeyed(ctx, f.Partition, next, poll)
+	_, err = f.retry.read(ctx, readAttempt{
+		hold: poll, timeout: readTimeout, maxTimeout: maxReadTimeout, extraLatency: f.ExtraLatency, maxPause: f.MaxRetryPause,
+		read: func(ctx context.Context, hold time.Duration) (readErr error) {
+			asOf = clock.CurrentMoment()
+			batch, readErr = f.Log.ReadKeyed(ctx, f.Partition, next, hold)
+			return readErr
+		},
+		probe: func(ctx context.Context) error {
+			_, probeErr := f.Log.ReadAvailable(ctx, f.Partition, next, probeBytes)
+			return probeErr
+		},
+	})
+	return batch, asOf, err
 }
 
 // readNewest reads all pages of the newest records. After a failure the next call continues
@@ -148,14 +158,14 @@
 }
 
 // readPage reads the next page. An attempt that times out doubles the timeout of the next.
-func (f *KeyedFollower) readPage(ctx context.Context) (KeyedPage, error) {
-	timeout := max(f.initialRead.timeout, pageTimeout)
-	callCtx, cancel := context.WithTimeout(ctx, withExtraLatency(timeout, f.ExtraLatency))
-	defer cancel()
-	page, err := f.Log.ReadNewest(callCtx, f.Partition, f.initialRead.lastKey)
-	if err != nil && callCtx.Err() != nil {
-		f.initialRead.timeout = min(2*timeout, maxPageTimeout)
-	}
+func (f *KeyedFollower) readPage(ctx context.Context) (page KeyedPage, err error) {
+	_, err = f.retry.read(ctx, readAttempt{
+		timeout: pageTimeout, maxTimeout: maxPageTimeout, extraLatency: f.ExtraLatency,
+		read: func(ctx context.Context, _ time.Duration) (readErr error) {
+			page, readErr = f.Log.ReadNewest(ctx, f.Partition, f.initialRead.lastKey)
+			return readErr
+		},
+	})
 	return page, err
 }
 
