relay: suspend relaying while the log service is slow for all nodes

A peer that got no answer was avoided and the next one asked. Change: a peer refuses calls, and says why, while its last own call that has ended was not answered or one is late; it no longer needs an answer within 1.5 s, as nodes may call the service rarely. Three peers in succession that get or give no answer in time suspend relaying for 0.5 to 4 s, which grows and is jittered; a late direct answer does not reset it. A peer with a late call made relayed calls before, now none.

--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -6,11 +6,15 @@
 // is older than its call, and it relays no calls while its own direct path is silent, so that no
 // call takes more than one hop.
 //
+// If the service is down or slow for all nodes, peers get no answer in time either. Several such
+// peers without a relayed call in between suspend relaying, as it would only multiply the load.
+//
 // The package makes no calls itself; its callers pass the time and report the outcomes.
 package relay
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -33,11 +37,16 @@
 	// ProbeTimeout is how long such a call waits for the direct path before it goes through a
 	// peer as well.
 	ProbeTimeout = 60 * time.Millisecond
-	// minBackoff is how long no peer is tried after the service refused a peer as well, as when
-	// it is down for all nodes, or after a peer failed while calls went directly. It doubles up
-	// to maxBackoff.
+	// minBackoff is how long at most no peer is tried after the service refused a peer as well,
+	// as when it is down for all nodes, or after a peer failed while calls went directly. It
+	// doubles up to maxBackoff. The actual time is random, at least half as long, so that
+	// nodes that lost the service together do not ask peers together.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
+	// maxSilentPeers is the number of consecutive peers without an answer in time after which
+	// the service counts as down or slow for all nodes. If a third of the nodes are turned
+	// away, one in 27 nodes that have just noticed it asks as many of them.
+	maxSilentPeers = 3
 	// avoidPeriod is how long a peer is not selected after it failed to relay a call.
 	avoidPeriod = 3 * time.Second
 )
@@ -49,6 +58,20 @@
 	Address string
 }
 
+// CallEnd is how a call on the direct path ended.
+type CallEnd int
+
+// Ends of a call: the service answered it, it did not answer it in time or refused it, or the
+// caller needed no answer any more.
+const (
+	CallAnswered CallEnd = iota
+	CallUnanswered
+	CallCanceled
+)
+
+// Call identifies a call on the direct path.
+type Call uint64
+
 // Selector tracks whether a node's direct path to the log service is silent, and selects the
 // peers that relay its calls if so. It is safe for concurrent use.
 type Selector struct {
@@ -66,13 +89,29 @@
 	// avoidUntil holds the time until which a peer that failed to relay a call is not selected,
 	// by name.
 	avoidUntil map[string]time.Time
+	// silentPeers is the number of peers that got no answer since a call was last relayed, or
+	// since the last backoff.
+	silentPeers int
+	// lateAt holds the time after which each outstanding call on the direct path is late.
+	lateAt   map[Call]time.Time
+	lastCall Call
+	// lastUnanswered is set until a call on the direct path was answered, and if the last one
+	// that has ended was not.
+	lastUnanswered bool
+	// exploring is set while one call tries peers although calls go directly.
+	exploring bool
+	// random returns a number in [0, 1).
+	random func() float64
 	// relayingStarted is closed and replaced when calls begin to go through peers.
 	relayingStarted chan struct{}
 }
 
 // NewSelector returns the selector of a node whose calls go directly to the service.
 func NewSelector(self Peer) *Selector {
-	return &Selector{self: self, avoidUntil: make(map[string]time.Time), relayingStarted: make(chan struct{})}
+	return &Selector{
+		self: self, avoidUntil: make(map[string]time.Time), lateAt: make(map[Call]time.Time), lastUnanswered: true,
+		random: rand.Float64, relayingStarted: make(chan struct{}),
+	}
 }
 
 // Relaying reports whether calls go through peers, and whether this call, if mayProbe allows
@@ -109,27 +148,83 @@
 func (s *Selector) MayRelay(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	return s.mayRelay(now)
+}
+
+// mayRelay is MayRelay for callers that hold s.mutex.
+func (s *Selector) mayRelay(now time.Time) bool {
 	return now.Sub(s.answeredAt) >= s.silenceTimeout() && !now.Before(s.backoffUntil)
 }
 
+// BeginExploring reports whether a call that got no answer in time may go through peers, as
+// MayRelay, if no other such call does at present. The caller must call EndExploring then. The
+// other calls learn from Relaying whether it was successful.
+func (s *Selector) BeginExploring(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.exploring || !s.mayRelay(now) {
+		return false
+	}
+	s.exploring = true
+	return true
+}
+
+// EndExploring records the end of a call for which BeginExploring returned true.
+func (s *Selector) EndExploring() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.exploring = false
+}
+
 // AcceptsRelays reports whether this node may relay calls of its peers: its own calls go
-// directly to the service, which answered one recently.
+// directly to the service, the last one that has ended was answered, and none is late. The
+// answer may be of any age, as a node may call the service rarely.
 func (s *Selector) AcceptsRelays(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return !s.relaying && now.Sub(s.answeredAt) < maxAnswerAge
+	if s.relaying || s.lastUnanswered {
+		return false
+	}
+	for _, lateAt := range s.lateAt {
+		if !now.Before(lateAt) {
+			return false
+		}
+	}
+	return true
+}
+
+// BeginCall records the start of a call on the direct path, which the service is asked to hold
+// for up to hold. The caller must pass the result to EndCall.
+func (s *Selector) BeginCall(hold time.Duration, now time.Time) Call {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastCall++
+	s.lateAt[s.lastCall] = now.Add(hold + s.silenceTimeout())
+	return s.lastCall
 }
 
-// maxAnswerAge is the maximum time since the last direct answer for a node that relays calls
-// of its peers. Every node makes a call at least once a second.
-const maxAnswerAge = 1500 * time.Millisecond
+// EndCall records the end of a call on the direct path. A call that was canceled after it was
+// late counts as unanswered.
+func (s *Selector) EndCall(call Call, end CallEnd, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	late := !now.Before(s.lateAt[call])
+	delete(s.lateAt, call)
+	if end != CallCanceled || late {
+		s.lastUnanswered = end != CallAnswered
+	}
+}
 
 // RecordAnswer records an answer on the direct path, upon which calls go directly again. took
-// is the latency of the call, 0 for one that the service was asked to hold.
+// is the latency of the call, 0 for one that the service was asked to hold. A late answer does
+// not end a backoff.
 func (s *Selector) RecordAnswer(took time.Duration, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.answeredAt, s.relaying, s.backoff = now, false, 0
+	s.answeredAt, s.relaying, s.lastUnanswered = now, false, false
+	if took < s.silenceTimeout() {
+		s.backoff, s.silentPeers = 0, 0
+	}
 	if took > 0 {
 		s.meanLatency += time.Duration(latencyWeight * float64(took-s.meanLatency))
 	}
@@ -140,7 +235,7 @@
 func (s *Selector) RecordRelayed(now time.Time) (started bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.backoff = 0
+	s.backoff, s.silentPeers = 0, 0
 	if s.relaying || now.Sub(s.answeredAt) < s.silenceTimeout() {
 		return false
 	}
@@ -160,14 +255,39 @@
 		s.avoidUntil[peer] = now.Add(avoidPeriod)
 	}
 	if serviceDown || !s.relaying {
-		s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-		s.backoffUntil = now.Add(s.backoff)
+		s.suspend(now)
 	}
 	if serviceDown {
 		s.relaying = false
 	}
 }
 
+// RecordSilentPeer records that a peer got no answer from the service either, or gave none. The
+// peer is avoided. After maxSilentPeers of them in succession calls go directly until a backoff
+// has passed, as the service is down or slow for all nodes. A peer that is avoided already does
+// not count again.
+func (s *Selector) RecordSilentPeer(peer string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := now.Before(s.avoidUntil[peer])
+	s.avoidUntil[peer] = now.Add(avoidPeriod)
+	if known {
+		return
+	}
+	if s.silentPeers++; s.silentPeers < maxSilentPeers {
+		return
+	}
+	s.silentPeers, s.relaying = 0, false
+	s.suspend(now)
+}
+
+// suspend starts or extends the backoff. The caller holds s.mutex.
+func (s *Selector) suspend(now time.Time) {
+	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+	const minJitter = 0.5
+	s.backoffUntil = now.Add(time.Duration((minJitter + (1-minJitter)*s.random()) * float64(s.backoff)))
+}
+
 // SelectPeers returns up to limit peers in the order in which this node tries them: those of
 // its own zone first, then by a hash that gives each node a different order, which spreads the
 // load.
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -12,7 +12,12 @@
 
 func after(elapsed time.Duration) time.Time { return start.Add(elapsed) }
 
-func newTestSelector() *Selector { return NewSelector(Peer{Name: "n", Zone: "z"}) }
+// newTestSelector returns a selector whose backoffs have their full length.
+func newTestSelector() *Selector {
+	s := NewSelector(Peer{Name: "n", Zone: "z"})
+	s.random = func() float64 { return 1 }
+	return s
+}
 
 func isRelaying(s *Selector, now time.Time) bool {
 	relaying, _, _ := s.Relaying(false, now)
@@ -112,3 +117,97 @@
 	}
 	require.LessOrEqual(t, float64(busiest), maxTimesMean*float64(silent)/float64(nodes-silent), "%d peers relay", len(chosen))
 }
+
+// Guards against refusing the calls of peers only because this node calls the service rarely.
+func TestNodeThatCallsTheServiceRarelyRelaysCalls(t *testing.T) {
+	s := newTestSelector()
+	require.False(t, s.AcceptsRelays(start), "no call was answered yet")
+	call := s.BeginCall(0, start)
+	s.RecordAnswer(5*time.Millisecond, after(5*time.Millisecond))
+	s.EndCall(call, CallAnswered, after(5*time.Millisecond))
+	require.True(t, s.AcceptsRelays(after(time.Minute)))
+}
+
+// Guards against relaying calls to a service that does not answer this node at present: the
+// relayed calls are as late, and add to its load.
+func TestNodeWithAnUnansweredCallRelaysNone(t *testing.T) {
+	const hold = 600 * time.Millisecond
+	s := newTestSelector()
+	s.RecordAnswer(5*time.Millisecond, start)
+	held, call := s.BeginCall(hold, start), s.BeginCall(0, start)
+	require.True(t, s.AcceptsRelays(after(minSilenceTimeout-time.Millisecond)))
+	require.False(t, s.AcceptsRelays(after(minSilenceTimeout)), "a call is late")
+	s.EndCall(call, CallCanceled, after(minSilenceTimeout))
+	require.False(t, s.AcceptsRelays(after(minSilenceTimeout)), "it was late when it was canceled")
+	s.EndCall(s.BeginCall(0, after(minSilenceTimeout)), CallAnswered, after(minSilenceTimeout))
+	require.True(t, s.AcceptsRelays(after(hold)), "the other call is still held")
+	require.False(t, s.AcceptsRelays(after(hold+minSilenceTimeout)))
+	s.EndCall(held, CallAnswered, after(hold+minSilenceTimeout))
+	require.True(t, s.AcceptsRelays(after(hold+minSilenceTimeout)))
+	s.EndCall(s.BeginCall(0, after(time.Second)), CallUnanswered, after(time.Second))
+	require.False(t, s.AcceptsRelays(after(time.Second)))
+}
+
+func TestCanceledCallTellsNothing(t *testing.T) {
+	s := newTestSelector()
+	s.RecordAnswer(5*time.Millisecond, start)
+	s.EndCall(s.BeginCall(time.Second, start), CallCanceled, after(time.Millisecond))
+	require.True(t, s.AcceptsRelays(after(time.Second)))
+}
+
+// Guards against asking one peer after the other while the service is slow for all nodes, which
+// triples the calls to it.
+func TestPeersWithoutAnAnswerSuspendRelaying(t *testing.T) {
+	s := newTestSelector()
+	require.True(t, s.RecordRelayed(start))
+	now := start
+	for _, backoff := range []time.Duration{minBackoff, 2 * minBackoff, 4 * minBackoff, maxBackoff, maxBackoff} {
+		for _, peer := range []string{"a", "b", "c"} {
+			require.True(t, s.MayRelay(now))
+			s.RecordSilentPeer(fmt.Sprint(peer, backoff, now), now)
+			s.RecordSilentPeer(fmt.Sprint(peer, backoff, now), now)
+		}
+		require.False(t, isRelaying(s, now))
+		require.False(t, s.MayRelay(now.Add(backoff-time.Millisecond)))
+		now = now.Add(backoff)
+	}
+	s.RecordAnswer(2*minSilenceTimeout, now)
+	now = now.Add(time.Second)
+	s.RecordRelayFailure("a", true, now)
+	require.False(t, s.MayRelay(now.Add(maxBackoff-time.Millisecond)), "a late answer does not end the backoff")
+	now = now.Add(maxBackoff)
+	s.RecordAnswer(time.Millisecond, now)
+	now = now.Add(time.Second)
+	s.RecordRelayFailure("a", true, now)
+	require.True(t, s.MayRelay(now.Add(minBackoff)), "an answer in time ends the backoff")
+}
+
+// Many nodes may be turned away while the service answers all others: some of their peers are
+// among them.
+func TestSomePeersWithoutAnAnswerDoNotSuspendRelaying(t *testing.T) {
+	s := newTestSelector()
+	for _, now := range []time.Time{start, after(time.Second)} {
+		s.RecordSilentPeer("a", now)
+		s.RecordSilentPeer("b", now)
+		require.True(t, s.MayRelay(now))
+		s.RecordRelayed(now)
+	}
+	require.True(t, isRelaying(s, after(time.Second)))
+}
+
+func TestBackoffsOfNodesDiffer(t *testing.T) {
+	s := newTestSelector()
+	s.random = func() float64 { return 0 }
+	s.RecordRelayFailure("a", true, start)
+	require.True(t, s.MayRelay(after(minBackoff/2)))
+}
+
+func TestOneCallAtATimeExploresPeers(t *testing.T) {
+	s := newTestSelector()
+	s.RecordAnswer(time.Millisecond, start)
+	require.False(t, s.BeginExploring(after(minSilenceTimeout-time.Millisecond)))
+	require.True(t, s.BeginExploring(after(minSilenceTimeout)))
+	require.False(t, s.BeginExploring(after(minSilenceTimeout)))
+	s.EndExploring()
+	require.True(t, s.BeginExploring(after(minSilenceTimeout)))
+}
