Use a late answer of a reader with its age instead of reading the log

Cause: an answer older than fanout.MaxReaderAge was rejected, although its entries are valid and newer than what the node has. When the log is slow all readers are late at once, so all nodes read the log themselves and keep it slow.

Change: a late answer leads to the next reader being asked; the answer that reaches farthest, or as far with the lowest age, is used, and its age goes into KeyedBatch.Age as before. A late reader is avoided only if another one was fresher. All readers asked for one request share its hold. A truncated answer leads to the next reader too. The log is not read because of age.

Uses of the age were checked: denials (maxDenialAge) and the revocation limit use the operator follower's Health.Age, which now grows with the readers' age; readiness uses the jobs' follower, which reads the log itself.

A truncated answer is an error of its own instead of an empty batch.

--- a/internal/fanout/doc.go
+++ b/internal/fanout/doc.go
@@ -10,8 +10,9 @@
 // node does not grow with the number of nodes.
 //
 // An answer of a reader is not as current as the log itself. It carries the age of the
-// reader's entries, which the requesting node adds to the age of its own. A node whose
-// readers fail or lag reads the log itself.
+// reader's entries, which the requesting node adds to the age of its own. Readers lag when the
+// log is slow: a node then uses the freshest answer, since reads of its own would make the log
+// slower still. Only a node none of whose readers answers reads the log itself.
 //
 // The package makes no calls; package topicreader makes them.
 package fanout
--- a/internal/fanout/reader_selector.go
+++ b/internal/fanout/reader_selector.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// failedReaderBackoff is how long a reader that gave no usable answer is not asked. A
+	// failedReaderBackoff is how long a reader that failed is not asked. A
 	// process that stopped is back after about 2 s, and its entry in the directory remains
 	// meanwhile.
 	failedReaderBackoff = 3 * time.Second
-	// MaxReaderAge is the maximum age of a reader's entries; beyond it the reader lags. A
+	// MaxReaderAge is the age of a reader's entries beyond which another reader is asked too. A
 	// reader that reaches the log gets an answer from it every 0.6 s and pauses for 0.1 s. On
 	// the users' smallest deployments a leaving sampler must get no new work after 2 s: this age,
 	// the 0.6 s for which a request is held and a pause of 0.1 s add up to less.
@@ -58,7 +58,7 @@
 	return available
 }
 
-// RecordFailure records that a reader gave no answer or one that is too old.
+// RecordFailure records that a reader gave no usable answer, or a later one than another reader.
 func (s *ReaderSelector) RecordFailure(name string, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/topicreader/feed.go
+++ b/internal/topicreader/feed.go
@@ -135,10 +135,10 @@
 	plan := f.config.Plan()
 	if after == "" && !plan.ReadsLog {
 		required := f.requiredGroups(plan)
-		batch, fetched := f.fetch(ctx, plan, &pathbendv1.ReadEntries{Newest: true, All: required.IncludesAll(), Groups: required.Names()}, 0)
-		if fetched {
+		answer := f.fetch(ctx, plan, &pathbendv1.ReadEntries{Newest: true, All: required.IncludesAll(), Groups: required.Names()}, 0)
+		if answer.received {
 			f.setLoaded(required)
-			return sharedlog.KeyedPage{KeyedBatch: batch}, nil
+			return sharedlog.KeyedPage{KeyedBatch: answer.KeyedBatch}, nil
 		}
 		if f.selector.MayWaitForReaders(time.Now()) && len(plan.Parents) > 0 && !f.config.SkipReaderWait {
 			wait.For(ctx, fanout.RetryInterval)
@@ -165,16 +165,13 @@
 		return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the newest entries must be read again to serve other nodes")
 	}
 	if !plan.ReadsLog {
-		request := &pathbendv1.ReadEntries{From: from, All: loaded.IncludesAll(), Groups: loaded.Names(), HoldMs: hold.Milliseconds()}
-		batch, fetched := f.fetch(ctx, plan, request, hold)
+		request := &pathbendv1.ReadEntries{From: from, All: loaded.IncludesAll(), Groups: loaded.Names()}
+		answer := f.fetch(ctx, plan, request, hold)
 		switch {
-		case fetched && batch.NextOffset == 0:
+		case answer.received:
+			return answer.KeyedBatch, nil
+		case answer.truncated:
 			return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the readers no longer keep the entries from offset %d", from)
-		case fetched:
-			if len(batch.Records) == 0 {
-				batch.Waited = hold
-			}
-			return batch, nil
 		}
 	}
 	batch, err := f.Log.ReadKeyed(ctx, partition, from, hold)
