Avoid a reader that does not answer before the request ends

Cause: a reader's failure was recorded only if the request had time left.

Change: the failure is recorded unless the request was cancelled.

Result: TestSilentReaderIsAvoided fails without the change and passes with it.

--- a/internal/topicreader/feed_test.go
+++ b/internal/topicreader/feed_test.go
@@ -250,6 +250,26 @@
 	})
 }
 
+// A reader that does not answer before the request ends is avoided like an unreachable one.
+func TestSilentReaderIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t)
+		cluster.log.put("a", "api")
+		cluster.reader("r")
+		client := cluster.client("n", "r")
+		cluster.readNewest(client)
+		cluster.silent = map[string]bool{"s": true}
+		cluster.plans["n"].Parents = []fanout.Node{{Name: "s", Address: "s"}, {Name: "r", Address: "r"}}
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		// Whether the log is read afterwards does not matter here.
+		_, _ = client.ReadKeyed(ctx, sharedlog.Partition{Topic: "t"}, 1, 100*time.Millisecond)
+		cluster.called = nil
+		cluster.readFrom(client, 1)
+		require.Equal(t, []string{"r"}, cluster.called)
+	})
+}
+
 // When all nodes start at once, no reader has loaded entries yet. Other nodes wait for their
 // readers for a limited time before they read the log themselves.
 func TestNodesThatStartTogetherWaitForTheirReaders(t *testing.T) {
--- a/internal/topicreader/fetch.go
+++ b/internal/topicreader/fetch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/fanout"
@@ -48,7 +50,7 @@
 		batch, err := f.fetchFrom(ctx, reader, request, remaining)
 		f.config.Counter.EntriesRead(FromReader, err == nil)
 		switch {
-		case ctx.Err() != nil && err != nil:
+		case errors.Is(ctx.Err(), context.Canceled):
 			return answer{}
 		case result.Is(err, result.LogTruncated):
 			best.truncated = true
