--- a/internal/topicreader/feed_test.go
+++ b/internal/topicreader/feed_test.go
@@ -270,6 +270,21 @@
 	})
 }
 
+// A reader holds a request for a limited time, and no longer wait is claimed.
+func TestWaitIsNoLongerThanAReaderHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t)
+		cluster.log.put("a", "api")
+		cluster.reader("r")
+		client := cluster.client("n", "r")
+		cluster.readNewest(client)
+		began := time.Now()
+		batch, err := client.ReadKeyed(t.Context(), sharedlog.Partition{Topic: "t"}, 1, 2*maxHoldTime)
+		require.NoError(t, err)
+		require.Equal(t, time.Since(began), batch.Waited)
+	})
+}
+
 // When all nodes start at once, no reader has loaded entries yet. Other nodes wait for their
 // readers for a limited time before they read the log themselves.
 func TestNodesThatStartTogetherWaitForTheirReaders(t *testing.T) {
