Take the age of a reader's entries before the entries

Cause: a reader computed the age of its response after it had taken the entries from its cache. If it read the log in between, the response had the lower age of entries that were not in it, and the asking node counted as more current than it was.

Change: the age is taken before the entries, at each look at the cache.

Result: TestAgeIsThatOfTheEntriesInTheResponse fails without the change and passes with it.

--- a/internal/topicreader/feed_test.go
+++ b/internal/topicreader/feed_test.go
@@ -285,6 +285,28 @@
 	})
 }
 
+// The age in a response is not lower than that of the entries in it, even if the reader reads
+// the log at the same time.
+func TestAgeIsThatOfTheEntriesInTheResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t)
+		cluster.log.put("a", "api")
+		reader := cluster.reader("r")
+		reader.SetAgeFunc(func() time.Duration {
+			cluster.log.put(fmt.Sprint("later-", len(cluster.log.records)), "api")
+			cluster.readFrom(reader, uint64(len(cluster.log.records)-1))
+			return 0
+		})
+		for _, request := range []*pathbendv1.ReadEntries{
+			{Topic: "t", All: true, Newest: true}, {Topic: "t", All: true, From: 1},
+		} {
+			response, err := cluster.servers["r"].Serve(t.Context(), request)
+			require.NoError(t, err)
+			require.EqualValues(t, len(cluster.log.records), response.Next, "everything read up to the time of the age is included")
+		}
+	})
+}
+
 // When all nodes start at once, no reader has loaded entries yet. Other nodes wait for their
 // readers for a limited time before they read the log themselves.
 func TestNodesThatStartTogetherWaitForTheirReaders(t *testing.T) {
--- a/internal/topicreader/serve.go
+++ b/internal/topicreader/serve.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &pathbendv1.EntryBatch{Next: batch.NextOffset, Truncated: truncated, AgeMs: (*feed.age.Load())().Milliseconds()}
+	response := &pathbendv1.EntryBatch{Next: batch.NextOffset, Truncated: truncated, AgeMs: batch.Age.Milliseconds()}
 	if response.Packed, err = compress(batch.Records); err != nil {
 		return nil, err
 	}
@@ -61,33 +61,40 @@
 // read serves a request from the cache. truncated reports that the cache does not keep the
 // requested entries.
 func (f *Feed) read(ctx context.Context, request *pathbendv1.ReadEntries) (batch sharedlog.KeyedBatch, truncated bool, err error) {
-	if f.age.Load() == nil || !f.serves() || !f.cache.Ready() {
+	age := f.age.Load()
+	if age == nil || !f.serves() || !f.cache.Ready() {
 		return batch, false, result.New(result.NotReady, "this node is not a reader of the topic, or has not loaded it yet")
 	}
 	groups := requestedGroups(request)
 	if request.Newest {
+		// The age is taken before the entries: after them it could be that of later ones.
+		current := (*age)()
 		batch, ready := f.cache.Snapshot(groups)
+		batch.Age = current
 		return batch, !ready, nil
 	}
 	hold := min(time.Duration(max(request.HoldMs, 0))*time.Millisecond, maxHoldTime)
-	batch, available := f.await(ctx, request.From, groups, hold)
+	batch, available := f.await(ctx, request.From, groups, hold, *age)
 	return batch, !available, nil
 }
 
 // await returns the records of the groups from an offset, and waits up to hold for the first
 // one. It reports false if the cache no longer keeps that offset.
-func (f *Feed) await(ctx context.Context, from uint64, groups fanout.Groups, hold time.Duration) (sharedlog.KeyedBatch, bool) {
+func (f *Feed) await(ctx context.Context, from uint64, groups fanout.Groups, hold time.Duration, age func() time.Duration) (sharedlog.KeyedBatch, bool) {
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
-	for {
+	for expired := hold <= 0; ; {
+		// As in read, the age is taken before the entries.
+		current := age()
 		batch, available, changed := f.cache.Since(from, groups)
-		if !available || len(batch.Records) > 0 || hold <= 0 {
+		batch.Age = current
+		if !available || len(batch.Records) > 0 || expired {
 			return batch, available
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return batch, available
+			expired = true
 		case <-ctx.Done():
 			return batch, available
 		}
