Read the log's rate of answered bytes from the platform's settings

Cause: a node knew how many reads a second the log serves to all nodes together, not how many bytes.

--- a/internal/platformnode/ports.go
+++ b/internal/platformnode/ports.go
@@ -162,6 +162,9 @@
 	JobRetention time.Duration
 	// ReadsPerSecond is the rate at which all nodes together may read the log, 0 if unknown.
 	ReadsPerSecond float64
+	// ReadBytesPerSecond is the size in bytes of the answers to reads that the log serves to all
+	// nodes together in a second, 0 if unknown.
+	ReadBytesPerSecond float64
 	// Millicores is the CPU limit of the node in thousandths of a core, 0 if unknown.
 	Millicores uint64
 	// OrderSamplers is set if this system controls the number of samplers.
