Pace a node's own reads of the log while its readers are gone

Cause: a node whose readers gave no answer read the log itself at once, as a long poll with the little time that the readers had left, and again each 0.1 s. If the readers are gone for all nodes, these reads fill the log's queue, run out of time and are repeated, which keeps the queue full.

Change: fanout.Fallback paces such reads. The first is at a random time in a span in which all nodes together take a quarter of the log's bytes and reads a second, 4 s at most; pauses then double, with jitter, up to 8 s while reads fail or take 0.4 s and more, and halve while they are fast. The readers are asked again between these reads, also between two pages of the newest entries; an answer ends the fallback. The reads ask for what is there and have a timeout of their own, longer than the queue from which on the log refuses reads. The operator's documents are read without a span at a start only. In sharedlog, a truncation drops the pages of the newest entries read so far, so that a reader that answers between two pages replaces them.

--- a/internal/fanout/plan.go
+++ b/internal/fanout/plan.go
@@ -56,6 +56,8 @@
 	Shared bool
 	// ReadsLog is set if this node reads the log, for other nodes too if Shared is set.
 	ReadsLog bool
+	// Nodes is the number of known nodes.
+	Nodes int
 	// Readers is the number of nodes that read the log.
 	Readers int
 	// Parents are the readers that this node asks, in order of preference. It is empty if
@@ -69,9 +71,9 @@
 func NewPlan(sizes Sizes, self string, zone string, known []Node) Plan {
 	sizes = sizes.orDefault()
 	if len(known) <= sizes.MaxDirectNodes {
-		return Plan{ReadsLog: true, Readers: len(known)}
+		return Plan{ReadsLog: true, Nodes: len(known), Readers: len(known)}
 	}
-	plan := Plan{Shared: true}
+	plan := Plan{Shared: true, Nodes: len(known)}
 	var parents []Node
 	for _, nodes := range addressableByZone(known) {
 		readers := selectReaders(nodes, sizes.NodesPerReader)
--- a/internal/platformnode/readers.go
+++ b/internal/platformnode/readers.go
@@ -97,6 +97,8 @@
 func (n *Node) createFeeds(topics Topics) {
 	shared := topicreader.Config{
 		Log: n.log, Plan: n.readers.Plan, Caller: n.peers, Counter: n.metrics, Logger: n.logger,
+		Limits:       fanout.LogLimits{BytesPerSecond: n.settings.ReadBytesPerSecond, ReadsPerSecond: n.settings.ReadsPerSecond},
+		ExtraLatency: n.log.ExtraLatency,
 	}
 	samplers, operator := shared, shared
 	samplers.Topic, samplers.GroupOf, samplers.RequiredGroups = topics.Samplers, topics.serviceOf, n.readers.requiredGroups
--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -121,10 +121,13 @@
 }
 
 // readNewest reads all pages of the newest records. After a failure the next call continues
-// with the page that failed.
+// with the page that failed, or with the first one after a truncation.
 func (f *KeyedFollower) readNewest(ctx context.Context) (KeyedBatch, error) {
 	for {
 		page, err := f.readPage(ctx)
+		if result.Is(err, result.LogTruncated) {
+			f.initialRead = initialRead{}
+		}
 		if err != nil {
 			return KeyedBatch{}, err
 		}
--- a/internal/topicreader/feed.go
+++ b/internal/topicreader/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,11 +48,16 @@
 	// RequiredGroups returns the groups that this node needs if it reads through others.
 	RequiredGroups func() fanout.Groups
 	Caller         Caller
-	// SkipReaderWait makes the node read the log at once if no reader responds, instead of
-	// waiting for a reader to become ready.
+	// SkipReaderWait makes a node that starts read the log at once if no reader responds, instead
+	// of waiting for a reader to become ready.
 	SkipReaderWait bool
-	Counter        Counter
-	Logger         *event.Logger
+	// Limits is what the log serves to all nodes together.
+	Limits fanout.LogLimits
+	// ExtraLatency returns how much longer the log's responses take than those of a log in the
+	// same data center. It may be nil, which means 0.
+	ExtraLatency func() time.Duration
+	Counter      Counter
+	Logger       *event.Logger
 }
 
 // Feed reads a keyed topic from the log or through a reader. It is safe for concurrent use.
@@ -59,6 +65,8 @@
 	sharedlog.Log
 	config   Config
 	selector *fanout.ReaderSelector
+	// fallback paces the reads of the log while no reader answers.
+	fallback *fanout.Fallback
 	cache    *fanout.Cache
 	// logLimiter limits the rate of log entries about failed readers.
 	logLimiter event.Limiter
@@ -78,7 +86,8 @@
 // New returns a feed that has read nothing.
 func New(config Config) *Feed {
 	return &Feed{
-		Log: config.Log, config: config, selector: fanout.NewReaderSelector(), cache: fanout.NewCache(config.GroupOf),
+		Log: config.Log, config: config, selector: fanout.NewReaderSelector(), fallback: fanout.NewFallback(rand.Float64),
+		cache: fanout.NewCache(config.GroupOf),
 	}
 }
 
@@ -111,6 +120,13 @@
 	return f.hasLoaded && !f.loaded.IncludesAll()
 }
 
+// started reports whether the follower has loaded entries.
+func (f *Feed) started() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.hasLoaded
+}
+
 func (f *Feed) setLoaded(groups fanout.Groups) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -130,26 +146,32 @@
 
 // ReadNewest implements sharedlog.Log. A node that does not read the log itself requests the
 // first page from a reader, whose response holds the newest entries of all groups that the
-// node needs.
+// node needs. If no reader answers, it reads the pages from the log, and asks the readers again
+// before each one; it returns result.LogTruncated once one answers between two pages.
 func (f *Feed) ReadNewest(ctx context.Context, partition sharedlog.Partition, after string) (sharedlog.KeyedPage, error) {
 	plan := f.config.Plan()
-	if after == "" && !plan.ReadsLog {
-		required := f.requiredGroups(plan)
-		answer := f.fetch(ctx, plan, &pathbendv1.ReadEntries{Newest: true, All: required.IncludesAll(), Groups: required.Names()}, 0)
-		if answer.received {
-			f.setLoaded(required)
-			return sharedlog.KeyedPage{KeyedBatch: answer.KeyedBatch}, nil
-		}
-		if f.selector.MayWaitForReaders(time.Now()) && len(plan.Parents) > 0 && !f.config.SkipReaderWait {
-			wait.For(ctx, fanout.RetryInterval)
-			return sharedlog.KeyedPage{}, result.New(result.LogUnavailable, "no reader has served the newest entries yet")
-		}
+	if plan.ReadsLog || len(plan.Parents) == 0 {
+		page, err := f.readPage(ctx, partition, after)
+		f.config.Counter.EntriesRead(FromLog, err == nil)
+		return page, err
 	}
-	page, err := f.Log.ReadNewest(ctx, partition, after)
-	f.config.Counter.EntriesRead(FromLog, err == nil)
-	if err == nil && !page.More {
-		f.setLoaded(fanout.All())
+	required := f.requiredGroups(plan)
+	answer := f.fetch(ctx, plan, &pathbendv1.ReadEntries{Newest: true, All: required.IncludesAll(), Groups: required.Names()}, 0)
+	switch {
+	case answer.received && after != "":
+		return sharedlog.KeyedPage{}, result.New(result.LogTruncated, "a reader has the newest entries, which replace the pages read from the log so far")
+	case answer.received:
+		f.setLoaded(required)
+		return sharedlog.KeyedPage{KeyedBatch: answer.KeyedBatch}, nil
+	case after == "" && !f.fallback.Active() && !f.config.SkipReaderWait && f.selector.MayWaitForReaders(time.Now()):
+		wait.For(ctx, fanout.RetryInterval)
+		return sharedlog.KeyedPage{}, result.New(result.LogUnavailable, "no reader has served the newest entries yet")
 	}
+	var page sharedlog.KeyedPage
+	err := f.readAsFallback(ctx, f.newestFallback(plan), func(ctx context.Context) (err error) {
+		page, err = f.readPage(ctx, partition, after)
+		return err
+	})
 	return page, err
 }
 
@@ -164,18 +186,30 @@
 	if f.serves() && !f.cache.Ready() {
 		return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the newest entries must be read again to serve other nodes")
 	}
-	if !plan.ReadsLog {
-		request := &pathbendv1.ReadEntries{From: from, All: loaded.IncludesAll(), Groups: loaded.Names()}
-		answer := f.fetch(ctx, plan, request, hold)
-		switch {
-		case answer.received:
-			return answer.KeyedBatch, nil
-		case answer.truncated:
-			return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the readers no longer keep the entries from offset %d", from)
-		}
+	if plan.ReadsLog || len(plan.Parents) == 0 {
+		batch, err := f.readEntries(ctx, partition, from, hold, loaded)
+		f.config.Counter.EntriesRead(FromLog, err == nil)
+		return batch, err
+	}
+	answer := f.fetch(ctx, plan, &pathbendv1.ReadEntries{From: from, All: loaded.IncludesAll(), Groups: loaded.Names()}, hold)
+	switch {
+	case answer.received:
+		return answer.KeyedBatch, nil
+	case answer.truncated:
+		return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the readers no longer keep the entries from offset %d", from)
 	}
+	var batch sharedlog.KeyedBatch
+	err := f.readAsFallback(ctx, f.entriesFallback(plan), func(ctx context.Context) (err error) {
+		// The node has waited for its readers and its turn, so that the log need not hold the read.
+		batch, err = f.readEntries(ctx, partition, from, 0, loaded)
+		return err
+	})
+	return batch, err
+}
+
+// readEntries reads entries of the loaded groups from the log.
+func (f *Feed) readEntries(ctx context.Context, partition sharedlog.Partition, from uint64, hold time.Duration, loaded fanout.Groups) (sharedlog.KeyedBatch, error) {
 	batch, err := f.Log.ReadKeyed(ctx, partition, from, hold)
-	f.config.Counter.EntriesRead(FromLog, err == nil)
 	if err == nil && !loaded.IncludesAll() {
 		batch.Records = f.filter(batch.Records, loaded)
 	}
--- a/internal/topicreader/fetch.go
+++ b/internal/topicreader/fetch.go
@@ -28,8 +28,6 @@
 	received bool
 	// truncated is set if readers answered, but none keeps the requested entries.
 	truncated bool
-	// notReady is set if a reader could be reached but has not loaded the entries yet.
-	notReady bool
 }
 
 // fetch sends a request to readers in turn until one gives a current response. If all responses
@@ -58,13 +56,13 @@
 		case result.Is(err, result.NotReady):
 			// A reader that is still starting has no entries yet. It is not avoided, so that it
 			// is asked again soon.
-			best.notReady = true
 		case err != nil:
 			f.avoid(reader, err)
 		default:
 			if len(batch.Records) == 0 {
 				batch.Waited = asked.Sub(began) + remaining
 			}
+			f.fallback.End()
 			late = append(late, lateReader{reader, batch})
 			if !best.received || fresher(batch, best.KeyedBatch) {
 				best.KeyedBatch, best.received = batch, true
