Wait longer for readers that are not ready at a start

Cause: a node read all entries itself 4 s after its first question, although its readers answered that they were still reading them. On a calm start of 985 nodes 316 nodes did so, 8 MB each, which delays the readers further. The 4 s were also counted from the first question ever, so that a later read of the newest entries had no time to wait.

Change: readers that answer "not ready" are awaited 20 s; after that they are probably stuck, and the node reads the log in its turn. The times count from the first question after the last answer.

TestFailedReaderIsAvoidedDuringItsBackoff covers the new timeouts.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -80,6 +80,14 @@
 	require.Equal(t, first, selector.Select(plan, now.Add(failedReaderBackoff)))
 	require.True(t, selector.MayWaitForReaders(now.Add(startTimeout/2)), "the timeout runs from the first request on")
 	require.False(t, selector.MayWaitForReaders(now.Add(startTimeout)))
+	selector.RecordNotReady(now.Add(notReadyTimeout - time.Second))
+	require.True(t, selector.MayWaitForReaders(now.Add(notReadyTimeout-time.Millisecond)), "a reader that is starting is awaited longer")
+	require.False(t, selector.MayWaitForReaders(now.Add(notReadyTimeout)))
+	selector.RecordAnswer()
+	require.True(t, selector.MayWaitForReaders(now.Add(notReadyTimeout)), "the timeout starts anew after an answer")
+	selector.Select(plan, now.Add(time.Hour))
+	require.True(t, selector.MayWaitForReaders(now.Add(time.Hour+startTimeout-1)))
+	require.False(t, selector.MayWaitForReaders(now.Add(time.Hour+startTimeout)))
 }
 
 func record(key, group string, offset uint64) sharedlog.KeyedRecord {
--- a/internal/fanout/reader_selector.go
+++ b/internal/fanout/reader_selector.go
@@ -15,11 +15,16 @@
 	// the users' smallest deployments a leaving sampler must get no new work after 2 s: this age,
 	// the 0.6 s for which a request is held and a pause of 0.1 s add up to less.
 	MaxReaderAge = 1200 * time.Millisecond
-	// startTimeout is how long a node without entries retries the readers, from its first
-	// request on, before it reads all entries itself. If all nodes start at once, about 35
-	// readers of 20 pages each read 280 MB, which is 3.5 s of the log's 80 MB/s; all 985 nodes
-	// would read 7.9 GB.
+	// startTimeout is how long a node without entries retries readers that it cannot reach before
+	// it reads all entries itself. If all nodes start at once, about 35 readers of 20 pages each
+	// read 280 MB, which is 3.5 s of the log's 80 MB/s; all 985 nodes would read 7.9 GB.
 	startTimeout = 4 * time.Second
+	// notReadyTimeout is the same for readers that answer that they have no entries yet. They
+	// read the log, which a read of all entries by this node would only delay; after this time
+	// they are probably stuck.
+	notReadyTimeout = 20 * time.Second
+	// notReadyMemory is how long such an answer counts although other readers are unreachable.
+	notReadyMemory = 2 * time.Second
 	// RetryInterval is the pause between two such retries.
 	RetryInterval = 250 * time.Millisecond
 )
@@ -28,8 +33,9 @@
 // It is safe for concurrent use.
 type ReaderSelector struct {
 	mutex sync.Mutex
-	// firstRequestAt is when the node first selected readers to ask.
-	firstRequestAt time.Time
+	// firstRequestAt is when the node first selected readers to ask since the last answer,
+	// notReadyAt when a reader last answered that it has no entries yet.
+	firstRequestAt, notReadyAt time.Time
 	// avoidUntil holds when failed readers may be asked again, by name.
 	avoidUntil map[string]time.Time
 }
@@ -70,10 +76,31 @@
 	}
 }
 
+// RecordAnswer records that a reader answered with entries.
+func (s *ReaderSelector) RecordAnswer() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.firstRequestAt = time.Time{}
+}
+
+// RecordNotReady records that a reader answered that it has no entries yet.
+func (s *ReaderSelector) RecordNotReady(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.notReadyAt = now
+}
+
 // MayWaitForReaders reports whether a node without entries should retry the readers rather
 // than read the log itself.
 func (s *ReaderSelector) MayWaitForReaders(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.firstRequestAt.IsZero() || now.Sub(s.firstRequestAt) < startTimeout
+	if s.firstRequestAt.IsZero() {
+		return true
+	}
+	timeout := startTimeout
+	if now.Sub(s.notReadyAt) < notReadyMemory {
+		timeout = notReadyTimeout
+	}
+	return now.Sub(s.firstRequestAt) < timeout
 }
--- a/internal/topicreader/fetch.go
+++ b/internal/topicreader/fetch.go
@@ -56,12 +56,14 @@
 		case result.Is(err, result.NotReady):
 			// A reader that is still starting has no entries yet. It is not avoided, so that it
 			// is asked again soon.
+			f.selector.RecordNotReady(time.Now())
 		case err != nil:
 			f.avoid(reader, err)
 		default:
 			if len(batch.Records) == 0 {
 				batch.Waited = asked.Sub(began) + remaining
 			}
+			f.selector.RecordAnswer()
 			f.fallback.End()
 			late = append(late, lateReader{reader, batch})
 			if !best.received || fresher(batch, best.KeyedBatch) {
--- a/internal/topicreader/overload_test.go
+++ b/internal/topicreader/overload_test.go
@@ -355,6 +355,25 @@
 	})
 }
 
+// 200 nodes whose readers are not ready for 15 s wait for them.
+func TestNodesWaitForReadersThatAreNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
+		log := &busyLog{bytesPerSecond: 8e6, pageRecords: 10}
+		log.put(100)
+		fleet := newAskerFleet(log, 8, 200)
+		fleet.start(ctx, 200)
+		time.Sleep(15 * time.Second)
+		fleet.load()
+		fleet.await(t, time.Second)
+		require.Zero(t, log.reads)
+	})
+}
+
 // 200 nodes that start while no reader can be reached read lists of 1 MB in ten pages, which take
 // the log 10 s. It is never so busy that it refuses a read, and all nodes are done within 40 s. A
 // reader that answers meanwhile ends the reading.
