Keep all entries of a topic while no reader answers

Cause: a node that had read the whole list from the log, because no reader answered, read the newest entries again after 10 s to keep only those that it needs. If still no reader answered, it read the whole list from the log once more.

Change: it keeps the whole list until a reader has answered.

Result: TestNodeKeepsAllEntriesWhileNoReaderAnswers fails without the change and passes with it.

--- a/internal/topicreader/feed.go
+++ b/internal/topicreader/feed.go
@@ -134,14 +134,14 @@
 }
 
 // shrinkDelay is the minimum time for which a node keeps entries of groups that it does not
-// need. It read them from the log because the readers had none; if they still have none,
+// need. It read them from the log because no reader answered; it keeps them until one does, since
 // another read of the full list costs as much again.
 const shrinkDelay = 10 * time.Second
 
 func (f *Feed) mayShrink() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return time.Since(f.loadedAt) > shrinkDelay
+	return time.Since(f.loadedAt) > shrinkDelay && !f.fallback.Active()
 }
 
 // ReadNewest implements sharedlog.Log. A node that does not read the log itself requests the
--- a/internal/topicreader/feed_test.go
+++ b/internal/topicreader/feed_test.go
@@ -362,6 +362,32 @@
 	})
 }
 
+// A node that read all entries from the log because no reader answered keeps them until a reader
+// answers: reading the newest ones again would read the log once more.
+func TestNodeKeepsAllEntriesWhileNoReaderAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t)
+		cluster.log.put("a", "api")
+		cluster.log.put("b", "llm")
+		client := cluster.client("n", "r")
+		for range 8 {
+			_, err := client.ReadNewest(t.Context(), sharedlog.Partition{Topic: "t"}, "")
+			require.True(t, result.Is(err, result.LogUnavailable))
+			time.Sleep(250 * time.Millisecond)
+		}
+		cluster.readNewest(client)
+		require.True(t, client.Complete())
+		time.Sleep(shrinkDelay + time.Second)
+		cluster.readFrom(client, 2)
+		cluster.reader("r")
+		time.Sleep(4 * time.Second)
+		cluster.readFrom(client, 2)
+		_, err := client.ReadKeyed(t.Context(), sharedlog.Partition{Topic: "t"}, 2, 0)
+		require.True(t, result.Is(err, result.LogTruncated))
+		require.Equal(t, []string{"a"}, cluster.readNewest(client))
+	})
+}
+
 func TestHeldRequestReturnsAtTheFirstRequestedEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newTestCluster(t)
