Pause between consecutive truncations of a keyed topic

Cause: a follower whose records are no longer retained reads the newest records of all keys, without a pause. If the next read is truncated as well, because its readers lag behind each other or the log keeps too little, it reads whole lists as fast as they arrive.

Change: the first truncation is answered at once as before, further ones without a successful read in between after 0.1 s, doubling up to 8 s.

--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -16,6 +16,9 @@
 	// 80 MB/s, and a page whose read is abandoned has cost the store as much as any other.
 	pageTimeout    = pollWait + readTimeout
 	maxPageTimeout = 8 * time.Second
+	// maxReloadPause bounds the pause before the newest records are read again because of
+	// consecutive truncations, which doubles from retryInterval on.
+	maxReloadPause = 8 * time.Second
 )
 
 // KeyedFollower reads the newest record of every key, then follows the partition. After a
@@ -65,12 +68,15 @@
 func (f *KeyedFollower) Run(ctx context.Context) {
 	initialized := false
 	var next uint64
+	var reloadPause time.Duration
 	for ctx.Err() == nil {
 		asOf := clock.CurrentMoment()
 		batch, err := f.read(ctx, initialized, next)
 		switch {
 		case result.Is(err, result.LogTruncated):
 			initialized = false
+			wait.For(ctx, reloadPause)
+			reloadPause = min(max(2*reloadPause, retryInterval), maxReloadPause)
 			continue
 		case err != nil:
 			if ctx.Err() == nil && f.Health.recordFailure() {
@@ -85,9 +91,12 @@
 		case !initialized:
 			f.Reset(batch.Records, batch.EndOffset)
 			initialized, next = true, batch.EndOffset
-		case batch.NextOffset > next:
-			next = batch.NextOffset
-			f.Apply(f.withoutStale(batch.Records), next)
+		default:
+			reloadPause = 0
+			if batch.NextOffset > next {
+				next = batch.NextOffset
+				f.Apply(f.withoutStale(batch.Records), next)
+			}
 		}
 		if len(batch.Records) == 0 {
 			// The service, or a cache before it, waited without a new record, so that the
--- a/internal/sharedlog/keyed_test.go
+++ b/internal/sharedlog/keyed_test.go
@@ -19,6 +19,9 @@
 	end     uint64
 	latency time.Duration
 	later   []KeyedRecord
+	// truncations is the number of reads after the newest records that fail because the
+	// records are no longer retained.
+	truncations int
 
 	requested []string
 	failed    int
@@ -45,6 +48,10 @@
 }
 
 func (l *pagedLog) ReadKeyed(_ context.Context, _ Partition, from uint64, wait time.Duration) (KeyedBatch, error) {
+	if l.truncations > 0 {
+		l.truncations--
+		return KeyedBatch{}, result.New(result.LogTruncated, "no longer retained")
+	}
 	var batch KeyedBatch
 	for _, record := range l.later {
 		if record.Offset >= from {
@@ -128,3 +135,15 @@
 		require.Equal(t, []int{1, 2, 4}, counts, "each record is passed about twice in total")
 	})
 }
+
+// One truncation is answered at once; if truncations follow each other, the newest records are
+// read after growing pauses.
+func TestRepeatedTruncationsAreAnsweredAfterGrowingPauses(t *testing.T) {
+	log := &pagedLog{keys: []KeyedRecord{{Key: "a"}}, end: 5, truncations: 1}
+	runKeyedFollower(t, log, 10*time.Millisecond)
+	require.Len(t, log.requested, 2)
+	log = &pagedLog{keys: []KeyedRecord{{Key: "a"}}, end: 5, truncations: 1 << 30}
+	runKeyedFollower(t, log, time.Minute)
+	require.GreaterOrEqual(t, len(log.requested), 10)
+	require.LessOrEqual(t, len(log.requested), 20)
+}
