Count a truncated response of a reader as answered

Cause: since a truncated response is an error of its own, the counter of the readings counted it as unanswered, which it did not before.

Change: it counts as answered again. No test observes the counter.

--- a/internal/topicreader/fetch.go
+++ b/internal/topicreader/fetch.go
@@ -47,7 +47,7 @@
 			remaining = 0
 		}
 		batch, err := f.fetchFrom(ctx, reader, request, remaining)
-		f.config.Counter.EntriesRead(FromReader, err == nil)
+		f.config.Counter.EntriesRead(FromReader, err == nil || result.Is(err, result.LogTruncated))
 		switch {
 		case errors.Is(ctx.Err(), context.Canceled):
 			return answer{}
