--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -16,6 +16,9 @@
 	// 80 MB/s, and a page whose read is abandoned has cost the store as much as any other.
 	pageTimeout    = pollWait + readTimeout
 	maxPageTimeout = 8 * time.Second
+	// maxReloadPause bounds the pause before the newest records are read again because of
+	// consecutive truncations, which doubles from retryInterval on.
+	maxReloadPause = 8 * time.Second
 )
 
 // KeyedFollower reads the newest record of every key, then follows the partition. After a
@@ -67,11 +70,14 @@
 func (f *KeyedFollower) Run(ctx context.Context) {
 	initialized := false
 	var next uint64
+	var reloadPause time.Duration
 	for ctx.Err() == nil {
 		batch, asOf, err := f.read(ctx, initialized, next)
 		switch {
 		case result.Is(err, result.LogTruncated):
 			initialized = false
+			wait.For(ctx, reloadPause)
+			reloadPause = min(max(2*reloadPause, retryInterval), maxReloadPause)
 			continue
 		case err != nil:
 			if ctx.Err() == nil && f.Health.recordFailure() {
@@ -86,9 +92,12 @@
 		case !initialized:
 			f.Reset(batch.Records, batch.EndOffset)
 			initialized, next = true, batch.EndOffset
-		case batch.NextOffset > next:
-			next = batch.NextOffset
-			f.Apply(f.withoutStale(batch.Records), next)
+		default:
+			reloadPause = 0
+			if batch.NextOffset > next {
+				next = batch.NextOffset
+				f.Apply(f.withoutStale(batch.Records), next)
+			}
 		}
 		if len(batch.Records) == 0 {
 			// The service, or a cache before it, waited without a new record, so that the
@@ -131,10 +140,13 @@
 }
 
 // readNewest reads all pages of the newest records. After a failure the next call continues
-// with the page that failed.
+// with the page that failed, or with the first one after a truncation.
 func (f *KeyedFollower) readNewest(ctx context.Context) (KeyedBatch, error) {
 	for {
 		page, err := f.readPage(ctx)
+		if result.Is(err, result.LogTruncated) {
+			f.initialRead = initialRead{}
+		}
 		if err != nil {
 			return KeyedBatch{}, err
 		}
