Pace the reads of the jobs' topic past the readers like those of the other topics

Cause: the two feeds had a pacing each: the one for the jobs did not spread the first reads over the nodes, and followers' probes read the log directly on nodes that read through others, one probe a node and topic whenever no reader answers.

--- a/internal/fanout/fallback.go
+++ b/internal/fanout/fallback.go
@@ -12,9 +12,11 @@
 	// maxSpread bounds the time over which these nodes spread their first reads, so that a node
 	// that is alone in this does not stay without data.
 	maxSpread = 4 * time.Second
-	// MinEntriesPause and MinPagePause are the pauses after fast reads of entries and of pages
-	// of the newest entries.
+	// MinEntriesPause, MinRecordsPause and MinPagePause are the longest pauses after fast reads
+	// of entries, of records without keys and of pages of the newest entries. With jitter they
+	// are up to a half shorter.
 	MinEntriesPause = 350 * time.Millisecond
+	MinRecordsPause = 600 * time.Millisecond
 	MinPagePause    = 20 * time.Millisecond
 	// slowRead is the duration from which on a read counts as slow: other reads wait at the log.
 	slowRead = 400 * time.Millisecond
--- a/internal/nodedirectory/directory_test.go
+++ b/internal/nodedirectory/directory_test.go
@@ -90,7 +90,7 @@
 // A node of an earlier release would take a claim of many subjects for one of the first of them.
 func TestFurtherSubjectsAreReadOnlyIfAllNodesAnnounceIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := New(sharedlog.NewMeteredLog(&sharedlogtest.MemoryLog{}, nil), "nodes", "self", nil, event.Discard())
+		d := New(sharedlog.NewMeteredLog(&sharedlogtest.MemoryLog{}, nil), "nodes", "self", nil, nil, event.Discard())
 		announce := func(node string, reads bool) {
 			value, err := proto.Marshal(&pathbendv1.NodeCapacity{Node: node, Millicores: 1, ReadsFurtherSubjects: reads})
 			require.NoError(t, err)
@@ -116,7 +116,7 @@
 
 func TestAnnouncementStatesThatFurtherSubjectsAreRead(t *testing.T) {
 	log := &sharedlogtest.MemoryLog{}
-	d := New(sharedlog.NewMeteredLog(log, nil), "nodes", "self", nil, event.Discard())
+	d := New(sharedlog.NewMeteredLog(log, nil), "nodes", "self", nil, nil, event.Discard())
 	entry := Entry{Millicores: 1, ReadsFurtherSubjects: true}
 	require.NoError(t, d.Announce(t.Context(), entry))
 	batch, err := log.ReadKeyed(t.Context(), d.follower.Partition, 0, 0)
--- a/internal/platformnode/jobs.go
+++ b/internal/platformnode/jobs.go
@@ -11,7 +11,6 @@
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
 	"github.com/pathbend/pathbend/internal/blobstore"
 	"github.com/pathbend/pathbend/internal/event"
-	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/ledger"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/sharedlog"
@@ -80,7 +79,7 @@
 	}
 	store.feed = topicreader.NewRecordFeed(topicreader.RecordConfig{
 		Log: n.log, Topic: jobTopic, Plan: n.readers.Plan, NeedsLog: n.needsJobsLog, Caller: n.peers,
-		DirectReads: fanout.NewDirectReadPacer(), Counter: n.metrics, Logger: n.logger,
+		Limits: n.logLimits(), ExtraLatency: n.log.ExtraLatency, Counter: n.metrics, Logger: n.logger,
 	})
 	store.follower = &sharedlog.Follower{
 		Log: store.feed, Partition: sharedlog.Partition{Topic: jobTopic, Number: jobPartition},
--- a/internal/platformnode/readers.go
+++ b/internal/platformnode/readers.go
@@ -97,8 +97,7 @@
 func (n *Node) createFeeds(topics Topics) {
 	shared := topicreader.Config{
 		Log: n.log, Plan: n.readers.Plan, Caller: n.peers, Counter: n.metrics, Logger: n.logger,
-		Limits:       fanout.LogLimits{BytesPerSecond: n.settings.ReadBytesPerSecond, ReadsPerSecond: n.settings.ReadsPerSecond},
-		ExtraLatency: n.log.ExtraLatency,
+		Limits: n.logLimits(), ExtraLatency: n.log.ExtraLatency,
 	}
 	samplers, operator := shared, shared
 	samplers.Topic, samplers.GroupOf, samplers.RequiredGroups = topics.Samplers, topics.serviceOf, n.readers.requiredGroups
@@ -109,6 +108,11 @@
 	n.entryServer = topicreader.NewServer(n.samplerFeed, n.operatorFeed)
 }
 
+// logLimits returns what the log serves to all nodes together.
+func (n *Node) logLimits() fanout.LogLimits {
+	return fanout.LogLimits{BytesPerSecond: n.settings.ReadBytesPerSecond, ReadsPerSecond: n.settings.ReadsPerSecond}
+}
+
 // serviceOf calls ServiceOf if it is set; otherwise entries have no service.
 func (t Topics) serviceOf(record sharedlog.KeyedRecord) string {
 	if t.ServiceOf == nil {
--- a/internal/topicreader/fallback.go
+++ b/internal/topicreader/fallback.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,21 @@
 	callSpreadFactor = 1.5
 )
 
+// pacedLog makes the reads of the log by a node whose readers do not answer.
+type pacedLog struct {
+	*fanout.Fallback
+	limits fanout.LogLimits
+	// extraLatency is that of the log. It may be nil, which means 0.
+	extraLatency func() time.Duration
+	// recordRead records a read that has ended.
+	recordRead func(succeeded bool)
+}
+
+// newPacedLog returns the reads of a node whose readers answer.
+func newPacedLog(limits fanout.LogLimits, extraLatency func() time.Duration, recordRead func(succeeded bool)) pacedLog {
+	return pacedLog{Fallback: fanout.NewFallback(rand.Float64), limits: limits, extraLatency: extraLatency, recordRead: recordRead}
+}
+
 // fallbackRead describes a kind of read of the log by a node whose readers do not answer.
 type fallbackRead struct {
 	// spread is the time over which the nodes spread their first such reads.
@@ -36,47 +52,44 @@
 	minPause time.Duration
 }
 
-// entriesFallback describes reads of entries, newestFallback reads of pages of the newest ones.
-func (f *Feed) entriesFallback(plan fanout.Plan) fallbackRead {
-	callSpread := time.Duration(callSpreadFactor * float64(f.config.Limits.Spread(plan.Nodes, 0)))
-	return fallbackRead{spread: f.config.Limits.Spread(plan.Nodes, maxEntriesBytes), minPause: max(fanout.MinEntriesPause, callSpread)}
+// offsetRead describes reads from an offset on, by a number of nodes.
+func (p pacedLog) offsetRead(nodes int, minPause time.Duration) fallbackRead {
+	callSpread := time.Duration(callSpreadFactor * float64(p.limits.Spread(nodes, 0)))
+	return fallbackRead{spread: p.limits.Spread(nodes, maxEntriesBytes), minPause: max(minPause, callSpread)}
 }
 
-func (f *Feed) newestFallback(plan fanout.Plan) fallbackRead {
-	fallback := fallbackRead{spread: f.config.Limits.Spread(plan.Nodes, pageBytes), minPause: fanout.MinPagePause}
-	if f.config.SkipReaderWait && !f.started() {
-		fallback.spread = 0
-	}
-	return fallback
+// pageRead describes reads of pages of the newest entries, by a number of nodes.
+func (p pacedLog) pageRead(nodes int) fallbackRead {
+	return fallbackRead{spread: p.limits.Spread(nodes, pageBytes), minPause: fanout.MinPagePause}
 }
 
-// readAsFallback reads the log itself because no reader answered, if it is this node's turn. It
-// returns result.LogUnavailable if it is not, so that the readers are asked again first.
-func (f *Feed) readAsFallback(ctx context.Context, fallback fallbackRead, read func(context.Context) error) error {
-	if err := f.awaitTurn(ctx, fallback.spread); err != nil {
+// read reads the log if it is this node's turn. It returns result.LogUnavailable if it is not, so
+// that the readers are asked again first.
+func (p pacedLog) read(ctx context.Context, kind fallbackRead, read func(context.Context) error) error {
+	if err := p.awaitTurn(ctx, kind.spread); err != nil {
 		return err
 	}
 	ctx, cancel := withFallbackTimeout(ctx)
 	defer cancel()
 	began := time.Now()
 	err := read(ctx)
-	f.config.Counter.EntriesRead(FromLog, err == nil)
+	p.recordRead(err == nil)
 	now := time.Now()
 	took := now.Sub(began)
-	if f.config.ExtraLatency != nil {
-		took -= f.config.ExtraLatency()
+	if p.extraLatency != nil {
+		took -= p.extraLatency()
 	}
-	f.fallback.ReadEnded(now, took, err == nil || result.Is(err, result.LogTruncated), fallback.minPause)
+	p.ReadEnded(now, took, err == nil || result.Is(err, result.LogTruncated), kind.minPause)
 	return err
 }
 
 // awaitTurn waits until this node may read the log itself, or fails after maxTurnWait.
-func (f *Feed) awaitTurn(ctx context.Context, spread time.Duration) error {
+func (p pacedLog) awaitTurn(ctx context.Context, spread time.Duration) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return result.Wrap(result.LogUnavailable, ctx.Err(), "read the log")
 	}
 	now := time.Now()
-	remaining := f.fallback.NextRead(now, spread).Sub(now)
+	remaining := p.NextRead(now, spread).Sub(now)
 	if remaining <= 0 {
 		return nil
 	}
@@ -102,6 +115,16 @@
 	}
 }
 
+// newestRead describes reads of pages of the newest entries under a plan. A node that starts and
+// does not wait for readers reads the first page at once.
+func (f *Feed) newestRead(plan fanout.Plan) fallbackRead {
+	kind := f.fallback.pageRead(plan.Nodes)
+	if f.config.SkipReaderWait && !f.started() {
+		kind.spread = 0
+	}
+	return kind
+}
+
 // readPage reads a page of the newest entries from the log.
 func (f *Feed) readPage(ctx context.Context, partition sharedlog.Partition, after string) (sharedlog.KeyedPage, error) {
 	page, err := f.Log.ReadNewest(ctx, partition, after)
--- a/internal/topicreader/feed.go
+++ b/internal/topicreader/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +65,7 @@
 	config   Config
 	selector *fanout.ReaderSelector
 	// fallback paces the reads of the log while no reader answers.
-	fallback *fanout.Fallback
+	fallback pacedLog
 	cache    *fanout.Cache
 	// logLimiter limits the rate of log entries about failed readers.
 	logLimiter event.Limiter
@@ -85,9 +84,10 @@
 
 // New returns a feed that has read nothing.
 func New(config Config) *Feed {
+	recordRead := func(succeeded bool) { config.Counter.EntriesRead(FromLog, succeeded) }
 	return &Feed{
-		Log: config.Log, config: config, selector: fanout.NewReaderSelector(), fallback: fanout.NewFallback(rand.Float64),
-		cache: fanout.NewCache(config.GroupOf),
+		Log: config.Log, config: config, selector: fanout.NewReaderSelector(),
+		fallback: newPacedLog(config.Limits, config.ExtraLatency, recordRead), cache: fanout.NewCache(config.GroupOf),
 	}
 }
 
@@ -168,7 +168,7 @@
 		return sharedlog.KeyedPage{}, result.New(result.LogUnavailable, "no reader has served the newest entries yet")
 	}
 	var page sharedlog.KeyedPage
-	err := f.readAsFallback(ctx, f.newestFallback(plan), func(ctx context.Context) (err error) {
+	err := f.fallback.read(ctx, f.newestRead(plan), func(ctx context.Context) (err error) {
 		page, err = f.readPage(ctx, partition, after)
 		return err
 	})
@@ -199,7 +199,7 @@
 		return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the readers no longer keep the entries from offset %d", from)
 	}
 	var batch sharedlog.KeyedBatch
-	err := f.readAsFallback(ctx, f.entriesFallback(plan), func(ctx context.Context) (err error) {
+	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinEntriesPause), func(ctx context.Context) (err error) {
 		// The node has waited for its readers and its turn, so that the log need not hold the read.
 		batch, err = f.readEntries(ctx, partition, from, 0, loaded)
 		return err
@@ -216,6 +216,20 @@
 	return batch, err
 }
 
+// ReadAvailable implements sharedlog.Log. Followers probe with it whether the log is back, which
+// says nothing about the readers of a node that does not read the log itself.
+func (f *Feed) ReadAvailable(ctx context.Context, partition sharedlog.Partition, from uint64, maxBytes int) (sharedlog.Batch, error) {
+	return readAvailableIfDirect(ctx, f.Log, f.config.Plan(), partition, from, maxBytes)
+}
+
+// readAvailableIfDirect reads the log unless the plan names readers.
+func readAvailableIfDirect(ctx context.Context, log sharedlog.Log, plan fanout.Plan, partition sharedlog.Partition, from uint64, maxBytes int) (sharedlog.Batch, error) {
+	if !plan.ReadsLog && len(plan.Parents) > 0 {
+		return sharedlog.Batch{}, result.New(result.LogUnavailable, "this node reads the topic through other nodes")
+	}
+	return log.ReadAvailable(ctx, partition, from, maxBytes)
+}
+
 // filter returns the records of the given groups. It keeps records without a group: those
 // that delete a key, or cannot be decoded.
 func (f *Feed) filter(records []sharedlog.KeyedRecord, groups fanout.Groups) []sharedlog.KeyedRecord {
--- a/internal/topicreader/overload_test.go
+++ b/internal/topicreader/overload_test.go
@@ -344,7 +344,7 @@
 		fleet.gone.Store(true)
 		feed := fleet.newFeed(fleet.plan)
 		feed.config.SkipReaderWait = true
-		feed.fallback = fanout.NewFallback(func() float64 { return 0.75 })
+		feed.fallback.Fallback = fanout.NewFallback(func() float64 { return 0.75 })
 		began := time.Now()
 		_, err := feed.ReadNewest(t.Context(), sharedlog.Partition{Topic: "t"}, "")
 		require.NoError(t, err)
--- a/internal/topicreader/record_feed.go
+++ b/internal/topicreader/record_feed.go
@@ -13,7 +13,6 @@
 	"github.com/pathbend/pathbend/internal/fanout"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/sharedlog"
-	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // RecordCounter counts a record feed's reads and responses.
@@ -24,14 +23,6 @@
 	RecordsServed(bytes int)
 }
 
-// DirectReads bounds the reads of the log by a node that no reader serves.
-type DirectReads interface {
-	// Allow reports whether the log may be read now.
-	Allow(now time.Time) bool
-	// Record records the duration and the error of an allowed read.
-	Record(took time.Duration, err error, now time.Time)
-}
-
 // RecordConfig holds the settings and dependencies of a record feed.
 type RecordConfig struct {
 	Log   sharedlog.Log
@@ -40,11 +31,14 @@
 	Plan func() fanout.Plan
 	// NeedsLog reports whether this node reads the log itself whatever its plan, because a
 	// reader would delay its work.
-	NeedsLog    func() bool
-	Caller      Caller
-	DirectReads DirectReads
-	Counter     RecordCounter
-	Logger      *event.Logger
+	NeedsLog func() bool
+	Caller   Caller
+	// Limits is what the log serves to all nodes together.
+	Limits fanout.LogLimits
+	// ExtraLatency is that of Config.
+	ExtraLatency func() time.Duration
+	Counter      RecordCounter
+	Logger       *event.Logger
 }
 
 // RecordFeed reads a partition of a topic without keys from the log or through a reader. It is
@@ -53,6 +47,8 @@
 	sharedlog.Log
 	config   RecordConfig
 	selector *fanout.ReaderSelector
+	// fallback paces the reads of the log while no reader answers.
+	fallback pacedLog
 	cache    *fanout.RecordCache
 	// logLimiter limits the rate of log entries about failed readers.
 	logLimiter event.Limiter
@@ -66,8 +62,10 @@
 
 // NewRecordFeed returns a feed that has read nothing.
 func NewRecordFeed(config RecordConfig) *RecordFeed {
+	recordRead := func(succeeded bool) { config.Counter.RecordsRead(FromLog, succeeded) }
 	return &RecordFeed{
-		Log: config.Log, config: config, selector: fanout.NewReaderSelector(), cache: fanout.NewRecordCache(),
+		Log: config.Log, config: config, selector: fanout.NewReaderSelector(),
+		fallback: newPacedLog(config.Limits, config.ExtraLatency, recordRead), cache: fanout.NewRecordCache(),
 		slots: make(chan struct{}, maxHeldRequests),
 	}
 }
@@ -96,7 +94,7 @@
 	if batch, ok := f.fetch(ctx, plan, from, hold); ok {
 		return batch, nil
 	}
-	return f.readPastReaders(ctx, partition, from, hold)
+	return f.readPastReaders(ctx, plan, partition, from, hold)
 }
 
 // readLog reads the log, and keeps the records for other nodes if this node is a reader.
@@ -120,24 +118,14 @@
 // isReader reports whether a node with this plan reads the log for others.
 func isReader(plan fanout.Plan) bool { return plan.Shared && plan.ReadsLog }
 
-// directReadPoll is the interval between checks whether the log may be read.
-const directReadPoll = 100 * time.Millisecond
-
 // readPastReaders reads the log because no reader gave a usable answer. The log is not asked to
-// wait, so that a node whose readers are back asks them soon. Part of the wait is spent before
-// the read, so that a caller that does not wait has its turn.
-func (f *RecordFeed) readPastReaders(ctx context.Context, partition sharedlog.Partition, from uint64, hold time.Duration) (sharedlog.Batch, error) {
-	wait.For(ctx, hold/2)
-	for ctx.Err() == nil && !f.config.DirectReads.Allow(time.Now()) {
-		wait.For(ctx, directReadPoll)
-	}
-	if ctx.Err() != nil {
-		return sharedlog.Batch{}, result.New(result.LogUnavailable, "no reader gave a usable answer in time")
-	}
-	began := time.Now()
-	batch, err := f.Log.Read(ctx, partition, from, 0)
-	f.config.DirectReads.Record(time.Since(began), err, time.Now())
-	f.config.Counter.RecordsRead(FromLog, err == nil)
+// wait, so that a node whose readers are back asks them soon.
+func (f *RecordFeed) readPastReaders(ctx context.Context, plan fanout.Plan, partition sharedlog.Partition, from uint64, hold time.Duration) (sharedlog.Batch, error) {
+	var batch sharedlog.Batch
+	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinRecordsPause), func(ctx context.Context) (err error) {
+		batch, err = f.Log.Read(ctx, partition, from, 0)
+		return err
+	})
 	if err == nil && len(batch.Records) == 0 {
 		// The age counts from the end of the wait, which there was none of.
 		batch.Age = hold
@@ -145,6 +133,13 @@
 	return batch, err
 }
 
+// ReadAvailable implements sharedlog.Log, for probes as that of Feed.
+func (f *RecordFeed) ReadAvailable(ctx context.Context, partition sharedlog.Partition, from uint64, maxBytes int) (sharedlog.Batch, error) {
+	plan := f.config.Plan()
+	plan.ReadsLog = plan.ReadsLog || f.config.NeedsLog()
+	return readAvailableIfDirect(ctx, f.Log, plan, partition, from, maxBytes)
+}
+
 // fetch asks the readers in turn until one gives a usable answer. It reports false if none did.
 // A reader that is unreachable or gives an invalid answer is avoided for a while. A late answer is
 // used, and another reader is asked next.
@@ -163,6 +158,7 @@
 		batch, err := f.fetchFrom(ctx, reader, request)
 		f.config.Counter.RecordsRead(FromReader, err == nil)
 		if err == nil {
+			f.fallback.End()
 			if isLate(batch, request) {
 				f.order.RecordLate(time.Now())
 			}
--- a/internal/topicreader/record_feed_test.go
+++ b/internal/topicreader/record_feed_test.go
@@ -194,7 +194,7 @@
 	node := &recordNode{plan: plan, log: &cutLog{recordLog: c.log}}
 	node.feed = NewRecordFeed(RecordConfig{
 		Log: node.log, Topic: "t", Plan: func() fanout.Plan { return node.plan }, NeedsLog: func() bool { return node.needsLog },
-		Caller: c, DirectReads: fanout.NewDirectReadPacer(), Counter: noCounts{}, Logger: event.NewLogger(&c.logs, slog.LevelDebug),
+		Caller: c, Counter: noCounts{}, Logger: event.NewLogger(&c.logs, slog.LevelDebug),
 	})
 	node.follower = &sharedlog.Follower{
 		Log: node.feed, Partition: sharedlog.Partition{Topic: "t"}, Observer: silentObserver{},
