Read the load of the test's log under its lock

Cause: the tests of many askers read the counts while askers may still run.

Result: the race detector finds nothing in internal/topicreader with -run 'Late|Silent|Single|AtOnce|ReadsOfNodes|StepBack'; the other tests were not run with it. No assertion is changed.

--- a/internal/topicreader/overload_test.go
+++ b/internal/topicreader/overload_test.go
@@ -32,14 +32,26 @@
 	// pageRecords is the number of records in a page of the newest ones.
 	pageRecords int
 
-	mutex    sync.Mutex
-	records  []sharedlog.KeyedRecord
-	freeAt   time.Time
+	mutex   sync.Mutex
+	records []sharedlog.KeyedRecord
+	freeAt  time.Time
+	logLoad
+}
+
+// logLoad is what a busyLog was asked for.
+type logLoad struct {
 	maxQueue time.Duration
 	// reads counts all reads, pages those of the newest records.
 	reads, pages, refused, abandoned int
 }
 
+// load returns what the log was asked for so far.
+func (l *busyLog) load() logLoad {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.logLoad
+}
+
 func (l *busyLog) put(size int) sharedlog.KeyedRecord {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -240,7 +252,7 @@
 		fleet.load()
 		fleet.start(ctx, askers)
 		fleet.await(t, time.Second)
-		require.Zero(t, log.reads)
+		require.Zero(t, log.load().reads)
 		test(t, fleet)
 	})
 }
@@ -258,7 +270,7 @@
 			time.Sleep(time.Second)
 		}
 		fleet.await(t, time.Second)
-		require.Zero(t, log.reads)
+		require.Zero(t, log.load().reads)
 		for _, asker := range fleet.askers {
 			require.GreaterOrEqual(t, asker.follower.Health.Age(), age)
 			require.Less(t, asker.follower.Health.Age(), age+2*time.Second)
@@ -275,20 +287,20 @@
 	withFleet(t, log, 200, func(t *testing.T, fleet *askerFleet) {
 		fleet.gone.Store(true)
 		fleet.publish(20_000)
-		t.Log("all have the entry after", fleet.await(t, 8*time.Second), "queue", log.maxQueue, "reads", log.reads)
+		t.Log("all have the entry after", fleet.await(t, 8*time.Second), "queue", log.load().maxQueue, "reads", log.load().reads)
 		for range 20 {
 			fleet.publish(1000)
 			time.Sleep(time.Second)
 		}
-		t.Log("queue", log.maxQueue, "reads", log.reads)
-		require.Less(t, log.maxQueue, 250*time.Millisecond)
-		require.Zero(t, log.refused+log.abandoned)
-		require.Zero(t, log.pages)
+		t.Log("queue", log.load().maxQueue, "reads", log.load().reads)
+		require.Less(t, log.load().maxQueue, 250*time.Millisecond)
+		require.Zero(t, log.load().refused+log.load().abandoned)
+		require.Zero(t, log.load().pages)
 		fleet.gone.Store(false)
 		time.Sleep(5 * time.Second)
-		reads := log.reads
+		reads := log.load().reads
 		time.Sleep(10 * time.Second)
-		require.Equal(t, reads, log.reads)
+		require.Equal(t, reads, log.load().reads)
 	})
 }
 
@@ -301,10 +313,10 @@
 		fleet.gone.Store(true)
 		fleet.publish(50_000)
 		took := fleet.await(t, 40*time.Second)
-		t.Log("all have the entry after", took, "queue", log.maxQueue, "reads", log.reads, "refused", log.refused, "given up", log.abandoned)
-		require.LessOrEqual(t, log.maxQueue, refuseBeyond+200*time.Millisecond)
-		require.Zero(t, log.abandoned)
-		require.Less(t, log.refused, 3*len(fleet.askers), "refused reads are repeated after growing pauses")
+		t.Log("all have the entry after", took, "queue", log.load().maxQueue, "reads", log.load().reads, "refused", log.load().refused, "given up", log.load().abandoned)
+		require.LessOrEqual(t, log.load().maxQueue, refuseBeyond+200*time.Millisecond)
+		require.Zero(t, log.load().abandoned)
+		require.Less(t, log.load().refused, 3*len(fleet.askers), "refused reads are repeated after growing pauses")
 	})
 }
 
@@ -370,7 +382,7 @@
 		time.Sleep(15 * time.Second)
 		fleet.load()
 		fleet.await(t, time.Second)
-		require.Zero(t, log.reads)
+		require.Zero(t, log.load().reads)
 	})
 }
 
@@ -399,16 +411,16 @@
 					fleet.gone.Store(false)
 				}
 				took := fleet.await(t, 40*time.Second)
-				t.Log("all have the list after", took, "queue", log.maxQueue, "pages", log.pages, "given up", log.abandoned)
-				require.Less(t, log.maxQueue, refuseBeyond)
-				require.Zero(t, log.refused+log.abandoned)
+				t.Log("all have the list after", took, "queue", log.load().maxQueue, "pages", log.load().pages, "given up", log.load().abandoned)
+				require.Less(t, log.load().maxQueue, refuseBeyond)
+				require.Zero(t, log.load().refused+log.load().abandoned)
 				if back {
 					require.Less(t, took, 5*time.Second)
 					// The failed readers are avoided for 3 s.
 					time.Sleep(4 * time.Second)
-					reads := log.reads
+					reads := log.load().reads
 					time.Sleep(5 * time.Second)
-					require.Equal(t, reads, log.reads)
+					require.Equal(t, reads, log.load().reads)
 				}
 			})
 		})
