--- a/internal/topicreader/feed_test.go
+++ b/internal/topicreader/feed_test.go
@@ -250,6 +250,39 @@
 	})
 }
 
+// A reader that no longer keeps the requested entries leads to the next one, and counts as one that
+// answers. The newest entries are read again only if no reader keeps them.
+func TestTruncatedAnswerLeadsToTheNextReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t)
+		cluster.log.put("a", "api")
+		keeps, restarted := cluster.reader("keeps"), cluster.node("restarted", fanout.Plan{Shared: true, ReadsLog: true})
+		client := cluster.client("n", "restarted", "keeps")
+		counts := readCounts{}
+		client.config.Counter = counts
+		cluster.readNewest(client)
+		cluster.log.put("b", "api")
+		cluster.readNewest(restarted)
+		cluster.readFrom(keeps, 1)
+		clear(counts)
+		require.Equal(t, []string{"b"}, keys(cluster.readFrom(client, 1).Records))
+		require.Equal(t, readCounts{FromReader: 2}, counts)
+		cluster.readNewest(keeps)
+		_, err := client.ReadKeyed(t.Context(), sharedlog.Partition{Topic: "t"}, 1, 0)
+		require.True(t, result.Is(err, result.LogTruncated))
+	})
+}
+
+// readCounts counts the successful reads by source.
+type readCounts map[Source]int
+
+func (c readCounts) EntriesRead(source Source, succeeded bool) {
+	if succeeded {
+		c[source]++
+	}
+}
+func (readCounts) EntriesServed(int) {}
+
 // A reader that does not answer before the request ends is avoided like an unreachable one.
 func TestSilentReaderIsAvoided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
