sharedlog: do not measure the round trip by reads that repeat failed ones

Cause: reads after a failure have no hold, so that their duration counted as a round trip. The late answers of an overloaded log made it seem 0.7 s away: polls were shortened to 0.2 s, which makes three times as many reads. Change: MeteredLog does not measure reads that repeat failed ones. Result: the new test failed before (extra latency 700 ms) and passes now (0).

--- a/internal/sharedlog/metered_log.go
+++ b/internal/sharedlog/metered_log.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// unmeasuredKey is the context key of a call whose duration is not measured.
+type unmeasuredKey struct{}
+
+// withoutMeasurement returns a context for a call that awaits an answer of a log that may be
+// overloaded, whose duration says nothing about the round-trip time.
+func withoutMeasurement(ctx context.Context) context.Context {
+	return context.WithValue(ctx, unmeasuredKey{}, true)
+}
+
+// measured reports whether the duration of a read is measured.
+func measured(ctx context.Context, wait time.Duration) bool {
+	return wait == 0 && ctx.Value(unmeasuredKey{}) == nil
+}
+
 // timed makes a call and reports its outcome to an estimator. A call that its caller
 // canceled is not reported.
 func (m *MeteredLog) timed(ctx context.Context, estimator *roundtrip.Estimator, call func(context.Context) error) error {
@@ -135,9 +149,10 @@
 	return m.timed(ctx, m.appendTime, func(ctx context.Context) error { return m.log.AppendKeyed(ctx, partition, records) })
 }
 
-// Read implements Log. A read that may wait at the service is not measured.
+// Read implements Log. A read that may wait at the service, or repeats a failed one, is not
+// measured.
 func (m *MeteredLog) Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (batch Batch, err error) {
-	if wait > 0 {
+	if !measured(ctx, wait) {
 		batch, err = m.log.Read(ctx, partition, from, wait)
 		m.recordResponse(err)
 		return batch, err
@@ -158,9 +173,10 @@
 	return batch, err
 }
 
-// ReadKeyed implements Log. A read that may wait at the service is not measured.
+// ReadKeyed implements Log. A read that may wait at the service, or repeats a failed one, is not
+// measured.
 func (m *MeteredLog) ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (batch KeyedBatch, err error) {
-	if wait > 0 {
+	if !measured(ctx, wait) {
 		batch, err = m.log.ReadKeyed(ctx, partition, from, wait)
 		m.recordResponse(err)
 		return batch, err
--- a/internal/sharedlog/read_retry.go
+++ b/internal/sharedlog/read_retry.go
@@ -64,6 +64,7 @@
 	if !failing {
 		return attempt.hold, r.readOnce(ctx, attempt, attempt.hold, timeout)
 	}
+	ctx = withoutMeasurement(ctx)
 	if attempt.probe != nil {
 		readCtx, cancel := context.WithCancel(ctx)
 		defer cancel()
--- a/internal/sharedlog/read_retry_test.go
+++ b/internal/sharedlog/read_retry_test.go
@@ -140,3 +140,23 @@
 		require.False(t, health.Lost())
 	})
 }
+
+// Guards against taking a log that answers late under load for a distant one: polls would be
+// shorter, and so more frequent, after the load.
+func TestSlowAnswersToRepeatedReadsAreNotMeasuredAsRoundTrips(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := &loadedLog{}
+		metered := NewMeteredLog(log, nil)
+		f := &Follower{Log: metered, Observer: &countingObserver{}, Apply: func(uint64, [][]byte) {}, Pause: oneMillisecond, ExtraLatency: metered.ExtraLatency}
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(time.Second)
+		log.latency.Store(int64(2100 * time.Millisecond))
+		time.Sleep(20 * time.Second)
+		require.False(t, f.Health.Lost())
+		require.Zero(t, metered.ExtraLatency())
+		cancel()
+		<-done
+	})
+}
