Read the rest of a batch past the readers without the pauses for new records

Cause: a node whose readers do not answer, or do not keep its offset, paused 175 to 600 ms after every read of 64 kB, also if the log said that it has more. It read at most some 250 kB/s of entries and 145 kB/s of records (worked out: 64 kB in three quarters of 350 and 600 ms), so that it fell behind without end on a faster topic, and a node that started took 0.45 s for each 64 kB that its readers do not keep.

Change: after a fast read that did not reach the end the next one follows after at most MinPagePause, like the pages of the newest entries. Slow and failed reads lengthen the pause as before.

--- a/internal/topicreader/fallback.go
+++ b/internal/topicreader/fallback.go
@@ -64,22 +64,27 @@
 }
 
 // read reads the log if it is this node's turn. It returns result.LogUnavailable if it is not, so
-// that the readers are asked again first.
-func (p pacedLog) read(ctx context.Context, kind fallbackRead, read func(context.Context) error) error {
+// that the readers are asked again first. read reports whether the log holds more that this node
+// lacks: the rest of the batch follows like the pages of the newest entries.
+func (p pacedLog) read(ctx context.Context, kind fallbackRead, read func(context.Context) (more bool, err error)) error {
 	if err := p.awaitTurn(ctx, kind.spread); err != nil {
 		return err
 	}
 	ctx, cancel := withFallbackTimeout(ctx)
 	defer cancel()
 	began := time.Now()
-	err := read(ctx)
+	more, err := read(ctx)
 	p.recordRead(err == nil)
 	now := time.Now()
 	took := now.Sub(began)
 	if p.extraLatency != nil {
 		took -= p.extraLatency()
 	}
-	p.ReadEnded(now, took, err == nil || result.Is(err, result.LogTruncated), kind.minPause)
+	minPause := kind.minPause
+	if more {
+		minPause = min(minPause, fanout.MinPagePause)
+	}
+	p.ReadEnded(now, took, err == nil || result.Is(err, result.LogTruncated), minPause)
 	return err
 }
 
--- a/internal/topicreader/feed.go
+++ b/internal/topicreader/feed.go
@@ -168,9 +168,9 @@
 		return sharedlog.KeyedPage{}, result.New(result.LogUnavailable, "no reader has served the newest entries yet")
 	}
 	var page sharedlog.KeyedPage
-	err := f.fallback.read(ctx, f.newestRead(plan), func(ctx context.Context) (err error) {
+	err := f.fallback.read(ctx, f.newestRead(plan), func(ctx context.Context) (more bool, err error) {
 		page, err = f.readPage(ctx, partition, after)
-		return err
+		return err == nil && page.More, err
 	})
 	return page, err
 }
@@ -199,10 +199,10 @@
 		return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the readers no longer keep the entries from offset %d", from)
 	}
 	var batch sharedlog.KeyedBatch
-	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinEntriesPause), func(ctx context.Context) (err error) {
+	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinEntriesPause), func(ctx context.Context) (more bool, err error) {
 		// The node has waited for its readers and its turn, so that the log need not hold the read.
 		batch, err = f.readEntries(ctx, partition, from, 0, loaded)
-		return err
+		return err == nil && batch.NextOffset < batch.EndOffset, err
 	})
 	return batch, err
 }
--- a/internal/topicreader/overload_test.go
+++ b/internal/topicreader/overload_test.go
@@ -29,8 +29,9 @@
 type busyLog struct {
 	sharedlog.Log
 	bytesPerSecond float64
-	// pageRecords is the number of records in a page of the newest ones.
-	pageRecords int
+	// pageRecords is the number of records in a page of the newest ones, batchRecords the
+	// maximum in an answer to a read from an offset on, or 0 for any number.
+	pageRecords, batchRecords int
 
 	mutex   sync.Mutex
 	records []sharedlog.KeyedRecord
@@ -117,7 +118,11 @@
 	}
 	records := l.snapshot()
 	end := uint64(len(records))
-	batch := sharedlog.KeyedBatch{EndOffset: end, NextOffset: end, Records: records[min(from, end):]}
+	next := end
+	if l.batchRecords > 0 {
+		next = min(from+uint64(l.batchRecords), end)
+	}
+	batch := sharedlog.KeyedBatch{EndOffset: end, NextOffset: next, Records: records[min(from, next):next]}
 	if len(batch.Records) == 0 {
 		batch.Waited = hold
 	}
@@ -334,6 +339,21 @@
 	})
 }
 
+// A node that cannot reach its readers keeps up with 0.5 MB/s of entries, of which one read
+// returns 64 kB.
+func TestSingleNodeWithoutReadersKeepsUp(t *testing.T) {
+	log := &busyLog{bytesPerSecond: 80e6, pageRecords: 10, batchRecords: 13}
+	withFleet(t, log, 1, func(t *testing.T, fleet *askerFleet) {
+		fleet.gone.Store(true)
+		time.Sleep(5 * time.Second)
+		for range 20 * 100 {
+			fleet.publish(5000)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.LessOrEqual(t, fleet.await(t, 20*time.Second), time.Second)
+	})
+}
+
 // A node that needs the entries at once reads them without a spread when it starts. Later it waits
 // for its turn like any other.
 func TestEntriesThatAreNeededAtOnceAreSpreadAfterTheStart(t *testing.T) {
--- a/internal/topicreader/record_feed.go
+++ b/internal/topicreader/record_feed.go
@@ -122,9 +122,9 @@
 // wait, so that a node whose readers are back asks them soon.
 func (f *RecordFeed) readPastReaders(ctx context.Context, plan fanout.Plan, partition sharedlog.Partition, from uint64, hold time.Duration) (sharedlog.Batch, error) {
 	var batch sharedlog.Batch
-	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinRecordsPause), func(ctx context.Context) (err error) {
+	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinRecordsPause), func(ctx context.Context) (more bool, err error) {
 		batch, err = f.Log.Read(ctx, partition, from, 0)
-		return err
+		return err == nil && from+uint64(len(batch.Records)) < batch.EndOffset, err
 	})
 	if err == nil && len(batch.Records) == 0 {
 		// The age counts from the end of the wait, which there was none of.
--- a/internal/topicreader/record_feed_test.go
+++ b/internal/topicreader/record_feed_test.go
@@ -31,6 +31,8 @@
 	down    bool
 	latency time.Duration
 	changed chan struct{}
+	// batchRecords is the maximum number of records of an answer, or 0 for any number.
+	batchRecords uint64
 }
 
 func (l *recordLog) append(records ...string) {
@@ -71,7 +73,11 @@
 		case from < l.oldest:
 			return sharedlog.Batch{OldestOffset: l.oldest}, result.New(result.LogTruncated, "truncated")
 		case from < end || !waiting:
-			return sharedlog.Batch{EndOffset: end, Records: records[min(from, end):]}, nil
+			next := end
+			if l.batchRecords > 0 {
+				next = min(from+l.batchRecords, end)
+			}
+			return sharedlog.Batch{EndOffset: end, Records: records[min(from, next):next]}, nil
 		}
 		select {
 		case <-changed:
@@ -438,6 +444,27 @@
 	})
 }
 
+// A node that starts needs records that its readers do not keep: 60 answers of the log, for which
+// it must not pause as long as for new records.
+func TestRecordsThatTheReadersDoNotKeepAreReadWithoutLongPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newRecordCluster(t)
+		cluster.log.batchRecords = 10
+		for range 600 {
+			cluster.log.append("a")
+		}
+		reader := cluster.node("r", fanout.Plan{ReadsLog: true})
+		require.NoError(t, reader.follower.CatchUp(t.Context()))
+		reader.plan.Shared = true
+		cluster.log.append("b")
+		require.NoError(t, reader.follower.CatchUp(t.Context()))
+		asker := cluster.asker("n", "r")
+		defer cluster.run(asker)()
+		time.Sleep(5 * time.Second)
+		require.Len(t, asker.read(), 601)
+	})
+}
+
 func TestInvalidRecordBatchIsRejected(t *testing.T) {
 	packed := must(pack(&pathbendv1.LogRecordList{Records: [][]byte{[]byte("a")}}))
 	request := &pathbendv1.ReadLogRecords{From: 5, HoldMs: 100}
