Do not count a refused claim as a failure of the sampler

Cause: an update whose claim the log did not return in time counted as a failure of its sampler. After two such failures the models of the sampler moved to another one, which needs a claim and a load of its own: a slow log made claims for more and more samplers.

Change: an update that this node may not order is postponed by the usual delay before a retry.

Packages weights and platformnode pass.

--- a/internal/platformnode/claims_test.go
+++ b/internal/platformnode/claims_test.go
@@ -16,6 +16,8 @@
 	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/ownership"
 	"github.com/pathbend/pathbend/internal/ownership/ownershiptest"
+	"github.com/pathbend/pathbend/internal/result"
+	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
 )
 
@@ -172,6 +174,53 @@
 	})
 }
 
+// countingControl is the control interface of samplers that report version 1 and count as asked.
+type countingControl struct {
+	mutex sync.Mutex
+	asked map[string]struct{}
+}
+
+func (c *countingControl) Report(_ context.Context, sampler schedule.Sampler) (SamplerReport, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asked[sampler.ID] = struct{}{}
+	return SamplerReport{Versions: map[string]uint64{"m": 1, "n": 1}}, nil
+}
+
+func (c *countingControl) Order(context.Context, schedule.Sampler, VersionOrder) (OrderAnswer, error) {
+	return OrderUnknown, result.New(result.BackEndRefused, "no order is permitted")
+}
+
+// Guards against taking claims that a slow log does not return for failures of the samplers: their
+// models moved to other samplers, with as many more claims and loads.
+func TestModelsStayOnTheirSamplersWhileClaimsAreNotReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &hidingLog{jobsLog: &jobsLog{}}
+		log.hiding.Store(true)
+		e := newHolderWithLimits("a", 4, log, largeRecordBytes, largeCallBytes)
+		control := &countingControl{asked: make(map[string]struct{})}
+		e.node.ports.Control = control
+		session, cancel := context.WithCancel(t.Context())
+		e.session, e.scheduler = session, schedule.New(func() uint64 { return 1 })
+		var listed []schedule.Sampler
+		for _, id := range subjects(20) {
+			listed = append(listed, schedule.Sampler{ID: id, Service: "llm", Slots: 6, Versions: map[string]uint64{"m": 1, "n": 1}})
+		}
+		e.scheduler.SetSamplers(listed, time.Now())
+		e.node.ApplyVersion("m", 2)
+		for range 3000 {
+			e.node.ownership.ApplyAssignment(ownershiptest.NewAssignment(4, jobPartition), clock.CurrentMoment())
+			e.review(time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		cancel()
+		e.work.Wait()
+		require.NotEmpty(t, control.asked)
+		const share = 10 // one of two models has half of the samplers
+		require.LessOrEqual(t, len(control.asked), share)
+	})
+}
+
 func TestClaimBackoffDoublesUpToItsBound(t *testing.T) {
 	var b claimBackoff
 	now := time.Unix(100, 0)
--- a/internal/platformnode/weights.go
+++ b/internal/platformnode/weights.go
@@ -46,14 +46,18 @@
 		session, scheduler := e.session, e.scheduler
 		e.work.Go(func() {
 			began := time.Now()
-			reached := e.moveToVersion(session, scheduler, sampler, update)
+			reached, permitted := e.moveToVersion(session, scheduler, sampler, update)
 			e.mutex.Lock()
 			defer e.mutex.Unlock()
 			if e.scheduler != scheduler {
 				return
 			}
 			scheduler.SetLoading(sampler.Incarnation(), update.Model, false)
-			e.rollingUpdate.Done(update, reached, time.Now())
+			if permitted {
+				e.rollingUpdate.Done(update, reached, time.Now())
+			} else {
+				e.rollingUpdate.Postpone(update, time.Now())
+			}
 			e.node.metrics.recordVersionMove(reached, time.Since(began))
 			e.wake()
 		})
@@ -100,23 +104,24 @@
 }
 
 // moveToVersion orders one sampler to load a version, unless it serves or loads it already,
-// and waits for it. It returns whether the sampler reported the version.
-func (e *executor) moveToVersion(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, update weights.Update) bool {
+// and waits for it. It returns whether the sampler reported the version, and false for permitted if
+// this node may not order it now.
+func (e *executor) moveToVersion(ctx context.Context, scheduler *schedule.Scheduler, sampler schedule.Sampler, update weights.Update) (reached, permitted bool) {
 	report, err := e.requestReport(ctx, sampler)
 	if err != nil {
 		e.node.logger.Log(event.WeightsFailed, "sampler", sampler.ID, "model", update.Model, "version", update.Version, "detail", err.Error())
-		return false
+		return false, true
 	}
 	e.recordVersions(scheduler, sampler, report.Versions)
 	if report.Versions[update.Model] >= update.Version {
-		return true
+		return true, true
 	}
 	if report.Busy {
-		return e.awaitVersion(ctx, scheduler, sampler, update)
+		return e.awaitVersion(ctx, scheduler, sampler, update), true
 	}
 	permit, ok := e.node.claims.AcquirePermit(ctx, sampler.ID)
 	if !ok || ctx.Err() != nil || e.node.evacuated.Load().Contains(sampler.Zone) {
-		return false
+		return false, false
 	}
 	e.setLoading(scheduler, sampler, update)
 	callCtx, cancel := context.WithTimeout(ctx, controlTimeout)
@@ -133,12 +138,12 @@
 		"fence", permit.Fence, "after_orders", report.Orders, "answer", int(answer), "detail", detail)
 	switch answer {
 	case OrderAccepted, OrderUnknown, OrderConflict:
-		return e.awaitVersion(ctx, scheduler, sampler, update)
+		return e.awaitVersion(ctx, scheduler, sampler, update), true
 	case OrderAlreadyServing:
 		e.recordVersions(scheduler, sampler, map[string]uint64{update.Model: update.Version})
-		return true
+		return true, true
 	default:
-		return false
+		return false, true
 	}
 }
 
--- a/internal/weights/rolling_update.go
+++ b/internal/weights/rolling_update.go
@@ -490,6 +490,17 @@
 	r.notBefore[samplerID] = now.Add(pause)
 }
 
+// Postpone records that an update has ended without an order to the sampler, which is not at
+// fault and keeps its models.
+func (r *RollingUpdate) Postpone(update Update, now time.Time) {
+	samplerID := update.SamplerID
+	if r.incarnations[samplerID] != update.StartedAtMs {
+		return
+	}
+	delete(r.inProgress, samplerID)
+	r.notBefore[samplerID] = now.Add(updateRetryDelay)
+}
+
 // InProgress returns the number of updates in progress.
 func (r *RollingUpdate) InProgress() int { return len(r.inProgress) }
 
--- a/internal/weights/rolling_update_test.go
+++ b/internal/weights/rolling_update_test.go
@@ -84,6 +84,22 @@
 	require.Zero(t, applyAll(rolling, now, members, targets), "the sampler already serves the version")
 }
 
+func TestPostponedUpdateIsNoFailureOfTheSampler(t *testing.T) {
+	now := time.Unix(100, 0)
+	rolling := NewRollingUpdate(1)
+	members := newMembers(8, map[string]uint64{"a": 1, "b": 1})
+	targets := map[string]uint64{"a": 2, "b": 1}
+	first := rolling.Next(now, MemberList(members), targets)[0]
+	for range 2 * maxFailures {
+		rolling.Postpone(first, now)
+		require.Zero(t, rolling.InProgress())
+		require.NotContains(t, rolling.Next(now, MemberList(members), targets), first)
+		rolling.inProgress = make(map[string]Update)
+		now = now.Add(updateRetryDelay)
+		require.Equal(t, []Update{first}, rolling.Next(now, MemberList(members), targets))
+	}
+}
+
 func TestFailingSamplerIsReplacedUntilItsRecoveryDelayIsOver(t *testing.T) {
 	now := time.Unix(100, 0)
 	rolling := NewRollingUpdate(1)
