Let a node that starts learn soon which of the jobs' records the log has removed

Cause: a node that starts asks for the records from offset 0. Once the log has removed the first ones, no reader keeps that offset, and the node waited for its turn to read the log as if all its readers were gone: up to 3.2 s on 985 nodes (worked out: 985 reads of 64 kB within a quarter of 80 MB/s), during which it is not ready.

Change: if a reader answers that it does not keep the offset, only calls are spread, over 0.4 s at most on 985 nodes (worked out). The pauses that follow are as before.

Result: TestNodeStartsSoonAfterTheFirstRecordsWereRemoved fails before and passes (10 starts); package topicreader passes twice.

--- a/internal/topicreader/fallback.go
+++ b/internal/topicreader/fallback.go
@@ -54,8 +54,12 @@
 
 // offsetRead describes reads from an offset on, by a number of nodes.
 func (p pacedLog) offsetRead(nodes int, minPause time.Duration) fallbackRead {
-	callSpread := time.Duration(callSpreadFactor * float64(p.limits.Spread(nodes, 0)))
-	return fallbackRead{spread: p.limits.Spread(nodes, maxEntriesBytes), minPause: max(minPause, callSpread)}
+	return fallbackRead{spread: p.limits.Spread(nodes, maxEntriesBytes), minPause: max(minPause, p.callSpread(nodes))}
+}
+
+// callSpread returns the time over which a number of nodes spread one read each of few bytes.
+func (p pacedLog) callSpread(nodes int) time.Duration {
+	return time.Duration(callSpreadFactor * float64(p.limits.Spread(nodes, 0)))
 }
 
 // pageRead describes reads of pages of the newest entries, by a number of nodes.
--- a/internal/topicreader/record_feed.go
+++ b/internal/topicreader/record_feed.go
@@ -91,10 +91,22 @@
 		return f.readLog(ctx, plan, partition, from, hold)
 	}
 	f.cache.Clear()
-	if batch, ok := f.fetch(ctx, plan, from, hold); ok {
+	batch, err := f.fetch(ctx, plan, from, hold)
+	if err == nil {
 		return batch, nil
 	}
-	return f.readPastReaders(ctx, plan, partition, from, hold)
+	return f.readPastReaders(ctx, f.pastReaders(plan, err), partition, from, hold)
+}
+
+// pastReaders describes the reads of the log after the readers failed with an error. A reader that
+// answers, but does not keep the offset, serves the other nodes: only the calls of nodes that start
+// together are spread, most of which learn that the log does not keep the offset either.
+func (f *RecordFeed) pastReaders(plan fanout.Plan, err error) fallbackRead {
+	kind := f.fallback.offsetRead(plan.Nodes, fanout.MinRecordsPause)
+	if result.Is(err, result.LogTruncated) {
+		kind.spread = f.fallback.callSpread(plan.Nodes)
+	}
+	return kind
 }
 
 // readLog reads the log, and keeps the records for other nodes if this node is a reader.
@@ -120,9 +132,9 @@
 
 // readPastReaders reads the log because no reader gave a usable answer. The log is not asked to
 // wait, so that a node whose readers are back asks them soon.
-func (f *RecordFeed) readPastReaders(ctx context.Context, plan fanout.Plan, partition sharedlog.Partition, from uint64, hold time.Duration) (sharedlog.Batch, error) {
+func (f *RecordFeed) readPastReaders(ctx context.Context, kind fallbackRead, partition sharedlog.Partition, from uint64, hold time.Duration) (sharedlog.Batch, error) {
 	var batch sharedlog.Batch
-	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinRecordsPause), func(ctx context.Context) (more bool, err error) {
+	err := f.fallback.read(ctx, kind, func(ctx context.Context) (more bool, err error) {
 		batch, err = f.Log.Read(ctx, partition, from, 0)
 		return err == nil && from+uint64(len(batch.Records)) < batch.EndOffset, err
 	})
@@ -140,16 +152,18 @@
 	return readAvailableIfDirect(ctx, f.Log, plan, partition, from, maxBytes)
 }
 
-// fetch asks the readers in turn until one gives a usable answer. It reports false if none did.
+// fetch asks the readers in turn until one gives a usable answer. If none did it fails with
+// result.LogTruncated if one of them answered, but does not keep the offset.
 // A reader that is unreachable or gives an invalid answer is avoided for a while. A late answer is
 // used, and another reader is asked next.
-func (f *RecordFeed) fetch(ctx context.Context, plan fanout.Plan, from uint64, hold time.Duration) (sharedlog.Batch, bool) {
+func (f *RecordFeed) fetch(ctx context.Context, plan fanout.Plan, from uint64, hold time.Duration) (sharedlog.Batch, error) {
 	began := time.Now()
 	requestHold := hold
 	if hold > 0 {
 		requestHold += readerPause
 	}
 	plan.Parents = f.order.Apply(plan.Parents, began)
+	unusable := error(result.New(result.LogUnavailable, "no reader gave a usable answer"))
 	for _, reader := range f.selector.Select(plan, began) {
 		sentAfter := time.Since(began)
 		request := &pathbendv1.ReadLogRecords{
@@ -167,14 +181,17 @@
 			if len(batch.Records) == 0 {
 				batch.Age += hold
 			}
-			return batch, true
+			return batch, nil
 		}
 		if ctx.Err() == context.Canceled {
-			return sharedlog.Batch{}, false
+			return sharedlog.Batch{}, unusable
+		}
+		if result.Is(err, result.LogTruncated) {
+			unusable = err
 		}
 		f.recordFailure(reader, request, err)
 	}
-	return sharedlog.Batch{}, false
+	return sharedlog.Batch{}, unusable
 }
 
 // isLate reports whether a reader held a request without a new record and without having read
--- a/internal/topicreader/record_feed_test.go
+++ b/internal/topicreader/record_feed_test.go
@@ -165,6 +165,8 @@
 	log   *recordLog
 	nodes map[string]*recordNode
 	logs  lockedBuilder
+	// limits are those of the log that nodes assume.
+	limits fanout.LogLimits
 }
 
 func newRecordCluster(t *testing.T) *recordCluster {
@@ -200,7 +202,7 @@
 	node := &recordNode{plan: plan, log: &cutLog{recordLog: c.log}}
 	node.feed = NewRecordFeed(RecordConfig{
 		Log: node.log, Topic: "t", Plan: func() fanout.Plan { return node.plan }, NeedsLog: func() bool { return node.needsLog },
-		Caller: c, Counter: noCounts{}, Logger: event.NewLogger(&c.logs, slog.LevelDebug),
+		Caller: c, Limits: c.limits, Counter: noCounts{}, Logger: event.NewLogger(&c.logs, slog.LevelDebug),
 	})
 	node.follower = &sharedlog.Follower{
 		Log: node.feed, Partition: sharedlog.Partition{Topic: "t"}, Observer: silentObserver{},
@@ -465,6 +467,28 @@
 	})
 }
 
+// A node that starts asks for records that the log has removed. It learns of that from the log,
+// which all nodes of a large fleet can ask at the same time.
+func TestNodeStartsSoonAfterTheFirstRecordsWereRemoved(t *testing.T) {
+	for range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			cluster := newRecordCluster(t)
+			cluster.limits = fanout.LogLimits{BytesPerSecond: 80e6, ReadsPerSecond: 16_000}
+			cluster.log.append("a", "b", "c")
+			cluster.log.oldest = 2
+			reader := cluster.reader("r")
+			require.Error(t, reader.follower.CatchUp(t.Context()))
+			require.NoError(t, reader.follower.CatchUp(t.Context()))
+			asker := cluster.asker("n", "r")
+			asker.plan.Nodes = 985
+			defer cluster.run(asker)()
+			time.Sleep(time.Second)
+			require.Equal(t, []string{"c"}, asker.read())
+			require.Less(t, asker.follower.Health.Age(), time.Second)
+		})
+	}
+}
+
 func TestInvalidRecordBatchIsRejected(t *testing.T) {
 	packed := must(pack(&pathbendv1.LogRecordList{Records: [][]byte{[]byte("a")}}))
 	request := &pathbendv1.ReadLogRecords{From: 5, HoldMs: 100}
