relay: do not avoid a peer whose late answer arrived

Cause: a peer that has not answered within the silence timeout of the direct path is avoided for 3 s, also if its answer arrives afterwards. A node that is turned away and whose only served peers are farther than that, or slow for the moment, had none left and got no answers for 3 s at a time.

Change: a relayed answer ends the avoidance of its peer.

--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -230,11 +230,13 @@
 	}
 }
 
-// RecordRelayed records that a peer relayed a call successfully. It reports whether calls begin
-// to go through peers, which they do if the direct path is silent.
-func (s *Selector) RecordRelayed(now time.Time) (started bool) {
+// RecordRelayed records that a peer relayed a call successfully. The peer is no longer avoided, as
+// it may be for an answer that was late. It reports whether calls begin to go through peers, which
+// they do if the direct path is silent.
+func (s *Selector) RecordRelayed(peer string, now time.Time) (started bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	delete(s.avoidUntil, peer)
 	s.backoff, s.silentPeers = 0, 0
 	if s.relaying || now.Sub(s.answeredAt) < s.silenceTimeout() {
 		return false
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -29,8 +29,8 @@
 	s.RecordAnswer(5*time.Millisecond, start)
 	require.False(t, s.MayRelay(after(minSilenceTimeout-time.Millisecond)), "another call was answered recently")
 	require.True(t, s.MayRelay(after(minSilenceTimeout)))
-	require.False(t, s.RecordRelayed(after(minSilenceTimeout-time.Millisecond)))
-	require.True(t, s.RecordRelayed(after(minSilenceTimeout)))
+	require.False(t, s.RecordRelayed("peer", after(minSilenceTimeout-time.Millisecond)))
+	require.True(t, s.RecordRelayed("peer", after(minSilenceTimeout)))
 	require.True(t, isRelaying(s, after(minSilenceTimeout)))
 	require.False(t, s.AcceptsRelays(after(minSilenceTimeout)), "no call takes two hops")
 }
@@ -48,7 +48,7 @@
 
 func TestDirectPathIsUsedAgainAfterItsFirstAnswer(t *testing.T) {
 	s := newTestSelector()
-	require.True(t, s.RecordRelayed(start))
+	require.True(t, s.RecordRelayed("peer", start))
 	_, probe, _ := s.Relaying(true, after(probeInterval-time.Millisecond))
 	require.False(t, probe)
 	_, probe, _ = s.Relaying(false, after(probeInterval))
@@ -82,7 +82,7 @@
 func TestWaitingCallsAreNotifiedOfTheSwitchToPeers(t *testing.T) {
 	s := newTestSelector()
 	_, _, relayingStarted := s.Relaying(true, start)
-	s.RecordRelayed(start)
+	s.RecordRelayed("peer", start)
 	select {
 	case <-relayingStarted:
 	default:
@@ -159,7 +159,7 @@
 // triples the calls to it.
 func TestPeersWithoutAnAnswerSuspendRelaying(t *testing.T) {
 	s := newTestSelector()
-	require.True(t, s.RecordRelayed(start))
+	require.True(t, s.RecordRelayed("peer", start))
 	now := start
 	for _, backoff := range []time.Duration{minBackoff, 2 * minBackoff, 4 * minBackoff, maxBackoff, maxBackoff} {
 		for _, peer := range []string{"a", "b", "c"} {
@@ -190,7 +190,7 @@
 		s.RecordSilentPeer("a", now)
 		s.RecordSilentPeer("b", now)
 		require.True(t, s.MayRelay(now))
-		s.RecordRelayed(now)
+		s.RecordRelayed("peer", now)
 	}
 	require.True(t, isRelaying(s, after(time.Second)))
 }
