executor: load jobs from an overloaded log with backoff and a growing timeout

Cause: a job that could not be loaded was read again after 60 ms for ever, each time with a timeout of 0.8 s. With a queue of more than 0.8 s the log answered only callers that had left, at full cost, and no job was loaded.

Change: the pause grows exponentially up to 1 s with full jitter. After a read that ran out of time the timeout of the reads of this job doubles, up to 2.5 s, which is longer than the 2 s for which the log queues answers. Such reads are not measured, since a queue is no latency of the network. A log that was silent never answers reads sent before it is back; a read with a longer timeout is therefore made again once the usual time is over and the log has answered a read that began later. Pages of results and the wait for a route keep their times. Probes are measured as before.

--- a/internal/blobstore/store.go
+++ b/internal/blobstore/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 	"google.golang.org/protobuf/proto"
 
@@ -22,10 +23,15 @@
 const (
 	// topic is the topic for payloads, which are too large for every node to read.
 	topic = "pathbend-blobs"
-	// appendTimeout bounds one append of blobs and readTimeout one read, for a nearby log. A
-	// distant log is given more time.
+	// overtakenPollInterval is how often a read without an answer checks whether the log has
+	// answered a later one.
+	overtakenPollInterval = 50 * time.Millisecond
+	// appendTimeout bounds one append of blobs, for a nearby log. A distant log is given more
+	// time.
 	appendTimeout = 600 * time.Millisecond
-	readTimeout   = 800 * time.Millisecond
+	// ReadTimeout bounds one read of blobs, for a nearby log, unless WithReadTimeout sets
+	// another timeout. A distant log is given more time.
+	ReadTimeout = 800 * time.Millisecond
 	// maxHedgeDelay bounds the time after which an append without an answer is also sent to
 	// the next partition, for a nearby log.
 	maxHedgeDelay = 300 * time.Millisecond
@@ -73,6 +79,8 @@
 	sharedlog.Log
 	// ExtraLatency returns how much longer an answer takes than that of a nearby log.
 	ExtraLatency() time.Duration
+	// AnsweredReadAfter reports whether a read that began after a time has returned records.
+	AnsweredReadAfter(began time.Time) bool
 	// AppendTimeout returns the time after which an append counts as lost, which is bounded
 	// by limit for a nearby log, and whether the log answered an append recently.
 	AppendTimeout(limit time.Duration) (after time.Duration, responsive bool)
@@ -199,10 +207,35 @@
 	return appendPosition{partition: partition, offset: offset}, err
 }
 
+// ErrReadTimeout marks the errors of reads that the log did not answer within their timeout.
+var ErrReadTimeout = errors.New("the log did not answer a read in time")
+
+// ReadOption changes how blobs are read.
+type ReadOption func(*readOptions)
+
+// readOptions are the options of the reads of one Get.
+type readOptions struct {
+	// timeout bounds each read, for a nearby log.
+	timeout time.Duration
+}
+
+// WithReadTimeout sets the timeout of each read, instead of ReadTimeout.
+func WithReadTimeout(timeout time.Duration) ReadOption {
+	return func(options *readOptions) { options.timeout = timeout }
+}
+
+func newReadOptions(changes []ReadOption) readOptions {
+	options := readOptions{timeout: ReadTimeout}
+	for _, change := range changes {
+		change(&options)
+	}
+	return options
+}
+
 // Get returns the payloads of blobs, in their order. Adjacent blobs are read in one call, others
 // concurrently.
-func (s *Store) Get(ctx context.Context, blobs []*pathbendv1.Blob) ([][]byte, error) {
-	payloads, err := s.GetUntilError(ctx, blobs)
+func (s *Store) Get(ctx context.Context, blobs []*pathbendv1.Blob, options ...ReadOption) ([][]byte, error) {
+	payloads, err := s.GetUntilError(ctx, blobs, options...)
 	if err != nil {
 		return nil, err
 	}
@@ -211,7 +244,8 @@
 
 // GetUntilError is like Get, but with an error it also returns the payloads before the first
 // one that could not be read.
-func (s *Store) GetUntilError(ctx context.Context, blobs []*pathbendv1.Blob) ([][]byte, error) {
+func (s *Store) GetUntilError(ctx context.Context, blobs []*pathbendv1.Blob, options ...ReadOption) ([][]byte, error) {
+	timeout := newReadOptions(options).timeout
 	runs := splitRuns(blobs)
 	reads := make([]runResult, len(runs))
 	// failedAt is the index of the first run that failed. Later runs are skipped, since their
@@ -225,7 +259,7 @@
 				reads[i].err = result.New(result.LogUnavailable, "skipped after an earlier read failed").WithRetryAfter(retryAfter)
 				return
 			}
-			reads[i] = s.readRun(ctx, run)
+			reads[i] = s.readRun(ctx, run, timeout)
 			if reads[i].err != nil {
 				atomicMin(&failedAt, int64(i))
 			}
@@ -254,8 +288,8 @@
 	err      error
 }
 
-func (s *Store) readRun(ctx context.Context, run adjacentRun) runResult {
-	records, err := s.read(ctx, run.blobs[0], run.records, run.bytes)
+func (s *Store) readRun(ctx context.Context, run adjacentRun, timeout time.Duration) runResult {
+	records, err := s.read(ctx, run, timeout)
 	if err != nil {
 		return runResult{err: err}
 	}
@@ -302,14 +336,12 @@
 	return run
 }
 
-// read returns count records, starting with the first one of a blob.
-func (s *Store) read(ctx context.Context, blob *pathbendv1.Blob, count, bytes int) ([][]byte, error) {
-	partition := sharedlog.Partition{Topic: topic, Number: int(blob.Partition)}
+// read returns the records of a run.
+func (s *Store) read(ctx context.Context, run adjacentRun, timeout time.Duration) ([][]byte, error) {
+	blob := run.blobs[0]
 	var records [][]byte
-	for len(records) < count {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout+s.log.ExtraLatency())
-		batch, err := s.log.ReadAvailable(callCtx, partition, blob.Offset+uint64(len(records)), bytes)
-		cancel()
+	for len(records) < run.records {
+		batch, err := s.readOnce(ctx, blob, len(records), run.bytes, timeout)
 		if err != nil {
 			return nil, result.Wrap(result.LogUnavailable, err, "read a blob").WithRetryAfter(retryAfter)
 		}
@@ -318,7 +350,58 @@
 		}
 		records = append(records, batch.Records...)
 	}
-	return records[:count], nil
+	return records[:run.records], nil
+}
+
+// readOnce reads records of a blob and those after it, without the first skip ones. A read with
+// a timeout longer than the usual one is for a slow log. If the log was silent instead, it never
+// answers reads that were sent before it is back; such a read is made again.
+func (s *Store) readOnce(ctx context.Context, blob *pathbendv1.Blob, skip, bytes int, timeout time.Duration) (sharedlog.Batch, error) {
+	partition := sharedlog.Partition{Topic: topic, Number: int(blob.Partition)}
+	read := func(ctx context.Context, timeout time.Duration) (sharedlog.Batch, error) {
+		callCtx, cancel := context.WithTimeout(ctx, timeout+s.log.ExtraLatency())
+		defer cancel()
+		batch, err := s.log.ReadAvailable(callCtx, partition, blob.Offset+uint64(skip), bytes)
+		if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+			err = errors.Mark(err, ErrReadTimeout)
+		}
+		return batch, err
+	}
+	if timeout <= ReadTimeout {
+		return read(ctx, timeout)
+	}
+	ctx = sharedlog.WithoutMeasurement(ctx)
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	overtaken := false
+	var watch conc.WaitGroup
+	watch.Go(func() {
+		if overtaken = s.awaitOvertaken(readCtx); overtaken {
+			cancel()
+		}
+	})
+	batch, err := read(readCtx, timeout)
+	cancel()
+	watch.Wait()
+	if err == nil || !overtaken {
+		return batch, err
+	}
+	return read(ctx, ReadTimeout)
+}
+
+// awaitOvertaken waits until a read that begins now has had the usual time and the log has
+// answered a later one. It reports false if ctx ended first.
+func (s *Store) awaitOvertaken(ctx context.Context) bool {
+	began := time.Now()
+	if !wait.For(ctx, ReadTimeout+s.log.ExtraLatency()) {
+		return false
+	}
+	for !s.log.AnsweredReadAfter(began) {
+		if !wait.For(ctx, overtakenPollInterval) {
+			return false
+		}
+	}
+	return true
 }
 
 func join(records [][]byte) []byte {
@@ -359,8 +442,8 @@
 }
 
 // GetItems returns the items of a job, in their order.
-func (s *Store) GetItems(ctx context.Context, spec *pathbendv1.BatchJob) ([]*pathbendv1.BatchItem, error) {
-	payloads, err := s.Get(ctx, spec.Items)
+func (s *Store) GetItems(ctx context.Context, spec *pathbendv1.BatchJob, options ...ReadOption) ([]*pathbendv1.BatchItem, error) {
+	payloads, err := s.Get(ctx, spec.Items, options...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/blobstore/store_test.go
+++ b/internal/blobstore/store_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
@@ -295,3 +296,29 @@
 		require.Len(t, payloads, 3)
 	}
 }
+
+func TestReadThatRanOutOfTimeIsMarkedAndAnsweredWithALongerTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newTestStore(&distantLog{blobLog: newBlobLog(), roundTrip: 2 * time.Second})
+		stored, err := store.Put(t.Context(), Items, time.Second, payloadsOf(10))
+		require.NoError(t, err)
+		_, err = store.Get(t.Context(), stored)
+		require.True(t, errors.Is(err, ErrReadTimeout), err)
+		require.True(t, result.Is(err, result.LogUnavailable))
+		_, err = store.Get(t.Context(), stored, WithReadTimeout(2500*time.Millisecond))
+		require.NoError(t, err)
+	})
+}
+
+func TestReadWhoseCallerLeftHasNotRunOutOfTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newTestStore(&distantLog{blobLog: newBlobLog(), roundTrip: 2 * time.Second})
+		stored, err := store.Put(t.Context(), Items, time.Second, payloadsOf(10))
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), ReadTimeout/2)
+		defer cancel()
+		_, err = store.Get(ctx, stored)
+		require.Error(t, err)
+		require.False(t, errors.Is(err, ErrReadTimeout), err)
+	})
+}
--- a/internal/platformnode/load_job.go
+++ b/internal/platformnode/load_job.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
 	pathbendv1 "github.com/pathbend/pathbend/api/pathbend/v1"
+	"github.com/pathbend/pathbend/internal/blobstore"
 	"github.com/pathbend/pathbend/internal/catalog"
 	"github.com/pathbend/pathbend/internal/event"
 	"github.com/pathbend/pathbend/internal/ledger"
@@ -24,14 +27,15 @@
 	session, scheduler := e.session, e.scheduler
 	e.work.Go(func() {
 		e.awaitRoute(session, job)
+		var retry loadBackoff
 		for session.Err() == nil && e.isOpen(job) {
-			loaded, err := e.readJob(session, job)
+			loaded, err := e.readJob(session, job, retry.timeout())
 			if err == nil {
 				e.addJob(scheduler, job, loaded)
 				return
 			}
 			e.node.logger.Log(event.JobUnread, "job_id", job.ID, "detail", err.Error())
-			wait.For(session, loadRetryPause)
+			wait.For(session, retry.fail(errors.Is(err, blobstore.ErrReadTimeout), rand.Float64()))
 		}
 		e.recordUnloaded(scheduler, job)
 	})
@@ -54,6 +58,9 @@
 	e.scheduler.RecordDemand(job.Spec.Model, unfinished, time.Now())
 }
 
+// routePollInterval is how often a job without a route looks for one.
+const routePollInterval = 60 * time.Millisecond
+
 // awaitRoute waits until the configuration has a route for a job. Without one nothing can
 // serve the job, and the regions in which its bodies may be read are unknown.
 func (e *executor) awaitRoute(session context.Context, job *ledger.Job) {
@@ -61,15 +68,12 @@
 		if !logged {
 			e.node.logger.Log(event.JobUnread, "job_id", job.ID, "detail", "no route matches the job")
 		}
-		if !wait.For(session, loadRetryPause) {
+		if !wait.For(session, routePollInterval) {
 			return
 		}
 	}
 }
 
-// loadRetryPause is the pause before loading a job is retried.
-const loadRetryPause = 60 * time.Millisecond
-
 func (e *executor) isOpen(job *ledger.Job) bool {
 	open := false
 	e.node.jobs.withLedger(func(*ledger.Ledger) { open = job.Open() })
@@ -100,16 +104,16 @@
 	return finished, ok
 }
 
-// readJob loads a job's items and their partial texts. Items whose partial text cannot be
-// read are generated from the start.
-func (e *executor) readJob(ctx context.Context, job *ledger.Job) (loadedJob, error) {
+// readJob loads a job's items and their partial texts, with a timeout for each read of the log.
+// Items whose partial text cannot be read are generated from the start.
+func (e *executor) readJob(ctx context.Context, job *ledger.Job, timeout time.Duration) (loadedJob, error) {
 	loaded := loadedJob{regions: e.node.regionsOfJob(job.Spec)}
 	loaded.remote = e.node.isOutside(loaded.regions)
 	var err error
 	if loaded.remote {
 		loaded.items, err = e.outline(ctx, job, loaded.regions)
 	} else {
-		loaded.items, err = e.node.jobs.blobs.GetItems(ctx, job.Spec)
+		loaded.items, err = e.node.jobs.blobs.GetItems(ctx, job.Spec, blobstore.WithReadTimeout(timeout))
 	}
 	if err != nil {
 		return loaded, err
@@ -120,7 +124,7 @@
 		loaded.partial = countsOnly(partial)
 		return loaded, nil
 	}
-	loaded.partial = e.readPartial(ctx, job, partial)
+	loaded.partial = e.readPartial(ctx, job, partial, timeout)
 	return loaded, nil
 }
 
@@ -138,15 +142,15 @@
 // training step cannot start before all of them have been read.
 const maxConcurrentReads = 8
 
-// readPartial reads partial texts. Those that cannot be read are left out, so that they
-// are generated again.
-func (e *executor) readPartial(ctx context.Context, job *ledger.Job, partial map[string]ledger.Progress) map[string]schedule.PartialText {
+// readPartial reads partial texts, with a timeout for each read of the log. Those that cannot be
+// read are left out, so that they are generated again.
+func (e *executor) readPartial(ctx context.Context, job *ledger.Job, partial map[string]ledger.Progress, timeout time.Duration) map[string]schedule.PartialText {
 	var mutex sync.Mutex
 	texts := make(map[string]schedule.PartialText, len(partial))
 	readers := pool.New().WithMaxGoroutines(maxConcurrentReads)
 	for itemID, progress := range partial {
 		readers.Go(func() {
-			parts, err := e.node.jobs.blobs.Get(ctx, progress.Parts)
+			parts, err := e.node.jobs.blobs.Get(ctx, progress.Parts, blobstore.WithReadTimeout(timeout))
 			if err != nil {
 				e.logReadFailure(job.ID, itemID, err)
 				return
--- a/internal/platformnode/remote_test.go
+++ b/internal/platformnode/remote_test.go
@@ -178,7 +178,7 @@
 		time.Sleep(time.Second)
 		require.Zero(t, log.readCount())
 		e.node.ApplyCatalog(catalogWithRegions(t, 3, locality.Regions{}))
-		time.Sleep(2 * loadRetryPause)
+		time.Sleep(2 * routePollInterval)
 		require.Equal(t, 1, log.readCount())
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
--- a/internal/platformnode/worker_test.go
+++ b/internal/platformnode/worker_test.go
@@ -20,6 +20,7 @@
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/schedule"
 	"github.com/pathbend/pathbend/internal/sharedlog"
+	"github.com/pathbend/pathbend/internal/wait"
 )
 
 // eventPace is the interval between two events of a pacedGenerator.
@@ -60,6 +61,11 @@
 	mutex   sync.Mutex
 	records [][]byte
 	reads   int
+	// requests counts the reads that were begun. They are refused while refusing is set.
+	requests int
+	refusing bool
+	// silent is set while reads that begin are never answered.
+	silent bool
 }
 
 func (l *bodyLog) Append(_ context.Context, _ sharedlog.Partition, records [][]byte) (uint64, error) {
@@ -69,10 +75,23 @@
 	return uint64(len(l.records) - len(records)), nil
 }
 
-func (l *bodyLog) ReadAvailable(_ context.Context, _ sharedlog.Partition, from uint64, _ int) (sharedlog.Batch, error) {
-	time.Sleep(l.readDelay)
+func (l *bodyLog) ReadAvailable(ctx context.Context, _ sharedlog.Partition, from uint64, _ int) (sharedlog.Batch, error) {
+	l.mutex.Lock()
+	l.requests++
+	silent := l.silent
+	l.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return sharedlog.Batch{}, ctx.Err()
+	}
+	if !wait.For(ctx, l.readDelay) {
+		return sharedlog.Batch{}, ctx.Err()
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.refusing {
+		return sharedlog.Batch{}, result.New(result.LogUnavailable, "try later")
+	}
 	l.reads++
 	return sharedlog.Batch{Records: l.records[from:], EndOffset: uint64(len(l.records))}, nil
 }
@@ -84,6 +103,27 @@
 	return l.reads
 }
 
+// requestCount returns the number of reads of bodies that were begun.
+func (l *bodyLog) requestCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.requests
+}
+
+// setRefusing sets whether reads are refused.
+func (l *bodyLog) setRefusing(refusing bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.refusing = refusing
+}
+
+// setSilent sets whether reads that begin are never answered.
+func (l *bodyLog) setSilent(silent bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.silent = silent
+}
+
 // workerFixture is a worker in the region "north" that holds the bodies of a job "j" with an
 // item "i", together with the state of the executor that calls it.
 type workerFixture struct {
--- a/internal/sharedlog/metered_log.go
+++ b/internal/sharedlog/metered_log.go
@@ -33,12 +33,16 @@
 	appendTime *roundtrip.Estimator
 	// lastResponseAt is the time of the last successful response.
 	lastResponseAt atomic.Pointer[clock.Moment]
+	// createdAt is when m was created, newestAnswered how much later the latest read began of
+	// those that returned records, in nanoseconds.
+	createdAt      time.Time
+	newestAnswered atomic.Int64
 }
 
 // NewMeteredLog returns a wrapper of a log service and a group that measures their latency.
 func NewMeteredLog(log Log, group Group) *MeteredLog {
 	bounds := roundtrip.Bounds{MinTimeout: minTimeout, MaxTimeout: maxTimeout}
-	m := &MeteredLog{log: log, group: group, roundTrip: roundtrip.New(bounds), appendTime: roundtrip.New(bounds)}
+	m := &MeteredLog{log: log, group: group, roundTrip: roundtrip.New(bounds), appendTime: roundtrip.New(bounds), createdAt: time.Now()}
 	m.recordResponse(nil)
 	return m
 }
@@ -62,6 +66,23 @@
 	}
 }
 
+// recordRead records a read that began at a time and returned a number of records.
+func (m *MeteredLog) recordRead(began time.Time, records int) {
+	if records == 0 {
+		return
+	}
+	after := int64(began.Sub(m.createdAt))
+	for newest := m.newestAnswered.Load(); newest < after && !m.newestAnswered.CompareAndSwap(newest, after); newest = m.newestAnswered.Load() {
+	}
+}
+
+// AnsweredReadAfter reports whether a read that began after a time has returned records. The
+// service answers reads in the order of their arrival, so that an earlier read without an
+// answer is probably lost.
+func (m *MeteredLog) AnsweredReadAfter(began time.Time) bool {
+	return time.Duration(m.newestAnswered.Load()) > began.Sub(m.createdAt)
+}
+
 // route records how a call reached the service.
 type route struct {
 	indirect atomic.Bool
@@ -82,9 +103,9 @@
 // unmeasuredKey is the context key of a call whose duration is not measured.
 type unmeasuredKey struct{}
 
-// withoutMeasurement returns a context for a call that awaits an answer of a log that may be
+// WithoutMeasurement returns a context for a call that awaits an answer of a log that may be
 // overloaded, whose duration says nothing about the round-trip time.
-func withoutMeasurement(ctx context.Context) context.Context {
+func WithoutMeasurement(ctx context.Context) context.Context {
 	return context.WithValue(ctx, unmeasuredKey{}, true)
 }
 
@@ -152,6 +173,7 @@
 // Read implements Log. A read that may wait at the service, or repeats a failed one, is not
 // measured.
 func (m *MeteredLog) Read(ctx context.Context, partition Partition, from uint64, wait time.Duration) (batch Batch, err error) {
+	defer func(began time.Time) { m.recordRead(began, len(batch.Records)) }(time.Now())
 	if !measured(ctx, wait) {
 		batch, err = m.log.Read(ctx, partition, from, wait)
 		m.recordResponse(err)
@@ -164,8 +186,14 @@
 	return batch, err
 }
 
-// ReadAvailable implements Log.
+// ReadAvailable implements Log. A read in a context of WithoutMeasurement is not measured.
 func (m *MeteredLog) ReadAvailable(ctx context.Context, partition Partition, from uint64, maxBytes int) (batch Batch, err error) {
+	defer func(began time.Time) { m.recordRead(began, len(batch.Records)) }(time.Now())
+	if !measured(ctx, 0) {
+		batch, err = m.log.ReadAvailable(ctx, partition, from, maxBytes)
+		m.recordResponse(err)
+		return batch, err
+	}
 	err = m.timed(ctx, m.roundTrip, func(ctx context.Context) (callErr error) {
 		batch, callErr = m.log.ReadAvailable(ctx, partition, from, maxBytes)
 		return callErr
@@ -176,6 +204,7 @@
 // ReadKeyed implements Log. A read that may wait at the service, or repeats a failed one, is not
 // measured.
 func (m *MeteredLog) ReadKeyed(ctx context.Context, partition Partition, from uint64, wait time.Duration) (batch KeyedBatch, err error) {
+	defer func(began time.Time) { m.recordRead(began, len(batch.Records)) }(time.Now())
 	if !measured(ctx, wait) {
 		batch, err = m.log.ReadKeyed(ctx, partition, from, wait)
 		m.recordResponse(err)
--- a/internal/sharedlog/metered_log_test.go
+++ b/internal/sharedlog/metered_log_test.go
@@ -151,3 +151,20 @@
 	require.Equal(t, pollWait-150*time.Millisecond, pollWaitFor(far))
 	require.Equal(t, minPollWait, pollWaitFor(farther))
 }
+
+func TestOnlyALaterReadThatReturnedRecordsCountsAsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{maxPerRead: 1}
+		metered := NewMeteredLog(log, nil)
+		began := time.Now()
+		time.Sleep(time.Second)
+		_, err := metered.ReadAvailable(t.Context(), Partition{}, 0, 1)
+		require.NoError(t, err)
+		require.False(t, metered.AnsweredReadAfter(began), "an empty answer")
+		log.records = [][]byte{{1}}
+		_, err = metered.ReadAvailable(t.Context(), Partition{}, 0, 1)
+		require.NoError(t, err)
+		require.True(t, metered.AnsweredReadAfter(began))
+		require.False(t, metered.AnsweredReadAfter(time.Now()), "an earlier read")
+	})
+}
--- a/internal/sharedlog/read_retry.go
+++ b/internal/sharedlog/read_retry.go
@@ -64,7 +64,6 @@
 	if !failing {
 		return attempt.hold, r.readOnce(ctx, attempt, attempt.hold, timeout)
 	}
-	ctx = withoutMeasurement(ctx)
 	if attempt.probe != nil {
 		readCtx, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -75,14 +74,14 @@
 				cancel()
 			}
 		})
-		err = r.readOnce(readCtx, attempt, 0, timeout)
+		err = r.readOnce(WithoutMeasurement(readCtx), attempt, 0, timeout)
 		cancel()
 		probes.Wait()
 		if err == nil || !answered {
 			return 0, err
 		}
 	}
-	return 0, r.readOnce(ctx, attempt, 0, timeout)
+	return 0, r.readOnce(WithoutMeasurement(ctx), attempt, 0, timeout)
 }
 
 // plan returns whether the last read failed, and the timeout of the next one without its hold.
