controlstream: jitter the pauses between failed reads

Cause: the followers' backoff had a randomization factor of 0, so that nodes whose reads failed together repeated them in step.

Change: each pause is up to a quarter shorter or longer than before.

Measured, on simulated time: two followers of a source that is down had equal pauses over 60 s; now they differ, within their bounds.

--- a/internal/controlstream/follower.go
+++ b/internal/controlstream/follower.go
@@ -26,8 +26,13 @@
 	// SnapshotInterval is the number of records after a snapshot in the stream at
 	// which the next snapshot is due.
 	SnapshotInterval = 1000
+	// minRetryInterval is the mean pause after the first failed read, maxRetryInterval that after
+	// any number of them.
 	minRetryInterval = 50 * time.Millisecond
 	maxRetryInterval = time.Second
+	// retryJitter is the fraction by which a pause may be shorter or longer than its mean, so
+	// that nodes that failed together do not retry together.
+	retryJitter = 0.25
 )
 
 // Update is the answer of a source: the records from an offset, or a snapshot and the records
@@ -112,7 +117,7 @@
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = minRetryInterval
 	policy.MaxInterval = maxRetryInterval
-	policy.RandomizationFactor = 0
+	policy.RandomizationFactor = retryJitter
 	for ctx.Err() == nil {
 		err := f.fetch(ctx)
 		if ctx.Err() != nil {
--- a/internal/controlstream/follower_test.go
+++ b/internal/controlstream/follower_test.go
@@ -175,3 +175,49 @@
 		require.True(t, third.CaughtUp())
 	})
 }
+
+// failingSource records the times of its reads, all of which fail.
+type failingSource struct {
+	mutex sync.Mutex
+	reads []time.Time
+}
+
+func (s *failingSource) Fetch(context.Context, uint64, int, time.Duration) (Update, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.reads = append(s.reads, time.Now())
+	return Update{}, errors.New("down")
+}
+
+// pauses returns the pauses between the reads.
+func (s *failingSource) pauses() []time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var pauses []time.Duration
+	for i := 1; i < len(s.reads); i++ {
+		pauses = append(pauses, s.reads[i].Sub(s.reads[i-1]))
+	}
+	return pauses
+}
+
+// Guards against nodes that retry in step: after an outage of the log their reads would reach it
+// all at once, again and again.
+func TestFollowersThatFailTogetherDoNotRetryTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := &failingSource{}, &failingSource{}
+		follow(t, first)
+		follow(t, second)
+		time.Sleep(60 * time.Second)
+		require.NotEqual(t, first.pauses(), second.pauses())
+		for _, source := range []*failingSource{first, second} {
+			pauses := source.pauses()
+			require.InDelta(t, minRetryInterval, pauses[0], float64(minRetryInterval)/4)
+			distinct := make(map[time.Duration]bool)
+			for _, pause := range pauses[10:] {
+				require.InDelta(t, maxRetryInterval, pause, float64(maxRetryInterval)/4)
+				distinct[pause] = true
+			}
+			require.Greater(t, len(distinct), 10)
+		}
+	})
+}
