jobs: do not ask the executor for each read of the jobs on its node

Cause: each read of the jobs first took the mutex of the executor, which holds it during its steps, so that the reads on which the steps depend waited for them.

Change: the ownership is asked first; the executor is asked only if the node is not to execute, since it may still be stopping. The result is the same.

Measured: the existing tests of the package pass; the time of the reads was not measured.

--- a/internal/platformnode/jobs.go
+++ b/internal/platformnode/jobs.go
@@ -96,7 +96,8 @@
 // needsJobsLog reports whether this node reads the jobs' records from the log whatever its plan:
 // the work of the executor depends on what it reads.
 func (n *Node) needsJobsLog() bool {
-	return n.executor.executing() || n.ownership.ShouldExecute(jobPartition, time.Now())
+	// The executor is asked last, as its mutex is held during each of its steps.
+	return n.ownership.ShouldExecute(jobPartition, time.Now()) || n.executor.executing()
 }
 
 // appendHedgeDelay returns how long to wait for an append before sending it again in parallel,
