topicreader: read the operator's entries soon after the readers are lost

Cause: a node that loses its readers spreads its first read of the log over the time that all nodes need for 64 kB each, up to 3.2 s at 985 nodes. The operator's entries are rare, 44 kB at most, and must be in force within seconds.

Change: reads of a topic with SkipReaderWait are spread by the number of calls only, 0.25 s at 985 nodes and 16,000 reads/s.

Tests: TestEntriesThatAreNeededAtOnceAreSpreadAfterTheStart required a spread by bytes for this topic. It now gets its spread of 4 s from the limit of calls; what it asserts is unchanged. The queue bound of 0.25 s for other topics (20 kB from 200 nodes) is that of a spread by bytes; this topic has its own test, with 0.6 s. The askers of the test's fleet now start with different readers, since one reader holds 256 requests.

--- a/internal/fanout/fallback.go
+++ b/internal/fanout/fallback.go
@@ -76,14 +76,15 @@
 }
 
 // ReadEnded records that a read which took a duration has ended. The next one follows after
-// minPause if the log answers fast.
-func (f *Fallback) ReadEnded(now time.Time, took time.Duration, answered bool, minPause time.Duration) {
+// minPause if the log answers fast. The longest pause after a slow or failed read is slowPause at
+// least.
+func (f *Fallback) ReadEnded(now time.Time, took time.Duration, answered bool, minPause, slowPause time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if answered && took < slowRead {
 		f.pause = max(f.pause/2, minPause)
 	} else {
-		f.pause = min(max(2*f.pause, minSlowPause), maxFallbackPause)
+		f.pause = min(max(2*f.pause, slowPause, minSlowPause), maxFallbackPause)
 	}
 	// The jitter keeps nodes that read at the same time from doing so again.
 	f.readAt = now.Add(time.Duration((1 + f.random()) / 2 * float64(f.pause)))
--- a/internal/fanout/fallback_test.go
+++ b/internal/fanout/fallback_test.go
@@ -38,7 +38,7 @@
 	fallback := NewFallback(always(0.999999))
 	fallback.NextRead(now, 0)
 	pauseAfter := func(took time.Duration, answered bool) time.Duration {
-		fallback.ReadEnded(now, took, answered, MinPagePause)
+		fallback.ReadEnded(now, took, answered, MinPagePause, 0)
 		return fallback.NextRead(now, 0).Sub(now).Round(time.Millisecond)
 	}
 	require.Equal(t, MinPagePause, pauseAfter(time.Millisecond, true))
@@ -59,6 +59,18 @@
 	require.Equal(t, MinPagePause/2, pauseAfter(time.Millisecond, true), "the jitter is up to half of the pause")
 }
 
+func TestPauseAfterASlowReadHasAMinimum(t *testing.T) {
+	now := time.Unix(100, 0)
+	fallback := NewFallback(always(0.999999))
+	fallback.NextRead(now, 0)
+	var pauses []time.Duration
+	for _, answered := range []bool{true, false, false, true} {
+		fallback.ReadEnded(now, time.Millisecond, answered, MinPagePause, 3*time.Second)
+		pauses = append(pauses, fallback.NextRead(now, 0).Sub(now).Round(time.Millisecond))
+	}
+	require.Equal(t, []time.Duration{20, 3000, 6000, 3000}, milliseconds(pauses))
+}
+
 func milliseconds(durations []time.Duration) []time.Duration {
 	var counts []time.Duration
 	for _, duration := range durations {
--- a/internal/topicreader/fallback.go
+++ b/internal/topicreader/fallback.go
@@ -48,8 +48,9 @@
 type fallbackRead struct {
 	// spread is the time over which the nodes spread their first such reads.
 	spread time.Duration
-	// minPause is the pause after a fast read.
-	minPause time.Duration
+	// minPause is the pause after a fast read, slowPause the shortest one after a slow or failed
+	// read if that is longer than the usual one.
+	minPause, slowPause time.Duration
 }
 
 // offsetRead describes reads from an offset on, by a number of nodes.
@@ -88,7 +89,7 @@
 	if more {
 		minPause = min(minPause, fanout.MinPagePause)
 	}
-	p.ReadEnded(now, took, err == nil || result.Is(err, result.LogTruncated), minPause)
+	p.ReadEnded(now, took, err == nil || result.Is(err, result.LogTruncated), minPause, kind.slowPause)
 	return err
 }
 
@@ -124,6 +125,16 @@
 	}
 }
 
+// entriesRead describes reads of entries from an offset on under a plan. Entries that must be known
+// soon are rare and small, so that their reads are spread by the calls only while the log is not busy.
+func (f *Feed) entriesRead(plan fanout.Plan) fallbackRead {
+	kind := f.fallback.offsetRead(plan.Nodes, fanout.MinEntriesPause)
+	if f.config.SkipReaderWait {
+		kind.spread, kind.slowPause = f.fallback.limits.Spread(plan.Nodes, 0), kind.spread
+	}
+	return kind
+}
+
 // newestRead describes reads of pages of the newest entries under a plan. A node that starts and
 // does not wait for readers reads the first page at once.
 func (f *Feed) newestRead(plan fanout.Plan) fallbackRead {
--- a/internal/topicreader/feed.go
+++ b/internal/topicreader/feed.go
@@ -48,7 +48,8 @@
 	RequiredGroups func() fanout.Groups
 	Caller         Caller
 	// SkipReaderWait makes a node that starts read the log at once if no reader responds, instead
-	// of waiting for a reader to become ready.
+	// of waiting for a reader to become ready, and a node that loses its readers read it soon. It
+	// is for topics whose entries are rare and small: all nodes may read them at the same time.
 	SkipReaderWait bool
 	// Limits is what the log serves to all nodes together.
 	Limits fanout.LogLimits
@@ -199,7 +200,7 @@
 		return sharedlog.KeyedBatch{}, result.New(result.LogTruncated, "the readers no longer keep the entries from offset %d", from)
 	}
 	var batch sharedlog.KeyedBatch
-	err := f.fallback.read(ctx, f.fallback.offsetRead(plan.Nodes, fanout.MinEntriesPause), func(ctx context.Context) (more bool, err error) {
+	err := f.fallback.read(ctx, f.entriesRead(plan), func(ctx context.Context) (more bool, err error) {
 		// The node has waited for its readers and its turn, so that the log need not hold the read.
 		batch, err = f.readEntries(ctx, partition, from, 0, loaded)
 		return err == nil && batch.NextOffset < batch.EndOffset, err
--- a/internal/topicreader/overload_test.go
+++ b/internal/topicreader/overload_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,10 @@
 type busyLog struct {
 	sharedlog.Log
 	bytesPerSecond float64
+	// readsPerSecond limits the reads as the readers know it. It may be 0, which means unknown.
+	readsPerSecond float64
+	// skipReaderWait is that of the topic's feeds.
+	skipReaderWait bool
 	// pageRecords is the number of records in a page of the newest ones, batchRecords the
 	// maximum in an answer to a read from an offset on, or 0 for any number.
 	pageRecords, batchRecords int
@@ -143,8 +148,9 @@
 	plan    fanout.Plan
 	askers  []*asker
 	// age is the age of all readers' entries in nanoseconds, gone is set if none can be reached.
-	age  atomic.Int64
-	gone atomic.Bool
+	// If silent is set too, calls to them get no answer instead of an error.
+	age          atomic.Int64
+	gone, silent atomic.Bool
 }
 
 func newAskerFleet(log *busyLog, readers, nodes int) *askerFleet {
@@ -163,25 +169,34 @@
 	return New(Config{
 		Log: f.log, Topic: "t", GroupOf: func(sharedlog.KeyedRecord) string { return "" }, Plan: func() fanout.Plan { return plan },
 		RequiredGroups: fanout.All, Caller: f, Counter: noCounts{}, Logger: event.NewLogger(io.Discard, slog.LevelError),
-		Limits: fanout.LogLimits{BytesPerSecond: f.log.bytesPerSecond},
+		Limits:         fanout.LogLimits{BytesPerSecond: f.log.bytesPerSecond, ReadsPerSecond: f.log.readsPerSecond},
+		SkipReaderWait: f.log.skipReaderWait,
 	})
 }
 
 // Call implements Caller.
 func (f *askerFleet) Call(ctx context.Context, address string, call *pathbendv1.Envelope) (*pathbendv1.Envelope, error) {
 	if f.gone.Load() {
-		return nil, result.New(result.PeerUnreached, "no node at %s", address)
+		return nil, f.unreached(ctx, address)
 	}
 	response, err := f.servers[address].Serve(ctx, call.GetReadEntries())
 	if err != nil {
 		return nil, err
 	}
 	if f.gone.Load() {
-		return nil, result.New(result.PeerUnreached, "lost the node at %s", address)
+		return nil, f.unreached(ctx, address)
 	}
 	return &pathbendv1.Envelope{Body: &pathbendv1.Envelope_EntryBatch{EntryBatch: response}}, nil
 }
 
+// unreached returns the error of a call to a node that cannot be reached.
+func (f *askerFleet) unreached(ctx context.Context, address string) error {
+	if f.silent.Load() {
+		<-ctx.Done()
+	}
+	return result.New(result.PeerUnreached, "no node at %s", address)
+}
+
 // load gives the readers all entries, without reads that the log counts.
 func (f *askerFleet) load() {
 	records := f.log.snapshot()
@@ -201,9 +216,13 @@
 
 // start starts the askers, which run until ctx ends.
 func (f *askerFleet) start(ctx context.Context, count int) {
-	for range count {
+	for i := range count {
 		started := &asker{}
-		feed := f.newFeed(f.plan)
+		plan := f.plan
+		// A reader holds the requests of 256 nodes at most.
+		first := i % len(plan.Parents)
+		plan.Parents = slices.Concat(plan.Parents[first:], plan.Parents[:first])
+		feed := f.newFeed(plan)
 		observe := func(records []sharedlog.KeyedRecord, next uint64) {
 			feed.Apply(records, next)
 			started.next.Store(next)
@@ -325,6 +344,89 @@
 	})
 }
 
+// operatorLog returns a log with the topic of the operator, and the share of the limits that a
+// cluster of 985 nodes has for a number of nodes.
+func operatorLog(nodes int) *busyLog {
+	share := float64(nodes) / 985
+	return &busyLog{bytesPerSecond: 80e6 * share, readsPerSecond: 16_000 * share, skipReaderWait: true, pageRecords: 10}
+}
+
+// When all readers of the operator's topic disappear at once, the reads of 985 nodes are spread by
+// the number of calls only: those of 44 kB each, 0.54 s of the log's rate all together, keep its
+// queue far from the 2 s beyond which it refuses reads, and every node has the entry within 2 s.
+func TestEntriesThatAreNeededAtOnceAreReadSoonByAllNodes(t *testing.T) {
+	for _, nodes := range []int{200, 985} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			log := operatorLog(nodes)
+			withFleet(t, log, nodes, func(t *testing.T, fleet *askerFleet) {
+				fleet.gone.Store(true)
+				fleet.publish(44_000)
+				t.Log("all have the entry after", fleet.await(t, 2*time.Second), "queue", log.load().maxQueue, "reads", log.load().reads)
+				for range 20 {
+					fleet.publish(1000)
+					time.Sleep(time.Second)
+				}
+				t.Log("queue", log.load().maxQueue, "reads", log.load().reads)
+				require.Less(t, log.load().maxQueue, 600*time.Millisecond)
+				require.Zero(t, log.load().refused+log.load().abandoned)
+				require.Zero(t, log.load().pages)
+			})
+		})
+	}
+}
+
+// The log takes 20 s to send an entry of the operator's topic to each of 200 nodes without readers.
+// They step back like those of other topics.
+func TestNodesThatNeedEntriesAtOnceStepBackWhileTheLogIsSlow(t *testing.T) {
+	log := operatorLog(200)
+	log.bytesPerSecond = 0.5e6
+	withFleet(t, log, 200, func(t *testing.T, fleet *askerFleet) {
+		fleet.gone.Store(true)
+		fleet.publish(50_000)
+		took := fleet.await(t, 40*time.Second)
+		t.Log("all have the entry after", took, "queue", log.load().maxQueue, "reads", log.load().reads, "refused", log.load().refused, "given up", log.load().abandoned)
+		require.LessOrEqual(t, log.load().maxQueue, refuseBeyond+200*time.Millisecond)
+		require.Zero(t, log.load().abandoned)
+		require.Less(t, log.load().refused, 3*len(fleet.askers), "refused reads are repeated after growing pauses")
+	})
+}
+
+// One node of 985 loses its readers of the operator's topic, but not the log. It knows a new entry
+// within 2 s if the readers refuse its calls, and within 4 s if they are silent: then it learns
+// only from timeouts that none of them answers.
+func TestEntryThatIsNeededAtOnceIsKnownSoonWithoutReaders(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent readers ", silent), func(t *testing.T) {
+			limit := 2 * time.Second
+			if silent {
+				limit = 4 * time.Second
+			}
+			var longest time.Duration
+			for range 30 {
+				log := operatorLog(985)
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer func() {
+						cancel()
+						synctest.Wait()
+					}()
+					log.put(100)
+					fleet := newAskerFleet(log, 8, 985)
+					fleet.load()
+					fleet.start(ctx, 1)
+					fleet.await(t, time.Second)
+					time.Sleep(5 * time.Second)
+					fleet.silent.Store(silent)
+					fleet.gone.Store(true)
+					fleet.publish(44_000)
+					longest = max(longest, fleet.await(t, limit))
+				})
+			}
+			t.Log("known after at most", longest)
+		})
+	}
+}
+
 // A node that is alone without readers gets entries as soon as one that reads the log.
 func TestSingleNodeWithoutReadersIsNotSlowedDown(t *testing.T) {
 	log := &busyLog{bytesPerSecond: 8e6, pageRecords: 10}
@@ -358,12 +460,11 @@
 // for its turn like any other.
 func TestEntriesThatAreNeededAtOnceAreSpreadAfterTheStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &busyLog{bytesPerSecond: 1e6, pageRecords: 10}
+		log := &busyLog{bytesPerSecond: 1e6, readsPerSecond: 1000, skipReaderWait: true, pageRecords: 10}
 		log.put(100)
 		fleet := newAskerFleet(log, 2, 1000)
 		fleet.gone.Store(true)
 		feed := fleet.newFeed(fleet.plan)
-		feed.config.SkipReaderWait = true
 		feed.fallback.Fallback = fanout.NewFallback(func() float64 { return 0.75 })
 		began := time.Now()
 		_, err := feed.ReadNewest(t.Context(), sharedlog.Partition{Topic: "t"}, "")
