sharedlog: read stale newest records again after growing pauses

Cause: a KeyedFollower whose newest records are older than what it applied read them again every 100 ms for as long as that lasted, some 60 kB each time from a reader that lags.

Change: the pause doubles from 100 ms up to 8 s, as after consecutive truncations.

A reader that is late for three answers costs 0.7 s of pauses.

--- a/internal/sharedlog/keyed.go
+++ b/internal/sharedlog/keyed.go
@@ -17,7 +17,7 @@
 	pageTimeout    = pollWait + readTimeout
 	maxPageTimeout = 8 * time.Second
 	// maxReloadPause bounds the pause before the newest records are read again because of
-	// consecutive truncations, which doubles from retryInterval on.
+	// consecutive truncations or stale responses, which doubles from retryInterval on.
 	maxReloadPause = 8 * time.Second
 )
 
@@ -77,7 +77,7 @@
 		case result.Is(err, result.LogTruncated):
 			initialized = false
 			wait.For(ctx, reloadPause)
-			reloadPause = min(max(2*reloadPause, retryInterval), maxReloadPause)
+			reloadPause = nextReloadPause(reloadPause)
 			continue
 		case err != nil:
 			if ctx.Err() == nil && f.Health.recordFailure() {
@@ -87,7 +87,8 @@
 			continue
 		case !initialized && batch.EndOffset < next:
 			// The response is stale: later records were applied already.
-			wait.For(ctx, retryInterval)
+			wait.For(ctx, max(reloadPause, retryInterval))
+			reloadPause = nextReloadPause(reloadPause)
 			continue
 		case !initialized:
 			f.Reset(batch.Records, batch.EndOffset)
@@ -113,6 +114,11 @@
 	}
 }
 
+// nextReloadPause returns the pause that follows a pause before the newest records are read again.
+func nextReloadPause(pause time.Duration) time.Duration {
+	return min(max(2*pause, retryInterval), maxReloadPause)
+}
+
 // read makes the next read. It returns the records and the time as of which they are current.
 func (f *KeyedFollower) read(ctx context.Context, initialized bool, next uint64) (batch KeyedBatch, asOf clock.Moment, err error) {
 	asOf = clock.CurrentMoment()
--- a/internal/sharedlog/keyed_test.go
+++ b/internal/sharedlog/keyed_test.go
@@ -22,6 +22,9 @@
 	// truncations is the number of reads after the newest records that fail because the
 	// records are no longer retained.
 	truncations int
+	// stale is the number of reads of the newest records, after the first one, whose answers end
+	// before that of the first.
+	stale int
 
 	requested []string
 	failed    int
@@ -41,6 +44,10 @@
 		if after == "" || after == l.keys[max(i-1, 0)].Key && i > 0 {
 			page := KeyedPage{More: i+1 < len(l.keys)}
 			page.Records, page.EndOffset = []KeyedRecord{record}, l.end+uint64(i)
+			if len(l.requested) > 1 && l.stale > 0 {
+				l.stale--
+				page.EndOffset--
+			}
 			return page, nil
 		}
 	}
@@ -147,3 +154,18 @@
 	require.GreaterOrEqual(t, len(log.requested), 10)
 	require.LessOrEqual(t, len(log.requested), 20)
 }
+
+// Newest records that are older than what was applied come from a reader that lags. They are read
+// again soon at first, then after growing pauses.
+func TestRepeatedStaleNewestRecordsAreReadAgainAfterGrowingPauses(t *testing.T) {
+	log := &pagedLog{keys: []KeyedRecord{{Key: "a"}}, end: 5, truncations: 1, stale: 3}
+	reset, _ := runKeyedFollower(t, log, time.Second)
+	require.Len(t, log.requested, 5)
+	require.Len(t, reset, 2)
+	log = &pagedLog{keys: []KeyedRecord{{Key: "a"}}, end: 5, truncations: 1, stale: 1 << 30}
+	reset, _ = runKeyedFollower(t, log, time.Minute)
+	t.Log("read", len(log.requested), "times")
+	require.GreaterOrEqual(t, len(log.requested), 10)
+	require.LessOrEqual(t, len(log.requested), 20)
+	require.Len(t, reset, 1)
+}
