sharedlog: let CatchUp return at its caller's deadline

Cause: the caller that led a shared round made the reads itself. A read past the readers replaces the deadline of its context by 2.5 s, so that a CatchUp with 300 ms returned after 2.4 s. And if the leader's context ended, the read was abandoned for all callers of the round.

Change: a round runs beside its callers, each of which waits for it until its own context ends. A read goes on when the time of its last caller is up, since the log sends the answer anyway, but no further one is made for nobody. If the last caller is cancelled, as at the end of the process, the read is cancelled and awaited as before; a caller that joins it meanwhile gets a read of its own.

Measured (synctest): with a log that takes 2.4 s a CatchUp past the readers with 300 ms returns after 300 ms, and the records of its one read are applied. When the caller that started a round leaves after 150 ms by deadline or by cancellation, the other one still has all 40 records after 4 reads. The tests of the deadline fail without the change; that of the cancelled read fails if its result is shared.

--- a/internal/sharedlog/follow.go
+++ b/internal/sharedlog/follow.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pathbend/pathbend/internal/clock"
 	"github.com/pathbend/pathbend/internal/result"
 	"github.com/pathbend/pathbend/internal/wait"
@@ -146,64 +148,98 @@
 }
 
 // CatchUp returns once the follower has applied the records that the partition held at
-// the time of the call. Concurrent callers share reads: of the callers that arrive during a
-// read, one makes the next read and the others wait for it, so that many callers do not read
-// the same records repeatedly.
+// the time of the call, or ctx has ended. Concurrent callers share reads: of the callers that
+// arrive during a read, one starts the next read and all wait for it, so that many callers do not
+// read the same records repeatedly.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	began := time.Now()
-	for {
-		round, leader := f.joinRound()
-		if leader {
-			round.err = f.catchUp(ctx)
-			f.endRound(round)
-			return round.err
-		}
+	for ctx.Err() == nil {
+		round := f.joinRound(ctx)
 		select {
 		case <-round.done:
 		case <-ctx.Done():
+			f.leaveRound(ctx, round)
 			return ctx.Err()
 		}
-		if !round.startedAt.Before(began) {
+		if !round.startedAt.Before(began) && !round.abandoned {
 			return round.err
 		}
 	}
+	return ctx.Err()
 }
 
-// catchUpRound is a catch-up that concurrent callers share.
+// catchUpRound is a catch-up that concurrent callers share. It does not end with the caller that
+// started it.
 type catchUpRound struct {
 	startedAt time.Time
-	done      chan struct{}
-	// err is set before done is closed.
-	err error
+	cancel    context.CancelFunc
+	// waiting is the number of callers that have joined and not left early. roundMutex guards it.
+	waiting int
+	done    chan struct{}
+	// err and abandoned are set before done is closed. An abandoned round ended early because
+	// no caller waited for it.
+	err       error
+	abandoned bool
 }
 
-// joinRound returns the current round, or starts one that the caller must execute and end
-// as its leader.
-func (f *Follower) joinRound() (round *catchUpRound, leader bool) {
+// joinRound returns the current round, or starts one.
+func (f *Follower) joinRound(ctx context.Context) *catchUpRound {
 	f.roundMutex.Lock()
 	defer f.roundMutex.Unlock()
-	if f.round != nil {
-		return f.round, false
+	if f.round == nil {
+		roundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		f.round = &catchUpRound{startedAt: time.Now(), cancel: cancel, done: make(chan struct{})}
+		go f.runRound(roundCtx, f.round)
+	}
+	f.round.waiting++
+	return f.round
+}
+
+// leaveRound is called by a caller whose ctx has ended. If no other one waits, the current read of
+// the round goes on after a deadline, since a read that is given up costs the log as much as an
+// answered one. After a cancellation it ends before leaveRound returns.
+func (f *Follower) leaveRound(ctx context.Context, round *catchUpRound) {
+	f.roundMutex.Lock()
+	round.waiting--
+	last := round.waiting == 0
+	f.roundMutex.Unlock()
+	if last && errors.Is(ctx.Err(), context.Canceled) {
+		round.cancel()
+		<-round.done
 	}
-	f.round = &catchUpRound{startedAt: time.Now(), done: make(chan struct{})}
-	return f.round, true
 }
 
-func (f *Follower) endRound(round *catchUpRound) {
+// isAwaited reports whether a caller waits for a round.
+func (f *Follower) isAwaited(round *catchUpRound) bool {
+	f.roundMutex.Lock()
+	defer f.roundMutex.Unlock()
+	return round.waiting > 0
+}
+
+// runRound executes a round and ends it.
+func (f *Follower) runRound(ctx context.Context, round *catchUpRound) {
+	defer round.cancel()
+	round.abandoned, round.err = f.catchUp(ctx, round)
 	f.roundMutex.Lock()
 	defer f.roundMutex.Unlock()
 	f.round = nil
 	close(round.done)
 }
 
-func (f *Follower) catchUp(ctx context.Context) error {
+// catchUp reads up to the end of the partition. It gives up between two reads if no caller waits.
+func (f *Follower) catchUp(ctx context.Context, round *catchUpRound) (abandoned bool, err error) {
 	if !f.retry.waitAtMost(ctx, defaultMaxRetryPause) {
-		return ctx.Err()
+		return true, ctx.Err()
 	}
 	for {
 		caughtUp, err := f.readOnce(ctx, 0)
-		if err != nil || caughtUp {
-			return err
+		switch {
+		case err != nil:
+			return ctx.Err() != nil, err
+		case caughtUp:
+			return false, nil
+		case !f.isAwaited(round):
+			return true, nil
 		}
 	}
 }
--- a/internal/sharedlog/follow_test.go
+++ b/internal/sharedlog/follow_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -255,4 +257,110 @@
 	})
 }
 
+// A caller whose time is up gets its answer although the log does not answer the read, which goes
+// on: the log would send its answer anyway. No further read is made for a caller that has gone.
+func TestCatchUpEndsAtTheDeadlineOfItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{records: numbered(40), maxPerRead: 10, readLatency: 1500 * time.Millisecond}
+		var count atomic.Int64
+		follower := &Follower{
+			Log: log, Observer: &countingObserver{}, Apply: func(_ uint64, records [][]byte) { count.Add(int64(len(records))) },
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		require.ErrorIs(t, follower.CatchUp(ctx), context.DeadlineExceeded)
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		require.EqualValues(t, 10, count.Load())
+		require.Equal(t, 1, log.reads)
+		require.NoError(t, follower.CatchUp(t.Context()))
+		require.EqualValues(t, 40, count.Load())
+	})
+}
+
+// The caller that starts a read which others share may leave before it is answered.
+func TestSharedCatchUpOutlivesTheCallerThatStartedIt(t *testing.T) {
+	for _, deadline := range []bool{false, true} {
+		t.Run(fmt.Sprint("deadline ", deadline), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &fakeLog{records: numbered(40), maxPerRead: 10, readLatency: 100 * time.Millisecond}
+				var count atomic.Int64
+				follower := &Follower{
+					Log: log, Observer: &countingObserver{}, Apply: func(_ uint64, records [][]byte) { count.Add(int64(len(records))) },
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				if deadline {
+					ctx, cancel = context.WithTimeout(ctx, 150*time.Millisecond)
+				}
+				defer cancel()
+				var callers sync.WaitGroup
+				callers.Go(func() {
+					require.Error(t, follower.CatchUp(ctx))
+					require.Less(t, count.Load(), int64(40))
+				})
+				synctest.Wait()
+				callers.Go(func() {
+					require.NoError(t, follower.CatchUp(t.Context()))
+					require.EqualValues(t, 40, count.Load())
+				})
+				time.Sleep(150 * time.Millisecond)
+				cancel()
+				callers.Wait()
+				require.Equal(t, 4, log.reads)
+			})
+		})
+	}
+}
+
+// silentLog does not answer the first read, which ends some time after its caller has gone.
+type silentLog struct {
+	Log
+	reads      atomic.Int64
+	endLatency time.Duration
+}
+
+func (l *silentLog) Read(ctx context.Context, _ Partition, _ uint64, _ time.Duration) (Batch, error) {
+	if l.reads.Add(1) > 1 {
+		return Batch{}, nil
+	}
+	<-ctx.Done()
+	time.Sleep(l.endLatency)
+	return Batch{}, result.Wrap(result.LogUnavailable, ctx.Err(), "read")
+}
+
+// A read for which nobody waits any longer ends with the last caller if that is cancelled, as at
+// the end of the process.
+func TestCancelledCatchUpEndsItsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		observer := &countingObserver{}
+		follower := &Follower{Log: &silentLog{}, Observer: observer, Apply: func(uint64, [][]byte) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, cancel)
+		require.ErrorIs(t, follower.CatchUp(ctx), context.Canceled)
+		require.Equal(t, 100*time.Millisecond, time.Since(began))
+		require.Nil(t, follower.round)
+		require.Zero(t, observer.failed)
+	})
+}
+
+// A caller that joins a read whose callers were cancelled gets a read of its own.
+func TestCatchUpDoesNotShareACancelledRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &silentLog{endLatency: 50 * time.Millisecond}
+		follower := &Follower{Log: log, Observer: &countingObserver{}, Apply: func(uint64, [][]byte) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var callers sync.WaitGroup
+		callers.Go(func() { require.ErrorIs(t, follower.CatchUp(ctx), context.Canceled) })
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		require.NoError(t, follower.CatchUp(t.Context()))
+		callers.Wait()
+		require.EqualValues(t, 2, log.reads.Load())
+	})
+}
+
 func oneMillisecond() time.Duration { return time.Millisecond }
--- a/internal/topicreader/record_feed_test.go
+++ b/internal/topicreader/record_feed_test.go
@@ -407,6 +407,24 @@
 	})
 }
 
+// A read past the readers may take longer than its caller has time. It goes on without the caller.
+func TestCatchUpPastTheReadersEndsAtTheDeadlineOfItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newRecordCluster(t)
+		asker := cluster.asker("n", "gone")
+		cluster.log.append("a")
+		cluster.log.latency = 2400 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		require.ErrorIs(t, asker.follower.CatchUp(ctx), context.DeadlineExceeded)
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"a"}, asker.read())
+		require.Equal(t, 1, cluster.log.readCount())
+	})
+}
+
 func TestExecutorReadsTheLogItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newRecordCluster(t)
