--- a/internal/platformnode/claims.go
+++ b/internal/platformnode/claims.go
@@ -30,10 +30,10 @@
 // claims ensures that only the holder of the job partition makes calls that a single node
 // at a time may make: weight orders to samplers, and sampler orders and usage reports to the
 // platform. Before such a call, a node appends a claim for its subject and reads the log up
-// to that entry. If two nodes both consider themselves the holder, the log puts their claims in one order: a node
-// with the lower fencing token that comes second sees the other's claim and cancels its
-// call, and a node with the higher token waits for a grace period before it acts on a
-// subject that the other has claimed.
+// to that entry. If two nodes both consider themselves the holder, the log puts their claims
+// in one order: a node with the lower fencing token that comes second sees the other's claim
+// and cancels its call, and a node with the higher token waits for a grace period before it
+// acts on a subject that the other has claimed.
 //
 // Claims that are made at about the same time form a group, which is written and read back
 // as one. It has one entry, since every node reads each entry. If the log does not return the
--- a/internal/platformnode/read_pause.go
+++ b/internal/platformnode/read_pause.go
@@ -43,9 +43,9 @@
 	// drainDeadlineParts divides Settings.DrainDeadline, the time after which a leaving sampler
 	// must get no new work. A node that reads the entries from another node uses one such part
 	// for its long poll and one for the pause after it; together with the age up to which a
-	// reader's entries count as current, 1.2 s, both stay within that time. With a shorter pause every entry
-	// would cause a call of each node while samplers join: up to 9,000 calls per second from
-	// 954 nodes that pause for 0.1 s.
+	// reader's entries count as current, 1.2 s, both stay within that time. With a shorter pause
+	// every entry would cause a call of each node while samplers join: up to 9,000 calls per
+	// second from 954 nodes that pause for 0.1 s.
 	drainDeadlineParts = 4
 )
 
--- a/internal/topicreader/fetch.go
+++ b/internal/topicreader/fetch.go
@@ -32,8 +32,9 @@
 
 // fetch sends a request to readers in turn until one gives a current response. If all responses
 // are late it returns the freshest of them with its age: late entries are valid, and newer than
-// what this node has. All readers together hold the request no longer than hold, or maxHoldTime. A reader that is
-// unreachable, sends an invalid response, or is later than another one is avoided for a while.
+// what this node has. All readers together hold the request no longer than hold, or maxHoldTime.
+// A reader that is unreachable, sends an invalid response, or is later than another one is avoided
+// for a while.
 func (f *Feed) fetch(ctx context.Context, plan fanout.Plan, request *pathbendv1.ReadEntries, hold time.Duration) answer {
 	request.Topic = f.config.Topic
 	hold = min(hold, maxHoldTime)
