ownership: lock when an assignment is applied; tests hold the executor's lock

Cause: Holder.ApplyAssignment took no lock, and two tests ran reviews without the executor's; the race detector reported both in TestModelsStayOnTheirSamplersWhileClaimsAreNotReadBack. Change: the exported method locks, the loop uses an unexported one; the tests review under the lock.

--- a/internal/ownership/holder.go
+++ b/internal/ownership/holder.go
@@ -323,7 +323,7 @@
 		h.logger.Log(event.GroupContactRegained, "generation", response.assignment.Generation, "after_ms", (h.renewedAt.Age() - response.sentAt.Age()).Milliseconds())
 	}
 	h.contactLost = false
-	h.ApplyAssignment(response.assignment, response.sentAt)
+	h.applyAssignment(response.assignment, response.sentAt)
 	return response.assignment.Generation != generation
 }
 
@@ -344,9 +344,15 @@
 	})
 }
 
-// ApplyAssignment applies an assignment whose request was sent at a given time. It does not
-// lock: Run calls it with h.mutex held.
+// ApplyAssignment applies an assignment whose request was sent at a given time.
 func (h *Holder) ApplyAssignment(assignment sharedlog.Assignment, sentAt clock.Moment) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.applyAssignment(assignment, sentAt)
+}
+
+// applyAssignment is ApplyAssignment for callers that hold h.mutex.
+func (h *Holder) applyAssignment(assignment sharedlog.Assignment, sentAt clock.Moment) {
 	held := make(map[int]struct{}, len(assignment.Partitions))
 	for _, partition := range assignment.Partitions {
 		held[partition.Number] = struct{}{}
--- a/internal/platformnode/claims_test.go
+++ b/internal/platformnode/claims_test.go
@@ -210,7 +210,7 @@
 		e.node.ApplyVersion("m", 2)
 		for range 3000 {
 			e.node.ownership.ApplyAssignment(ownershiptest.NewAssignment(4, jobPartition), clock.CurrentMoment())
-			e.review(time.Now())
+			e.reviewLocked()
 			time.Sleep(100 * time.Millisecond)
 		}
 		cancel()
--- a/internal/platformnode/weights_test.go
+++ b/internal/platformnode/weights_test.go
@@ -175,10 +175,10 @@
 		items = append(items, &pathbendv1.BatchItem{Id: id})
 	}
 	e.addJob(e.scheduler, job, loadedJob{items: items})
-	e.review(time.Now())
+	e.reviewLocked()
 	e.applyChange(ledger.Change{Kind: ledger.JobEnded, Job: job})
 	e.node.ApplyVersion("m", 2)
-	e.review(time.Now())
+	e.reviewLocked()
 	const slotsPerItem, slots = 2, 6
 	require.Equal(t, (128*slotsPerItem+slots-1)/slots, e.updatesInProgress())
 }
@@ -216,6 +216,13 @@
 	e.node.jobs.apply(0, records)
 }
 
+// reviewLocked runs a review as the executor's loop does.
+func (e *executor) reviewLocked() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.review(time.Now())
+}
+
 // updatesInProgress returns the number of weight updates in progress.
 func (e *executor) updatesInProgress() int {
 	e.mutex.Lock()
