--- a/internal/fanout/doc.go
+++ b/internal/fanout/doc.go
@@ -16,7 +16,10 @@
 //
 // A topic without keys, the records of the batch jobs, is shared in the same way (RecordCache).
 // Its readers' answers are used whatever their age, and another reader is asked after a late one
-// (LateReaders). The log is read only without any answer, and rarely (DirectReadPacer).
+// (LateReaders).
+//
+// Reads of the log by nodes whose readers do not answer are spread over the nodes, and become rarer
+// while the log is slow (Fallback).
 //
 // The package makes no calls; package topicreader makes them.
 package fanout
