network: an answer reset during the upload is not complete

Callers saw part of an answer as a whole one, with status 200, when a back end answered a long upload at once without a length and then reset the connection. Cause: Linux reports a reset to one call only. When the write of the upload got it, the read of the answer returned a plain end of stream, which ends an answer without a length. Ruled out: comparing the reader's error with the writer's, as the writer's may be recorded after the reader has returned; the state of the socket (TCP_INFO), as only Linux tells it. Change: connections of network.NewTransport count how much of the request they accepted. When an answer ends with its connection, the remaining writes are ended and the answer is complete only if every byte of the request had been accepted before; then no write can have taken the error. This depends on no order of goroutines: a write that has handed over its last byte returns success, any other fails. Answers with a length or chunks are not affected and may still come early.

--- /dev/null
+++ b/internal/dispatch/broken_answers_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathbend/pathbend/internal/result"
+)
+
+// startRawBackEnd starts a back end on a real socket that hands each connection, with the head of
+// the first request on it, to respond. It returns the back end's address.
+func startRawBackEnd(t *testing.T, respond func(connection *net.TCPConn, request *http.Request)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				request, err := http.ReadRequest(bufio.NewReader(connection))
+				if err == nil {
+					respond(connection.(*net.TCPConn), request)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// answerHead returns the head of an answer with status 200 to a request, with more header lines.
+func answerHead(request *http.Request, lines ...string) string {
+	head := "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": " + request.Header.Get(HeaderRequestID) + "\r\n"
+	for _, line := range lines {
+		head += line + "\r\n"
+	}
+	return head + "\r\n"
+}
+
+// reset closes a connection with a reset, as the kernel does for a process that dies with unread
+// bytes.
+func reset(connection *net.TCPConn) {
+	// The connection is closed in any case.
+	_ = connection.SetLinger(0)
+	connection.Close()
+}
+
+// uploadBytes is more than the kernel buffers for a connection, so that a back end that does not
+// read the body keeps the upload from ending.
+const uploadBytes = 8 << 20
+
+// newUploads returns requests whose body is buffered, streamed with a length, and streamed
+// without one.
+func newUploads(bodyBytes int) map[string]*Request {
+	body := make([]byte, bodyBytes)
+	buffered, sized, unsized := newTestRequest(true), newTestRequest(true), newTestRequest(true)
+	buffered.Buffered, buffered.Length = body, int64(bodyBytes)
+	sized.Buffered, sized.Body, sized.Length = nil, bytes.NewReader(body), int64(bodyBytes)
+	unsized.Buffered, unsized.Body, unsized.Length = nil, bytes.NewReader(body), -1
+	return map[string]*Request{"buffered": buffered, "sized": sized, "unsized": unsized}
+}
+
+// Guards against a part of an answer that reaches the caller as a whole one. Linux reports a reset
+// to one call only: if that is the write of the upload, the read of the answer gets a plain end of
+// stream.
+func TestAnswerResetDuringUploadIsNotComplete(t *testing.T) {
+	const tries = 60
+	complete := make(map[string]int)
+	for try := range tries {
+		address := startRawBackEnd(t, func(connection *net.TCPConn, request *http.Request) {
+			_, _ = fmt.Fprint(connection, answerHead(request), "part")
+			// Some resets strike a write of the upload, others come between two writes.
+			time.Sleep(time.Duration(try%3) * time.Millisecond)
+			reset(connection)
+		})
+		for name, upload := range newUploads(uploadBytes) {
+			answer, err := do(t, newBalancer(address), upload)
+			if err == nil {
+				require.Equal(t, "part", string(answer.Buffered))
+				complete[name]++
+				continue
+			}
+			require.Equal(t, result.Unknown, result.From(err).Execution(), "%v", err)
+		}
+	}
+	require.Empty(t, complete, "partial answers that were taken for complete ones")
+}
+
+// An answer that ends with its connection is complete if its request was sent completely, and one
+// with a length even if its request was not.
+func TestEarlyAndUnsizedAnswersAreComplete(t *testing.T) {
+	early := startRawBackEnd(t, func(connection *net.TCPConn, request *http.Request) {
+		_, _ = fmt.Fprint(connection, answerHead(request, "Content-Length: 5"), "whole")
+		_ = connection.CloseWrite()
+		time.Sleep(100 * time.Millisecond)
+	})
+	unsized := startRawBackEnd(t, func(connection *net.TCPConn, request *http.Request) {
+		if _, err := io.Copy(io.Discard, request.Body); err == nil {
+			_, _ = fmt.Fprint(connection, answerHead(request), "whole")
+		}
+	})
+	requireWhole := func(address string, requests map[string]*Request) {
+		for name, request := range requests {
+			answer, err := do(t, newBalancer(address), request)
+			require.NoError(t, err, name)
+			require.Equal(t, "whole", string(answer.Buffered), name)
+		}
+	}
+	requireWhole(early, newUploads(uploadBytes))
+	empty := newTestRequest(true)
+	empty.Buffered, empty.Length = nil, 0
+	const tries = 20
+	for range tries {
+		requireWhole(unsized, newUploads(len("body")))
+		requireWhole(unsized, newUploads(1<<20))
+		requireWhole(unsized, map[string]*Request{"empty": empty})
+	}
+}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -43,7 +43,7 @@
 // Exchanger is an HTTP client for back ends that sends each request without retries. It is safe
 // for concurrent use.
 type Exchanger struct {
-	transport *http.Transport
+	transport *network.Transport
 	dialer    network.Network
 }
 
@@ -212,7 +212,9 @@
 	sentAt.Store(&started)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			connection, _ = info.Conn.(*countingConn)
+			if wrapper, ok := info.Conn.(interface{ NetConn() net.Conn }); ok {
+				connection, _ = wrapper.NetConn().(*countingConn)
+			}
 			if connection != nil {
 				bytesWrittenBefore = connection.bytesWritten.Load()
 			}
--- a/internal/network/transport.go
+++ b/internal/network/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -44,17 +45,52 @@
 	return net.JoinHostPort(host, port)
 }
 
+// Transport is an HTTP transport that reads a response to its end without an error only
+// if the response is complete. It is safe for concurrent use.
+type Transport struct {
+	*http.Transport
+}
+
 // NewTransport returns an HTTP transport that connects through dialer, keeps up to
 // maxIdlePerHost idle connections per host and does not decompress bodies.
-func NewTransport(dialer Network, maxIdlePerHost int) *http.Transport {
-	return &http.Transport{
+func NewTransport(dialer Network, maxIdlePerHost int) *Transport {
+	return &Transport{&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
-			return dialer.Dial(ctx, withoutIncarnation(address))
+			connection, err := dialer.Dial(ctx, withoutIncarnation(address))
+			if err != nil {
+				return nil, err
+			}
+			return &requestConn{Conn: connection}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+	}}
+}
+
+// RoundTrip implements http.RoundTripper. The body of an incomplete response ends with an
+// error that is marked with ErrIncompleteResponse.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	current := &exchange{bodyLength: outgoingLength(request)}
+	ctx := httptrace.WithClientTrace(request.Context(), current.trace())
+	response, err := t.Transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	current.verifyBody(response)
+	return response, nil
+}
+
+// outgoingLength returns the length of a request's body in bytes, or unknownLength.
+func outgoingLength(request *http.Request) int64 {
+	switch {
+	case request.Body == nil || request.Body == http.NoBody:
+		return 0
+	case request.ContentLength > 0:
+		return request.ContentLength
+	default:
+		return unknownLength
 	}
 }
