network: an answer whose status HTTP does not define is no answer

Callers got status 500 without a body for a back end's status 000, 001, 099 or +20 (the handler panicked and the log showed the request as served), and 600 and 999 as they were; no other back end was tried. Cause: net/http parses any three characters that form a number, of any version of HTTP. Change: the shared transport returns an error for statuses other than 200 to 599 (101 too: pathbend asks for no upgrade), another major version or a control character in the reason phrase. What the back end did is unknown: a request that may run once is not sent again, others go elsewhere.

--- a/internal/dispatch/broken_answers_test.go
+++ b/internal/dispatch/broken_answers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -128,3 +129,34 @@
 		requireWhole(unsized, map[string]*Request{"empty": empty})
 	}
 }
+
+// Guards against answers that the protocol does not allow reaching the caller. The outcome of such
+// an attempt is unknown, so that it is repeated only if the request may run more than once.
+func TestMalformedAnswersAreNotPassedOn(t *testing.T) {
+	malformed := map[string]func(*http.Request) string{}
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
+		malformed["status "+status] = func(request *http.Request) string {
+			return strings.Replace(answerHead(request, "Content-Length: 2"), "200", status, 1) + "ok"
+		}
+	}
+	for name, statusLine := range map[string]string{"version": "HTTP/2.0 200 OK", "reason phrase": "HTTP/1.1 200 O\x01K"} {
+		malformed[name] = func(request *http.Request) string {
+			return strings.Replace(answerHead(request, "Content-Length: 2"), "HTTP/1.1 200 OK", statusLine, 1) + "ok"
+		}
+	}
+	for name, answer := range malformed {
+		t.Run(name, func(t *testing.T) {
+			respond := func(connection *net.TCPConn, request *http.Request) { _, _ = fmt.Fprint(connection, answer(request)) }
+			_, err := do(t, newBalancer(startRawBackEnd(t, respond)), newTestRequest(true))
+			require.Error(t, err)
+			require.Equal(t, result.Unknown, result.From(err).Execution(), "%v", err)
+			sound, runs := startBackEnd(t, func(http.ResponseWriter, *http.Request) {})
+			_, err = do(t, newBalancer(startRawBackEnd(t, respond), sound), newTestRequest(true))
+			require.Error(t, err)
+			require.Zero(t, runs.Load(), "a request that may run once was sent again")
+			_, err = do(t, newBalancer(startRawBackEnd(t, respond), sound), newTestRequest(false))
+			require.NoError(t, err)
+			require.EqualValues(t, 1, runs.Load())
+		})
+	}
+}
--- a/internal/network/response.go
+++ b/internal/network/response.go
@@ -2,14 +2,44 @@
 
 import (
 	"io"
+	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
+// ErrMalformedResponse marks the error of a response that HTTP does not allow (RFC 9110,
+// RFC 9112). Whether its sender executed the request is unknown.
+var ErrMalformedResponse = errors.New("malformed response")
+
 // ErrIncompleteResponse marks the error of a response whose connection ended before the
 // response was complete.
 var ErrIncompleteResponse = errors.New("incomplete response")
 
+const (
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+// checkHead returns an error if HTTP does not allow the head of a final response. net/http
+// rejects most such heads by itself; checkHead covers those that it accepts.
+func checkHead(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return errors.Wrapf(ErrMalformedResponse, "version %q", response.Proto)
+	case response.StatusCode < minFinalStatus || response.StatusCode > maxStatus:
+		return errors.Wrapf(ErrMalformedResponse, "status %q", response.Status)
+	case strings.ContainsFunc(response.Status, isControl):
+		return errors.Wrapf(ErrMalformedResponse, "reason phrase %q", response.Status)
+	}
+	return nil
+}
+
+// isControl reports whether a character is an ASCII control character other than a tab.
+func isControl(character rune) bool {
+	return character != '\t' && (character < ' ' || character == '\x7f')
+}
+
 // verifiedBody is a response body whose end is verified.
 type verifiedBody struct {
 	io.ReadCloser
--- a/internal/network/transport.go
+++ b/internal/network/transport.go
@@ -45,8 +45,8 @@
 	return net.JoinHostPort(host, port)
 }
 
-// Transport is an HTTP transport that reads a response to its end without an error only
-// if the response is complete. It is safe for concurrent use.
+// Transport is an HTTP transport that returns a response only if HTTP allows it, and whose
+// bodies end without an error only if they are complete. It is safe for concurrent use.
 type Transport struct {
 	*http.Transport
 }
@@ -70,8 +70,8 @@
 	}}
 }
 
-// RoundTrip implements http.RoundTripper. The body of an incomplete response ends with an
-// error that is marked with ErrIncompleteResponse.
+// RoundTrip implements http.RoundTripper. An error of the response is marked with
+// ErrMalformedResponse or ErrIncompleteResponse.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	current := &exchange{bodyLength: outgoingLength(request)}
 	ctx := httptrace.WithClientTrace(request.Context(), current.trace())
@@ -79,6 +79,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(response); err != nil {
+		// The close of an unread body closes the connection.
+		_ = response.Body.Close()
+		return nil, err
+	}
 	current.verifyBody(response)
 	return response, nil
 }
