network: an answer with a blank in a field name is no answer

Callers got status 200 with a body up to the end of the connection for a back end's "Content-Length : 2", and with the chunk sizes in it for "Transfer-Encoding : chunked"; other lines with a blank in their name were left out of the answer that was passed on. Cause: net/http keeps a field whose name contains a blank under that name, and so overlooks it. Change: the shared transport returns an error for such a name in the head, in an interim answer, and, at the end of the body, in the trailer. The hook for interim answers lifts net/http's limit on their size, so the transport counts them; its limit of 64 KB for the heads of an answer, until now that of the dispatcher, applies to all readers. The client allows twice that, as nodes add headers. Result: nine of the new cases of TestMalformedAnswersAreNotPassedOn fail on (three names in a head, an interim answer and a trailer) and pass now. The other 30 (a tab, a control byte or a byte over 127 in a name, none at all, control bytes in a value, no colon, seven chunk sizes, two lengths, a coding other than chunked) passed before and stay.

--- a/client/client.go
+++ b/client/client.go
@@ -47,6 +47,9 @@
 	minRetryDelay             = 20 * time.Millisecond
 	maxRetryDelay             = 2 * time.Second
 	maxIdleConnectionsPerNode = 256
+	// maxResponseHeaderBytes leaves room for the headers that a node adds to those of the largest
+	// answer that it accepts.
+	maxResponseHeaderBytes = 128 << 10
 )
 
 // Client sends requests of one tenant to the nodes of a cluster. It is safe for concurrent
@@ -66,6 +69,7 @@
 		options.Network = network.TCP{}
 	}
 	transport := network.NewTransport(options.Network, maxIdleConnectionsPerNode)
+	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	return &Client{
 		options: options, http: &http.Client{Transport: transport},
 		nodes: newNodes(options.Addresses, options.Spread),
--- a/internal/dispatch/broken_answers_test.go
+++ b/internal/dispatch/broken_answers_test.go
@@ -144,6 +144,25 @@
 			return strings.Replace(answerHead(request, "Content-Length: 2"), "HTTP/1.1 200 OK", statusLine, 1) + "ok"
 		}
 	}
+	const chunked = "Transfer-Encoding: chunked"
+	for _, line := range []string{"Content-Length : 2", "Transfer-Encoding : chunked", "Broken Name: 1", "Broken\tName: 1", "Broken\x01Name: 1", "Broken\xe9Name: 1", ": 1", "Name: \x01", "Name: \x00", "Name"} {
+		malformed[fmt.Sprintf("head line %q", line)] = func(request *http.Request) string { return answerHead(request, line) + "ok" }
+		malformed[fmt.Sprintf("interim line %q", line)] = func(request *http.Request) string {
+			return "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + answerHead(request, "Content-Length: 2") + "ok"
+		}
+		malformed[fmt.Sprintf("trailer line %q", line)] = func(request *http.Request) string {
+			return answerHead(request, chunked) + "2\r\nok\r\n0\r\n" + line + "\r\n\r\n"
+		}
+	}
+	for _, chunk := range []string{"2 2\r\nok\r\n", "+2\r\nok\r\n", "0x2\r\nok\r\n", "-2\r\nok\r\n", "2\r\nokay\r\n", "\r\nok\r\n", "fffffffffffffffff\r\nok"} {
+		malformed[fmt.Sprintf("chunk %q", chunk)] = func(request *http.Request) string {
+			return answerHead(request, chunked) + chunk + "0\r\n\r\n"
+		}
+	}
+	malformed["two lengths"] = func(request *http.Request) string {
+		return answerHead(request, "Content-Length: 1", "Content-Length: 2") + "ok"
+	}
+	malformed["transfer coding"] = func(request *http.Request) string { return answerHead(request, "Transfer-Encoding: gzip") + "ok" }
 	for name, answer := range malformed {
 		t.Run(name, func(t *testing.T) {
 			respond := func(connection *net.TCPConn, request *http.Request) { _, _ = fmt.Fprint(connection, answer(request)) }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -36,8 +36,6 @@
 	// first byte is forwarded.
 	maxBufferedAnswerBytes = 256 << 10
 	maxIdleConnsPerBackEnd = 256
-	// maxResponseHeaderBytes limits the size of an answer's headers.
-	maxResponseHeaderBytes = 64 << 10
 )
 
 // Exchanger is an HTTP client for back ends that sends each request without retries. It is safe
@@ -49,9 +47,7 @@
 
 // NewExchanger returns an exchanger that connects through the given network.
 func NewExchanger(dialer network.Network) *Exchanger {
-	transport := network.NewTransport(countingNetwork{dialer}, maxIdleConnsPerBackEnd)
-	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
-	return &Exchanger{transport: transport, dialer: dialer}
+	return &Exchanger{transport: network.NewTransport(countingNetwork{dialer}, maxIdleConnsPerBackEnd), dialer: dialer}
 }
 
 // Close closes idle connections.
--- a/internal/network/exchange.go
+++ b/internal/network/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,6 +14,8 @@
 	bodyLength int64
 	// connection is the connection in use; nil before there is one.
 	connection *requestConn
+	// interimBytes is the approximate size of the interim responses.
+	interimBytes int
 }
 
 // trace returns the hooks through which the exchange follows its request.
@@ -24,6 +27,7 @@
 				e.connection.begin(e.bodyLength)
 			}
 		},
+		Got1xxResponse: e.checkInterim,
 	}
 	if e.bodyLength == unknownLength {
 		hooks.WroteRequest = func(info httptrace.WroteRequestInfo) {
@@ -35,10 +39,34 @@
 	return hooks
 }
 
-// verifyBody makes the body of a response end with an error if it turns out to be incomplete.
+// interimLineBytes is the size of an interim response without its fields, and of a field
+// without its name and value.
+const interimLineBytes = len("HTTP/1.1 103 \r\n\r\n")
+
+// checkInterim returns an error if HTTP does not allow an interim response, or if all of
+// them together exceed maxResponseHeaderBytes. net/http imposes no limit if this hook is set.
+func (e *exchange) checkInterim(_ int, header textproto.MIMEHeader) error {
+	e.interimBytes += interimLineBytes
+	for name, values := range header {
+		for _, value := range values {
+			e.interimBytes += len(name) + len(value)
+		}
+	}
+	if e.interimBytes > maxResponseHeaderBytes {
+		return errors.Wrapf(ErrMalformedResponse, "interim responses of over %d bytes", maxResponseHeaderBytes)
+	}
+	return checkFieldNames(header)
+}
+
+// verifyBody makes the body of a response end with an error if it turns out to be incomplete
+// or malformed.
 func (e *exchange) verifyBody(response *http.Response) {
-	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if endsWithConnection && e.connection != nil {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		response.Body = &verifiedBody{ReadCloser: response.Body, verify: func() error {
+			return checkFieldNames(textproto.MIMEHeader(response.Trailer))
+		}}
+	case response.ContentLength < 0 && e.connection != nil:
 		response.Body = &verifiedBody{ReadCloser: response.Body, verify: e.verifyEnd}
 	}
 }
--- a/internal/network/response.go
+++ b/internal/network/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/textproto"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -32,7 +33,7 @@
 	case strings.ContainsFunc(response.Status, isControl):
 		return errors.Wrapf(ErrMalformedResponse, "reason phrase %q", response.Status)
 	}
-	return nil
+	return checkFieldNames(textproto.MIMEHeader(response.Header))
 }
 
 // isControl reports whether a character is an ASCII control character other than a tab.
@@ -40,6 +41,17 @@
 	return character != '\t' && (character < ' ' || character == '\x7f')
 }
 
+// checkFieldNames returns an error if the name of a header or trailer field contains a blank,
+// which net/http accepts. A recipient that ignores the blank reads another field.
+func checkFieldNames(header textproto.MIMEHeader) error {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return errors.Wrapf(ErrMalformedResponse, "field name %q", name)
+		}
+	}
+	return nil
+}
+
 // verifiedBody is a response body whose end is verified.
 type verifiedBody struct {
 	io.ReadCloser
--- a/internal/network/transport.go
+++ b/internal/network/transport.go
@@ -45,6 +45,9 @@
 	return net.JoinHostPort(host, port)
 }
 
+// maxResponseHeaderBytes limits the heads of a response, including those of interim responses.
+const maxResponseHeaderBytes = 64 << 10
+
 // Transport is an HTTP transport that returns a response only if HTTP allows it, and whose
 // bodies end without an error only if they are complete. It is safe for concurrent use.
 type Transport struct {
@@ -64,9 +67,10 @@
 			}
 			return &requestConn{Conn: connection}, nil
 		},
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
