network: an answer in HTTP/1.0 with Transfer-Encoding is no answer

Callers got status 200 with the chunk sizes in the body for an answer in HTTP/1.0 whose head names Transfer-Encoding: chunked. Cause: net/http deletes the field from such an answer and reads its body up to the end of the connection; nothing of it is left in the parsed answer. Ruled out: refusing all answers in HTTP/1.0, as those without the field are sound. Change: the transport's connections look for the field in the heads of answers in HTTP/1.0; of others they read no further than the first line. Result: case "chunks in HTTP/1.0" of TestMalformedAnswersAreNotPassedOn fails on, passes now.

--- a/internal/dispatch/broken_answers_test.go
+++ b/internal/dispatch/broken_answers_test.go
@@ -163,6 +163,9 @@
 		return answerHead(request, "Content-Length: 1", "Content-Length: 2") + "ok"
 	}
 	malformed["transfer coding"] = func(request *http.Request) string { return answerHead(request, "Transfer-Encoding: gzip") + "ok" }
+	malformed["chunks in HTTP/1.0"] = func(request *http.Request) string {
+		return strings.Replace(answerHead(request, chunked), "HTTP/1.1", "HTTP/1.0", 1) + "2\r\nok\r\n0\r\n\r\n"
+	}
 	for name, answer := range malformed {
 		t.Run(name, func(t *testing.T) {
 			respond := func(connection *net.TCPConn, request *http.Request) { _, _ = fmt.Fprint(connection, answer(request)) }
--- a/internal/network/request_conn.go
+++ b/internal/network/request_conn.go
@@ -7,13 +7,17 @@
 )
 
 // requestConn is a client's connection that records how much of the current request it has
-// accepted for sending.
+// accepted for sending, and checks what net/http ignores in the head of the response.
 type requestConn struct {
 	net.Conn
 
 	// mutex is held during each write and guards sent.
 	mutex sync.Mutex
 	sent  sentRequest
+
+	// headMutex guards head. It is apart from mutex because a response may come early.
+	headMutex sync.Mutex
+	head      legacyHead
 }
 
 // NetConn returns the underlying connection.
@@ -28,11 +32,25 @@
 	return n, err
 }
 
+// Read implements net.Conn.
+func (c *requestConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.headMutex.Lock()
+	defer c.headMutex.Unlock()
+	if headErr := c.head.check(buffer[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
+}
+
 // begin starts a request with a body of the given length in bytes, unknownLength if unknown.
 func (c *requestConn) begin(bodyLength int64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.sent = sentRequest{bodyLength: bodyLength}
+	c.headMutex.Lock()
+	defer c.headMutex.Unlock()
+	c.head = legacyHead{}
 }
 
 // bodyBuffered records that the transport has read the whole request body.
