--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/node"
 	"github.com/pathbend/pathbend/internal/result"
 )
@@ -37,7 +38,9 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
-	response, err := http.DefaultClient.Do(request)
+	transport := network.NewTransport(network.TCP{}, 0)
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return nil, result.Wrap(result.PeerUnreached, err, "call node at "+address)
 	}
