network: an answer that exceeds its reader's limit is no answer

Readers took the first bytes of an answer without end for the whole of it: an order counted as accepted or refused, a run of an item as failed or refused, and the client returned the first 256 MB of a longer body as complete. Cause: io.LimitReader ends without an error, and the bodies of failed runs were not read to the end. A cut answer of status 500 or 422 so counted towards giving an item up. Change: network.ReadBody returns an error for a longer body and is used by all readers of a whole body; the body of a failed run is read with it, and if that fails the run is broken.

--- a/client/client.go
+++ b/client/client.go
@@ -301,7 +301,7 @@
 		return nil, connectionError(err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := network.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, &Error{Name: "answer_cut_off", Run: Unknown, Detail: err.Error()}
 	}
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -22,6 +22,8 @@
 	// drainCommandTimeout is the maximum time that the drain command waits. The node
 	// itself drains for at most its setting drain_timeout.
 	drainCommandTimeout = 15 * time.Minute
+	// maxAdminBytes limits the answer of a node, which lists every member and engine.
+	maxAdminBytes = 64 << 20
 )
 
 // addAdminFlag adds the flag --admin, the admin address of a node.
@@ -45,7 +47,7 @@
 		return nil, result.Wrap(result.PeerUnreached, err, "call node at "+address)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	content, err := network.ReadBody(response.Body, maxAdminBytes)
 	if err != nil {
 		return nil, result.Wrap(result.PeerUnreached, err, "call node at "+address)
 	}
--- a/internal/dispatch/broken_answers_test.go
+++ b/internal/dispatch/broken_answers_test.go
@@ -182,3 +182,70 @@
 		})
 	}
 }
+
+// Guards against memory and time without bound: a back end may send bytes without end in place of
+// an answer, in any part of it.
+func TestEndlessAnswerEndsAtALimit(t *testing.T) {
+	// limitBytes includes what the kernel buffers.
+	const limitBytes, blockBytes, timeout = 16 << 20, 16 << 10, 5 * time.Second
+	for name, answer := range map[string]struct {
+		start func(*http.Request) string
+		block string
+	}{
+		"status line":     {func(*http.Request) string { return "HTTP/1.1 200 " }, "1"},
+		"field":           {func(*http.Request) string { return "HTTP/1.1 200 OK\r\nEndless: " }, "1"},
+		"fields":          {func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }, "Endless: 1\r\n"},
+		"interim answers": {func(*http.Request) string { return "" }, "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunk size":      {func(request *http.Request) string { return answerHead(request, "Transfer-Encoding: chunked") }, "1"},
+		"trailer": {func(request *http.Request) string {
+			return answerHead(request, "Transfer-Encoding: chunked") + "0\r\n"
+		}, "Endless: 1\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address := startRawBackEnd(t, func(connection *net.TCPConn, request *http.Request) {
+				total, err := io.WriteString(connection, answer.start(request))
+				block := []byte(strings.Repeat(answer.block, blockBytes/len(answer.block)))
+				for err == nil && total < 10*limitBytes {
+					var n int
+					n, err = connection.Write(block)
+					total += n
+				}
+				sent <- total
+			})
+			request := newTestRequest(true)
+			request.Deadline = time.Now().Add(timeout)
+			startedAt := time.Now()
+			_, err := do(t, newBalancer(address), request)
+			require.Error(t, err)
+			require.Equal(t, result.Unknown, result.From(err).Execution(), "%v", err)
+			require.Less(t, time.Since(startedAt), timeout/2, "it ends at its size, not at the deadline")
+			require.Less(t, <-sent, limitBytes)
+		})
+	}
+}
+
+func TestDrippingAnswerEndsAtTheDeadline(t *testing.T) {
+	const timeout, pause = 300 * time.Millisecond, 10 * time.Millisecond
+	for name, start := range map[string]func(*http.Request) string{
+		"head": func(*http.Request) string { return "HTTP/1.1 200 OK\r\nDripping: " },
+		"body": func(request *http.Request) string { return answerHead(request, "Content-Length: 100000") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan time.Time, 1)
+			address := startRawBackEnd(t, func(connection *net.TCPConn, request *http.Request) {
+				_, err := io.WriteString(connection, start(request))
+				for err == nil {
+					time.Sleep(pause)
+					_, err = io.WriteString(connection, "1")
+				}
+				closed <- time.Now()
+			})
+			request := newTestRequest(true)
+			request.Deadline = time.Now().Add(timeout)
+			_, err := do(t, newBalancer(address), request)
+			require.True(t, result.Is(err, result.DeadlineExceeded), "%v", err)
+			require.WithinDuration(t, request.Deadline, <-closed, timeout)
+		})
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -70,7 +70,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := network.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
@@ -135,9 +135,12 @@
 	watchdog := time.AfterFunc(streamIdleTimeout, cancel)
 	response, err := c.send(ctx, http.MethodPost, "http://"+address+"/v1/completions", request)
 	if err == nil && response.StatusCode != http.StatusOK {
-		content, _ := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+		var content []byte
+		content, err = network.ReadBody(response.Body, maxResponseBytes)
 		response.Body.Close()
-		err = checkStatus(response, content)
+		if err == nil {
+			err = checkStatus(response, content)
+		}
 	}
 	if err != nil {
 		watchdog.Stop()
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -90,7 +89,7 @@
 	if response.StatusCode == http.StatusNotModified {
 		return c.last, true, nil
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	content, err := network.ReadBody(response.Body, maxListBytes)
 	if err != nil {
 		return nil, false, err
 	}
--- a/internal/logstore/client.go
+++ b/internal/logstore/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -150,7 +149,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err := network.ReadBody(response.Body, limit)
 	if err != nil {
 		return err
 	}
--- a/internal/network/response.go
+++ b/internal/network/response.go
@@ -17,6 +17,9 @@
 // response was complete.
 var ErrIncompleteResponse = errors.New("incomplete response")
 
+// ErrOversizedResponse marks the error of a response body that exceeds its reader's limit.
+var ErrOversizedResponse = errors.New("oversized response")
+
 const (
 	minFinalStatus = 200
 	maxStatus      = 599
@@ -52,6 +55,38 @@
 	return nil
 }
 
+// ReadBody reads a response body to its end. An error other than that of the body itself is
+// marked with ErrOversizedResponse: the body has more than limit bytes.
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	return io.ReadAll(LimitBody(body, limit))
+}
+
+// LimitBody returns a reader of a response body that fails with an error marked with
+// ErrOversizedResponse after limit bytes, unless the body ends there.
+func LimitBody(body io.Reader, limit int64) io.Reader {
+	return &limitedBody{body: body, limit: limit, remaining: limit}
+}
+
+// limitedBody is the reader of LimitBody.
+type limitedBody struct {
+	body             io.Reader
+	limit, remaining int64
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(buffer []byte) (int, error) {
+	if b.remaining < 0 {
+		return 0, errors.Wrapf(ErrOversizedResponse, "body of over %d bytes", b.limit)
+	}
+	// One byte more than the limit tells a longer body from one that ends there.
+	n, err := b.body.Read(buffer[:min(int64(len(buffer)), b.remaining+1)])
+	b.remaining -= int64(n)
+	if b.remaining < 0 {
+		return n - 1, errors.Wrapf(ErrOversizedResponse, "body of over %d bytes", b.limit)
+	}
+	return n, err
+}
+
 // verifiedBody is a response body whose end is verified.
 type verifiedBody struct {
 	io.ReadCloser
