engine: bound what a stream sends between two chunks

An engine could send comments or blank lines without end; each of them reset the idle timeout. Change: a chunk must come within as many bytes as a line may have (1 MB).

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -166,7 +166,7 @@
 // Next returns the next chunk. After the chunk with a finish reason it returns io.EOF;
 // a stream that ends earlier is an AnswerTruncated error.
 func (s *Stream) Next() (Chunk, error) {
-	for {
+	for skippedBytes := 0; skippedBytes <= maxChunkBytes; {
 		line, err := s.readLine()
 		if err != nil {
 			return Chunk{}, err
@@ -174,7 +174,9 @@
 		s.watchdog.Reset(streamIdleTimeout)
 		payload, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
-			continue // comments and blank lines only reset the idle timeout
+			// Comments and blank lines only reset the idle timeout.
+			skippedBytes += len(line) + len("\n")
+			continue
 		}
 		if bytes.Equal(payload, doneMarker) {
 			if !s.finished {
@@ -184,6 +186,7 @@
 		}
 		return s.decode(payload)
 	}
+	return Chunk{}, result.New(result.AnswerTooLarge, "stream has no chunk within %d bytes", maxChunkBytes)
 }
 
 func (s *Stream) readLine() ([]byte, error) {
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -83,6 +83,7 @@
 		"no finish reason": {[]string{encodeChunk("r", 0, 3, "", "a"), "[DONE]"}, result.AnswerTruncated},
 		"garbage":          {[]string{"{"}, result.AnswerTruncated},
 		"an endless line":  {[]string{strings.Repeat("x", 2*maxChunkBytes)}, result.AnswerTooLarge},
+		"endless comments": {[]string{encodeChunk("r", 0, 3, "", "a") + strings.Repeat("\n:", maxChunkBytes)}, result.AnswerTooLarge},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
