Items are not quarantined when samplers crash under them

Users saw steps run out of time with items that were placed nowhere, long after samplers had crashed under them and all was calm. Cause: an item counted as a request that crashes samplers: after three crashes it was kept away for 1, 4 and 8 s and then an hour, and from the second on it needed a sampler without another such item. Reward calls were held for 15 s, 2 min and an hour. Items handed in for later are never the cause. Ruled out: a short quarantine without end; the backoff between an item's runs (500 ms at most) limits as much and delays no sound item. Change: no crash is attributed to items and reward calls. Client requests are quarantined as before. Tests: the cases that required items and reward calls to be held are wrong now.

--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -38,7 +38,7 @@
 		snapshot.Revisions = append(snapshot.Revisions, encoded)
 	}
 	for _, record := range m.suspects.All() {
-		snapshot.Suspects = append(snapshot.Suspects, quarantine.Encode(record, false))
+		snapshot.Suspects = append(snapshot.Suspects, quarantine.Encode(record))
 	}
 	return snapshot
 }
--- a/internal/dispatch/crash_detection.go
+++ b/internal/dispatch/crash_detection.go
@@ -37,9 +37,26 @@
 	if request.Remaining() == 0 {
 		return nil, result.New(result.DeadlineInQueue, "the deadline expired before the attempt: the machine was paused or suspended").WithRetryAfter(minRetryAfter)
 	}
+	if request.NeverSuspect {
+		return func() {}, nil
+	}
 	return d.guard.Acquire(ctx, request.digest)
 }
 
+// abandon records that an attempt was abandoned and may still crash its back end.
+func (d *Dispatcher) abandon(request *Request, endpoint *routing.Endpoint) {
+	if !request.NeverSuspect {
+		d.abandoned.add(endpoint.ID, request.digest(), time.Now())
+	}
+}
+
+// reportSuccess reports to the guard that a back end ran the request without crashing.
+func (d *Dispatcher) reportSuccess(ctx context.Context, request *Request) {
+	if !request.NeverSuspect {
+		d.guard.ReportSuccess(ctx, request.digest)
+	}
+}
+
 // observeBackEnd determines whether a back end crashed during an attempt, or earlier during
 // abandoned attempts.
 func (d *Dispatcher) observeBackEnd(ctx context.Context, request *Request, endpoint *routing.Endpoint, outcome *exchangeOutcome) {
@@ -49,7 +66,7 @@
 	case outcome.answerInterrupted():
 		outcome.crashed = d.detectCrash(ctx, request, endpoint)
 	case outcome.ending == Lost:
-		d.abandoned.add(endpoint.ID, request.digest(), time.Now())
+		d.abandon(request, endpoint)
 	case outcome.ending == NotSent && errors.Is(outcome.err, syscall.ECONNREFUSED), outcome.ending == RefusedByBackEnd && outcome.leaving:
 		// The address is closed, or another back end listens there.
 		d.reportAbandoned(ctx, endpoint)
@@ -60,10 +77,12 @@
 // reports that to the guard. Otherwise the attempt counts as abandoned.
 func (d *Dispatcher) detectCrash(ctx context.Context, request *Request, endpoint *routing.Endpoint) bool {
 	if ctx.Err() != nil || !d.exchanger.ProbeStopped(ctx, endpoint.Address) {
-		d.abandoned.add(endpoint.ID, request.digest(), time.Now())
+		d.abandon(request, endpoint)
 		return false
 	}
-	d.guard.ReportCrash(ctx, request.digest(), endpoint.ID)
+	if !request.NeverSuspect {
+		d.guard.ReportCrash(ctx, request.digest(), endpoint.ID)
+	}
 	d.reportAbandoned(ctx, endpoint)
 	return true
 }
@@ -81,11 +100,11 @@
 func (d *Dispatcher) observeStreamEnd(ctx context.Context, request *Request, endpoint *routing.Endpoint, body *errorRecordingBody) {
 	switch {
 	case errors.Is(body.readErr, io.EOF):
-		d.guard.ReportSuccess(ctx, request.digest)
+		d.reportSuccess(ctx, request)
 	case body.readErr != nil:
 		d.detectCrash(ctx, request, endpoint)
 	default:
-		d.abandoned.add(endpoint.ID, request.digest(), time.Now())
+		d.abandon(request, endpoint)
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,6 +52,9 @@
 	// AttemptTimeout limits the duration of every attempt but the last of a request that may
 	// run more than once; 0 for no limit.
 	AttemptTimeout time.Duration
+	// NeverSuspect excludes the request from quarantine: it is known not to crash back ends, so
+	// that their crashes are not attributed to it.
+	NeverSuspect bool
 	// HedgeAfter is how long an attempt may go without an answer before a concurrent one is
 	// sent to another back end; 0 for never.
 	HedgeAfter time.Duration
@@ -295,7 +298,7 @@
 	}
 	started := time.Now()
 	// An attempt of a suspected request has no timeout, so that a crash of its back end is seen.
-	attemptCtx, cancel := attemptContext(ctx, request, last || d.guard.Suspected(request.digest))
+	attemptCtx, cancel := attemptContext(ctx, request, last || !request.NeverSuspect && d.guard.Suspected(request.digest))
 	outcome := d.exchanger.exchange(attemptCtx, exchangeRequest{
 		method: request.Method,
 		url:    "http://" + network.IncarnationAddress(endpoint.Address, endpoint.StartedAtMs) + request.Path,
@@ -316,7 +319,7 @@
 	report := Report{Ending: outcome.ending, Latency: time.Since(started), HealthUnknown: ctx.Err() != nil || outcome.leaving}
 	if outcome.answer == nil || outcome.answer.Buffered != nil {
 		if outcome.answer != nil {
-			d.guard.ReportSuccess(ctx, request.digest)
+			d.reportSuccess(ctx, request)
 		}
 		cancel()
 		d.balancer.Report(endpoint, report)
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -31,7 +31,7 @@
 // Publish implements quarantine.Publisher. It appends a record to the log.
 func (s *suspects) Publish(ctx context.Context, record quarantine.Record) {
 	quarantine.RunWithin(ctx, suspectAppendTimeout, func() {
-		s.node.appendRecord(s.node.ctx, &pathbendv1.Record{Body: &pathbendv1.Record_Suspect{Suspect: quarantine.Encode(record, false)}})
+		s.node.appendRecord(s.node.ctx, &pathbendv1.Record{Body: &pathbendv1.Record_Suspect{Suspect: quarantine.Encode(record)}})
 	})
 }
 
--- a/internal/platformnode/executor.go
+++ b/internal/platformnode/executor.go
@@ -224,7 +224,6 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.scheduler = schedule.New(rand.Uint64)
-	e.scheduler.SetQuarantine(e.node.suspects)
 	e.session, e.endSession = context.WithCancel(ctx)
 	e.sessionID, e.sessionStartedAt, e.remote = rand.Uint64(), clock.CurrentMoment(), newRemoteState()
 	e.appliedCatalog = e.node.Catalog()
@@ -422,7 +421,7 @@
 		run := Run{
 			Sampler: start.Sampler, Host: start.Job.Host, Item: start.Item, Tenant: start.Job.Tenant, AfterEvent: start.AfterEvent,
 		}
-		end := e.node.generate(ctx, run, func(generated schedule.Event) bool {
+		end := e.node.ports.Generator.Generate(ctx, run, func(generated schedule.Event) bool {
 			e.mutex.Lock()
 			defer e.mutex.Unlock()
 			return scheduler.Progress(start.Key, start.Run, generated, time.Now())
--- a/internal/platformnode/jobs.go
+++ b/internal/platformnode/jobs.go
@@ -142,7 +142,6 @@
 	if err := s.node.suspects.merge(suspect); err != nil {
 		s.node.logger.Log(event.RecordSkipped, "topic", jobTopic, "offset", offset, "detail", err.Error())
 	}
-	s.node.executor.wake()
 }
 
 func (s *jobStore) expire(ctx context.Context) {
--- a/internal/platformnode/metrics.go
+++ b/internal/platformnode/metrics.go
@@ -186,12 +186,10 @@
 		return float64(len(n.evacuated.Load().Names()))
 	})
 	m.registerQuarantine("requests", n.suspects.requests)
-	m.registerQuarantine("items", n.suspects.items)
 	return m
 }
 
-// registerQuarantine registers the metrics of a quarantine guard. The scope is "requests" or
-// "items".
+// registerQuarantine registers the metrics of a quarantine guard.
 func (m *Metrics) registerQuarantine(scope string, guard *quarantine.Guard) {
 	labels := prometheus.Labels{"of": scope}
 	count := func(name, help string, read func(quarantine.Counts) int) {
@@ -199,10 +197,10 @@
 			return float64(read(guard.Counts()))
 		}))
 	}
-	count("pathbend_back_ends_ended_total", "Back ends that ended under requests or items of this node.", func(c quarantine.Counts) int { return c.Crashes })
+	count("pathbend_back_ends_ended_total", "Back ends that ended under requests of this node.", func(c quarantine.Counts) int { return c.Crashes })
 	count("pathbend_quarantine_refusals_total", "Attempts that were held back, as back ends ended under their request.", func(c quarantine.Counts) int { return c.Refused })
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "pathbend_quarantined", Help: "Requests or items that are kept from back ends.", ConstLabels: labels,
+		Name: "pathbend_quarantined", Help: "Requests that are kept from back ends.", ConstLabels: labels,
 	}, func() float64 { return float64(guard.Counts().Quarantined) }))
 }
 
--- a/internal/platformnode/ports.go
+++ b/internal/platformnode/ports.go
@@ -31,10 +31,6 @@
 	Ending schedule.Ending
 	// Detail explains an ending other than Complete.
 	Detail string
-	// Cut is set if the connection ended before the stream did.
-	Cut bool
-	// Ended is set if the sampler terminated during the run.
-	Ended bool
 }
 
 // Generator executes runs of items at samplers.
--- a/internal/platformnode/remote.go
+++ b/internal/platformnode/remote.go
@@ -391,10 +391,6 @@
 	}
 	delete(l.runs, state.Run)
 	delete(e.runs, start.Key)
-	if state.Ended {
-		// The worker recorded it in the log; this node may not have read that entry yet.
-		e.node.suspects.items.RecordCrash(itemDigest(start.Key.Item), start.Sampler.ID)
-	}
 	e.endRun(start, RunEnd{Ending: schedule.Ending(state.Ending), Detail: state.Detail}, now)
 	if state.Unserved && e.node.jobs.hasCurrentLog() {
 		e.closeLink(l, state.Detail, now)
--- a/internal/platformnode/rewards.go
+++ b/internal/platformnode/rewards.go
@@ -99,7 +99,7 @@
 		if outcome.backEnd != "" {
 			excluded = []string{outcome.backEnd}
 		}
-		wait.For(ctx, max(min(rewardRetryPause<<min(attempt, 5), maxRewardRetryPause), outcome.quarantineDelay))
+		wait.For(ctx, min(rewardRetryPause<<min(attempt, 5), maxRewardRetryPause))
 	}
 	return "", true
 }
@@ -112,8 +112,6 @@
 	backEnd     string
 	detail      string
 	maxFailures int
-	// quarantineDelay is how long the call is quarantined, 0 if it is not.
-	quarantineDelay time.Duration
 }
 
 func (r *rewarder) call(ctx context.Context, completed schedule.Finished, excluded []string, attempt int) rewardOutcome {
@@ -138,7 +136,7 @@
 	answer, err := r.node.dispatcher.Do(ctx, request)
 	outcome := rewardOutcome{maxFailures: route.MaxAttempts}
 	if err != nil {
-		outcome.detail, outcome.quarantineDelay = err.Error(), quarantineDelay(err)
+		outcome.detail = err.Error()
 		return outcome
 	}
 	answer.Body.Close()
@@ -164,7 +162,8 @@
 		Header: http.Header{}, Buffered: body, Length: int64(len(body)), MaxAttempts: 1,
 		Deadline: deadline, ID: reward.Id, Excluded: excluded,
 		// All reward calls come from one node and must not overload the back ends of its zone.
-		IgnoreZone: true,
+		IgnoreZone:   true,
+		NeverSuspect: true,
 	}
 }
 
--- a/internal/platformnode/worker_runs.go
+++ b/internal/platformnode/worker_runs.go
@@ -196,7 +196,7 @@
 		Item: item, Tenant: job.spec.Tenant, AfterEvent: text.Events(),
 	}
 	version := uint64(0)
-	end := w.node.generate(ctx, run, func(generated schedule.Event) bool {
+	end := w.node.ports.Generator.Generate(ctx, run, func(generated schedule.Event) bool {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		version = generated.Version
@@ -222,7 +222,7 @@
 // other goroutine can append to the text.
 func (w *worker) runState(text *heldText, number, version uint64, end RunEnd) *pathbendv1.RunState {
 	return &pathbendv1.RunState{
-		Run: number, Events: text.Events(), Versions: text.Versions(), Version: version, Ending: uint32(end.Ending), Detail: end.Detail, Ended: end.Ended,
+		Run: number, Events: text.Events(), Versions: text.Versions(), Version: version, Ending: uint32(end.Ending), Detail: end.Detail,
 	}
 }
 
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -42,7 +42,7 @@
 	tenant string
 	// routePrefix is the path prefix of the route to which the caller submits jobs.
 	routePrefix string
-	// crashKind selects whether the next item or its reward call crashes its back end;
+	// crashKind selects whether samplers crash during the next item or its reward call;
 	// crashSent is set once such a body was produced.
 	crashKind FaultKind
 	crashSent bool
@@ -223,10 +223,10 @@
 	return platform.ItemDocument{
 		ID: id, Path: c.routePrefix + "run/" + id, Group: group, Tokens: uint64(events),
 		Headers: map[string]string{platform.HeaderModel: model, platform.HeaderTokenCounts: fmt.Sprintf("100,%d", events)},
-		Body:    c.crashingBody(CrashingItem, base64.StdEncoding.EncodeToString([]byte(itemBodyPrefix+id))),
+		Body:    c.bodyDuringCrashes(ItemDuringCrashes, base64.StdEncoding.EncodeToString([]byte(itemBodyPrefix+id))),
 		Scorer: &platform.ScorerDocument{
 			ID: fmt.Sprintf("w%x", c.random.Uint64()), Host: c.host, Path: applicationPrefix + "score",
-			Body: c.crashingBody(CrashingReward, base64.StdEncoding.EncodeToString([]byte("score "+id))),
+			Body: c.bodyDuringCrashes(RewardDuringCrashes, base64.StdEncoding.EncodeToString([]byte("score "+id))),
 		},
 	}
 }
--- a/internal/platformsim/checker.go
+++ b/internal/platformsim/checker.go
@@ -66,8 +66,10 @@
 	boundRegions map[string]string
 	regions      map[string]string
 	cloud        cloudHistory
-	// crashing holds what is known of requests that crash their samplers.
-	crashing map[string]*crashHistory
+	// crashing holds the crashes of samplers that ran a request; longestPauseAfterCrash is the
+	// longest time from such a crash to the next run of the item or reward call.
+	crashing               map[string]*crashHistory
+	longestPauseAfterCrash time.Duration
 	// disruptions are the disruptions of a run in the order of their start, to which lost and
 	// refused requests are attributed; causes counts these requests by cause. wakeDelays holds
 	// the recent wake-up delays, each longer than those after it, and maxWakeDelay the longest
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -53,13 +53,13 @@
 	RegionCut = randomKindCount
 )
 
-// Kinds that are not chosen at random, so that existing seeds keep their faults. CrashingRequest,
-// CrashingItem and CrashingReward send a request, an item or a reward call that crashes every back
-// end running it.
+// Kinds that are not chosen at random, so that existing seeds keep their faults. CrashingRequest
+// sends a request that crashes every back end running it. ItemDuringCrashes and RewardDuringCrashes
+// crash the first samplers that run an item or a reward call.
 const (
 	CrashingRequest = RegionCut + 1 + iota
-	CrashingItem
-	CrashingReward
+	ItemDuringCrashes
+	RewardDuringCrashes
 	// SamplerRestarted restarts a sampler under its id. ForeignEntries writes invalid entries to
 	// the samplers' topic.
 	SamplerRestarted
@@ -88,7 +88,7 @@
 	"cloud_down", "cloud_slow", "cloud_lost",
 	"cold_return", "samplers_turn_cold", "evacuate", "zone_cut", "zone_lost",
 	"region_cut",
-	"crashing_request", "crashing_item", "crashing_reward", "sampler_reborn", "foreign_entries", "suspension",
+	"crashing_request", "item_during_crashes", "reward_during_crashes", "sampler_reborn", "foreign_entries", "suspension",
 	"nodes_cut_from_store", "store_stalls",
 }
 
@@ -172,8 +172,8 @@
 		client := w.newCaller("client-crashing", zones[0], host, w.options.Seed+fault.Target)
 		client.tenant = w.tenants.names[0]
 		client.runCrashingClient(ctx, fault.Target)
-	case CrashingItem, CrashingReward:
-		w.runCrashingStep(fault)
+	case ItemDuringCrashes, RewardDuringCrashes:
+		w.runStepDuringCrashes(fault)
 	case Suspension:
 		w.simulateSuspension(fault)
 	case StoreDropsHistory:
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -247,7 +247,7 @@
 		coldUntil = time.Now().Add(coldDuration)
 	}
 	sampler := newSampler(id, machine.spec, models, w.Checker, w.Store, w.options.Seed+uint64(machine.startCount)*1000, coldUntil)
-	sampler.crash = func(key, node string) { w.crashUnderRequest(sampler, key, node) }
+	sampler.crash = func(key, node string, body []byte) bool { return w.crashUnderRequest(sampler, key, node, body) }
 	server := w.serve(listener, sampler)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -177,10 +177,6 @@
 	}
 }
 
-// RecordCrash records that a back end crashed while running a request, without publishing it:
-// another node does so.
-func (g *Guard) RecordCrash(digest Digest, backEnd string) { g.addCrash(digest, backEnd) }
-
 func (g *Guard) addCrash(digest Digest, backEnd string) (Record, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -236,29 +232,6 @@
 	g.logger.Log(event.RequestQuarantined, "digest", digest.String(), "ends", g.registry.CrashCount(digest), "retry_after_ms", time.Until(until).Milliseconds())
 }
 
-// CrashCount returns the number of back ends that crashed while running a digest, since the
-// last successful run.
-func (g *Guard) CrashCount(digest Digest) int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.registry.CrashCount(digest)
-}
-
-// QuarantinedUntil returns when the next trial of a digest is due, or the zero time if the
-// digest is not quarantined or its trial is due already.
-func (g *Guard) QuarantinedUntil(digest Digest) time.Time {
-	if !g.nonEmpty.Load() {
-		return time.Time{}
-	}
-	if status, until := g.status(digest); status == Quarantined {
-		return until
-	}
-	return time.Time{}
-}
-
-// Empty reports whether the registry holds no records.
-func (g *Guard) Empty() bool { return !g.nonEmpty.Load() }
-
 // Quarantined returns the records of all quarantined digests.
 func (g *Guard) Quarantined() []Record {
 	g.mutex.Lock()
--- a/internal/quarantine/policy.go
+++ b/internal/quarantine/policy.go
@@ -27,7 +27,7 @@
 	trialTimeout = 30 * time.Second
 )
 
-// RequestPolicy returns the policy for client requests and reward calls. Nodes learn of
+// RequestPolicy returns the policy for client requests. Nodes learn of
 // crashes seen by others within about 100 ms. The requirements allow three sends after nodes
 // have had 3 s to learn of the third crash: two of them are trials, and one is left for nodes
 // that have just started.
@@ -35,14 +35,6 @@
 	return Policy{CrashLimit: CrashLimit, TrialDelays: []time.Duration{15 * time.Second, 2 * time.Minute, maxTrialDelay}, TrialTimeout: trialTimeout}
 }
 
-// ItemPolicy returns the policy for items of batch jobs. A sampler runs several items at once,
-// so an item is more often running beside the one that caused a crash, and only one node
-// starts items: trials come sooner. The first trial falls within the 3 s after the third
-// crash that the requirements leave for propagation; the two others are sends after it.
-func ItemPolicy() Policy {
-	return Policy{CrashLimit: CrashLimit, TrialDelays: []time.Duration{time.Second, 4 * time.Second, 8 * time.Second, maxTrialDelay}, TrialTimeout: trialTimeout}
-}
-
 // trialDelay returns the delay before the next trial, given the number of trials so far or
 // of crashes beyond the limit.
 func (p Policy) trialDelay(trials int) time.Duration {
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -7,12 +7,11 @@
 	"github.com/pathbend/pathbend/internal/result"
 )
 
-// Encode returns the protobuf message for a record. item is set for items of batch jobs and
-// unset for requests.
-func Encode(record Record, item bool) *pathbendv1.SuspectRequest {
+// Encode returns the protobuf message for a record.
+func Encode(record Record) *pathbendv1.SuspectRequest {
 	return &pathbendv1.SuspectRequest{
 		Digest: record.Digest[:], Epoch: record.Epoch, Ended: record.CrashedBackEnds, Trials: uint32(record.Trials),
-		Claimant: record.Claimant, ChangedUnixMs: record.ChangedAt.UnixMilli(), Item: item,
+		Claimant: record.Claimant, ChangedUnixMs: record.ChangedAt.UnixMilli(),
 	}
 }
 
--- /dev/null
+++ b/internal/schedule/crash_test.go
@@ -0,0 +1,26 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against items that are held back, or kept from samplers of their own group, because
+// samplers crashed while they ran them. Items are never the cause of a crash.
+func TestItemsArePlacedAgainAfterEachCrash(t *testing.T) {
+	h := newHarness(t)
+	h.addJob(h.newJob("k", 1, "g:1", "g:1", "g:1"), policy(time.Minute), storedTexts{})
+	const crashes = 8
+	for crash := range crashes {
+		h.scheduler.SetSamplers([]Sampler{sampler(fmt.Sprint("s", crash), 3, 1)}, h.now)
+		starts := h.starts()
+		require.Len(t, starts, 3, "all items run at the only sampler, after %d crashes", crash)
+		for _, start := range starts {
+			h.scheduler.RunEnded(start.Key, start.Run, Broken, h.now)
+		}
+		h.now = h.now.Add(maxItemRetryDelay)
+	}
+}
--- a/internal/schedule/item.go
+++ b/internal/schedule/item.go
@@ -82,9 +82,7 @@
 
 	Text
 
-	sampler *samplerState
-	// suspect is set while the item is counted in the suspects of its sampler.
-	suspect    bool
+	sampler    *samplerState
 	run        uint64
 	startedAt  time.Time
 	lastEvent  time.Time
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -47,9 +47,8 @@
 		chosen, candidates := s.selectSampler(entry, now)
 		if chosen == nil {
 			// No sampler is available to the other items of the job either, unless each
-			// item is bound to its own version, or this one is a suspect and needs a
-			// sampler without another suspect.
-			noSampler[entry.job] = !entry.job.policy.SingleVersion && !s.suspect(entry)
+			// item is bound to its own version.
+			noSampler[entry.job] = !entry.job.policy.SingleVersion
 			continue
 		}
 		starts = append(starts, s.start(entry, chosen, candidates, now))
@@ -68,7 +67,7 @@
 			continue
 		}
 		for _, entry := range open.items {
-			if entry.phase == pending && !now.Before(entry.notBefore) && !s.quarantined(entry, now) {
+			if entry.phase == pending && !now.Before(entry.notBefore) {
 				entry.latestStart = s.latestStart(entry)
 				ready = append(ready, entry)
 			}
@@ -130,7 +129,7 @@
 // selectSampler returns the sampler with the lowest estimated cost for the item among those
 // compared, or nil if no sampler can run it now, and the number of samplers compared.
 func (s *Scheduler) selectSampler(entry *item, now time.Time) (*samplerState, int) {
-	selection := samplerSelection{scheduler: s, entry: entry, suspect: s.suspect(entry), now: now}
+	selection := samplerSelection{scheduler: s, entry: entry, now: now}
 	if len(s.ordered) <= maxCandidates {
 		selection.scan(s.ordered, 0)
 		return selection.best, selection.candidates
@@ -150,7 +149,6 @@
 type samplerSelection struct {
 	scheduler  *Scheduler
 	entry      *item
-	suspect    bool
 	now        time.Time
 	best       *samplerState
 	bestCost   float64
@@ -165,7 +163,7 @@
 	for i := range list {
 		index := (start + i) % len(list)
 		state := list[index]
-		if state.capacity(pace, c.now) == 0 || !c.scheduler.serves(state, c.entry) || c.suspect && state.suspects > 0 {
+		if state.capacity(pace, c.now) == 0 || !c.scheduler.serves(state, c.entry) {
 			continue
 		}
 		cost := state.cost(c.entry.spec.Group, pace, c.now) * c.entry.costFactor(state.Incarnation())
@@ -224,9 +222,6 @@
 		AfterEvent: entry.events, SingleVersion: entry.job.policy.SingleVersion, Candidates: candidates, Running: chosen.running, Pace: chosen.pace,
 	}
 	chosen.running++
-	if entry.suspect = s.suspect(entry); entry.suspect {
-		chosen.suspects++
-	}
 	chosen.budget.RecordSent(now)
 	chosen.promptReadAt[entry.spec.Group] = now
 	return started
@@ -238,9 +233,5 @@
 		return
 	}
 	entry.sampler.running--
-	if entry.suspect {
-		entry.sampler.suspects--
-		entry.suspect = false
-	}
 	entry.sampler = nil
 }
--- a/internal/schedule/sampler.go
+++ b/internal/schedule/sampler.go
@@ -51,8 +51,6 @@
 	// superseded is set once a newer incarnation of the sampler is listed.
 	superseded bool
 	running    int
-	// suspects counts the running items that are suspected of crashing samplers.
-	suspects int
 	// loading is the set of models whose weights are being loaded. Only work for
 	// these models has to wait.
 	loading map[string]struct{}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -54,32 +54,6 @@
 	estimator        lengthEstimator
 	// averageEvents is a moving average of the length of complete texts.
 	averageEvents float64
-	quarantine    Quarantine
-}
-
-// Quarantine provides the quarantine state of items that are suspected of crashing samplers.
-type Quarantine interface {
-	// QuarantinedUntil returns the time until which an item must not be sent to a sampler, the
-	// zero time if it is not quarantined.
-	QuarantinedUntil(itemID string) time.Time
-	// Suspect reports whether samplers repeatedly crashed while running an item, and none
-	// has run it without a crash since.
-	Suspect(itemID string) bool
-}
-
-// SetQuarantine sets the source of the quarantine state. Without it, no item is quarantined.
-func (s *Scheduler) SetQuarantine(quarantine Quarantine) { s.quarantine = quarantine }
-
-// suspect reports whether an item is suspected of crashing samplers. Each sampler runs at most
-// one suspect: items of a group tend to be assigned to the same sampler, so that otherwise
-// the harmless ones would be present at each crash that one of them causes.
-func (s *Scheduler) suspect(entry *item) bool {
-	return s.quarantine != nil && s.quarantine.Suspect(entry.key.Item)
-}
-
-// quarantined reports whether an item must not be sent to a sampler now.
-func (s *Scheduler) quarantined(entry *item, now time.Time) bool {
-	return s.quarantine != nil && now.Before(s.quarantine.QuarantinedUntil(entry.key.Item))
 }
 
 // New returns an empty scheduler. newID must return ids that are unique across executors.
--- a/internal/schedule/speculative.go
+++ b/internal/schedule/speculative.go
@@ -122,9 +122,6 @@
 		if started || entry.phase != running || entry.events == 0 || entry.versions[0] >= version {
 			continue
 		}
-		if s.suspect(entry) {
-			continue
-		}
 		if float64(entry.events) >= minSpeculativeLengthRatio*s.averageEvents {
 			candidates = append(candidates, entry)
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -130,7 +130,7 @@
 	// later, so that at least 4 s of the evacuation are checked.
 	evacuationEnd = 20 * time.Second
 	maxFaultEnd   = 13 * time.Second
-	// crashingWorkDuration is the time for which work that crashes its samplers is sent.
+	// crashingWorkDuration is the duration of a fault of crashingKinds.
 	crashingWorkDuration = 15 * time.Second
 	// Each of these happens in one of oneIn rounds on average: the random faults start at the
 	// same time, they are repeated, and there is an outage of the store.
@@ -159,10 +159,10 @@
 	return append(append(planned, r.planAlternating(random)...), r.planCrashing()...)
 }
 
-// crashingKinds are the faults that send work which crashes the samplers that run it.
-var crashingKinds = []platformsim.FaultKind{platformsim.CrashingRequest, platformsim.CrashingItem, platformsim.CrashingReward}
+// crashingKinds are the faults in which samplers crash during a request, an item or a reward call.
+var crashingKinds = []platformsim.FaultKind{platformsim.CrashingRequest, platformsim.ItemDuringCrashes, platformsim.RewardDuringCrashes}
 
-// planCrashing returns, in every second round, a fault that sends work which crashes its samplers.
+// planCrashing returns, in every second round, a fault of crashingKinds.
 // It is active until within the recovery time, in which machines are undisturbed. It has a random
 // source of its own, so that it does not change the other faults of a seed.
 func (r *run) planCrashing() []scheduledFault {
