Slots of trainers' jobs are not quarantined when engines crash under them

Cause: on the own face a slot of a job shared the quarantine of completions, so that a sample was held for 15 s, 2 min and then an hour once three engines had crashed under its prompt. Change: no crash is attributed to slots, as to items on the platform; the pause between attempts of a slot (100 ms) stays. Completions are quarantined as before. Tests: the case that required a job's prompt to be held is wrong now. In its place six engines crash under a prompt and its sample must be delivered (TestSampleDuringCrashesIsDelivered). Result: it fails before (no sample within a minute) and passes now.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -115,7 +115,7 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if b.Crasher.triggeredBy(body) {
+	if b.Crasher.triggeredBy(request.URL.Path, body) {
 		b.Crasher.run(request.URL.Path, plan.serviceTime)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -9,6 +9,12 @@
 // engine that runs it.
 const CrashMarker = "crashes its back end"
 
+// DuringCrashesMarker does the same in its first CrashesDuringWork runs.
+const (
+	DuringCrashesMarker = "runs while back ends crash"
+	CrashesDuringWork   = 2 * crashLimit
+)
+
 const (
 	// crashLimit is the number of crashes after which a request should be
 	// quarantined.
@@ -35,7 +41,7 @@
 }
 
 // Crasher terminates a back end or an engine when it runs a request that carries
-// CrashMarker.
+// CrashMarker, or one of the first runs of a request that carries DuringCrashesMarker.
 type Crasher struct {
 	checker *Checker
 	// terminate ends the process and reports whether this call did so, rather than
@@ -50,10 +56,16 @@
 	return &Crasher{checker: checker, terminate: terminate}
 }
 
-// triggeredBy reports whether the content of a request crashes the process. It is
-// false for a nil crasher.
-func (c *Crasher) triggeredBy(content []byte) bool {
-	return c != nil && bytes.Contains(content, []byte(CrashMarker))
+// triggeredBy reports whether a run of a request with some content crashes the process.
+// request identifies it across its attempts. It is false for a nil crasher.
+func (c *Crasher) triggeredBy(request string, content []byte) bool {
+	switch {
+	case c == nil:
+		return false
+	case bytes.Contains(content, []byte(DuringCrashesMarker)):
+		return c.checker.crashCount(request) < CrashesDuringWork
+	}
+	return bytes.Contains(content, []byte(CrashMarker))
 }
 
 // run runs a request that crashes the process after a delay. request identifies it
@@ -82,6 +94,16 @@
 	}
 }
 
+// crashCount returns how often a request has crashed a process.
+func (c *Checker) crashCount(request string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if known := c.crashing[request]; known != nil {
+		return known.crashes
+	}
+	return 0
+}
+
 // recordCrash counts a crash and records when the request reaches crashLimit.
 func (c *Checker) recordCrash(request string) {
 	c.mutex.Lock()
--- a/internal/emulator/engine_http.go
+++ b/internal/emulator/engine_http.go
@@ -35,7 +35,7 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if e.Crasher.triggeredBy([]byte(body.Prompt)) {
+	if e.Crasher.triggeredBy(body.Prompt, []byte(body.Prompt)) {
 		e.Crasher.run(body.Prompt, crashingPromptTime)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -56,6 +56,8 @@
 	tenant  string
 	route   routing.Request
 	request engine.GenerateRequest
+	// neverSuspect excludes the prompt from quarantine, for the slots of jobs.
+	neverSuspect bool
 	// minVersion is the lowest weight version whose tokens are accepted.
 	minVersion uint64
 	// onEngineSelected is called with the id of each engine that is selected, before the
@@ -89,6 +91,7 @@
 			MaxTokens: attemptRequest.Prompt.MaxTokens, Seed: attemptRequest.Seed, ResumeTokens: attemptRequest.Resume,
 			Priority: min(minRolloutPriority+int(attemptRequest.Age/rolloutPriorityInterval), maxRolloutPriority),
 		},
+		neverSuspect:     true,
 		minVersion:       attemptRequest.MinVersion,
 		onEngineSelected: progress.EngineSelected,
 		onChunk: func(chunk engine.Chunk) error {
@@ -158,11 +161,13 @@
 
 // run places an attempt on an engine, skips busy engines, and streams the generation.
 func (g *generator) run(ctx context.Context, a attempt) error {
-	release, err := g.node.suspects.guard.Acquire(ctx, a.digest)
-	if err != nil {
-		return err
+	if !a.neverSuspect {
+		release, err := g.node.suspects.guard.Acquire(ctx, a.digest)
+		if err != nil {
+			return err
+		}
+		defer release()
 	}
-	defer release()
 	for range maxBusyEngines {
 		a.route.Now = time.Now()
 		endpoint := g.node.fleet.PickEngine(&a.route)
@@ -195,9 +200,10 @@
 }
 
 // reportToQuarantine records whether an attempt succeeded or its engine crashed under it.
-// Failures of other kinds say nothing about the prompt.
+// Failures of other kinds say nothing about the prompt, and no crash does about that of a job.
 func (g *generator) reportToQuarantine(ctx context.Context, endpoint *routing.Endpoint, a attempt, err error) {
 	switch {
+	case a.neverSuspect:
 	case err == nil:
 		g.node.suspects.guard.ReportSuccess(ctx, a.digest)
 	case ctx.Err() == nil && !isIntentionalEnd(err) && g.node.exchanger.ProbeStopped(ctx, endpoint.Address):
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -373,19 +373,13 @@
 // FailAttempt records that an attempt ended without a sample. The slot is retried after
 // retryDelay.
 func (j *Job) FailAttempt(now time.Time, index int, id string) {
-	j.FailAttemptUntil(now, now.Add(retryDelay), index, id)
-}
-
-// FailAttemptUntil records that an attempt ended without a sample. The slot is not retried
-// before the time until.
-func (j *Job) FailAttemptUntil(now, until time.Time, index int, id string) {
 	s, running := j.findAttempt(index, id)
 	if running == nil {
 		return
 	}
 	j.dropAttempt(s, running)
 	j.counters.Failed++
-	s.retryAt = until
+	s.retryAt = now.Add(retryDelay)
 	longer := len(running.tokens) > len(s.partialTokens)
 	if j.policy.CarryOver && longer && j.isFresh(running.segments, running.startedAt, now) {
 		s.partialTokens, s.partialSegments, s.partialStartedAt = running.tokens, running.segments, running.startedAt
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -172,18 +172,6 @@
 	return p.running.job.AddTokens(clock.Now(), p.request.Slot, p.request.Attempt, tokens, version)
 }
 
-// maxQuarantineRetryDelay limits the retry delay of a slot whose prompt is quarantined,
-// since the quarantine may be lifted early.
-const maxQuarantineRetryDelay = 5 * time.Second
-
-// retryDelayFor returns the retry delay of a slot after an attempt failed with err.
-func retryDelayFor(err error) time.Duration {
-	if !result.Is(err, result.RequestQuarantined) {
-		return retryDelay
-	}
-	return min(max(result.From(err).RetryAfter, retryDelay), maxQuarantineRetryDelay)
-}
-
 func (m *Manager) run(ctx context.Context, running *runningJob, request AttemptRequest) {
 	progress := &attemptProgress{manager: m, running: running, request: request}
 	reason, err := m.generator.Generate(ctx, running.key.tenant, running.model, request, progress)
@@ -194,8 +182,7 @@
 		delete(running.cancels, request.Attempt)
 	}
 	if err != nil {
-		now := clock.Now()
-		running.job.FailAttemptUntil(now, now.Add(retryDelayFor(err)), request.Slot, request.Attempt)
+		running.job.FailAttempt(clock.Now(), request.Slot, request.Attempt)
 		m.logger.Log(event.SampleRestarted, "job", running.key.id, "slot", request.Slot, "error", err.Error())
 		return
 	}
