A planned stop answers every request that it has read

Users saw requests that came late in the grace period of a planned stop taken, passed on, and cut without an answer at its end, among them requests that may not be repeated. Cause: for 2.5 s after the signal a node passed on whatever came, whatever its deadline, and closed the connections of what was left after 6.8 of the 8 s. Change: while it drains, a node refuses a request whose deadline or route timeout lies after the end of the drain, as not run (2001) and without a retry delay, as other nodes serve it at once; shorter ones are served as before. What is still unanswered at the end is cancelled and gets 504 with the new code 3008, node_stopped, whose outcome is unknown, or 503 if it was not sent. A stream that has begun is cut, as before. Ruled out: refusing all new requests during the drain, as most end in time; ending what a sampler works on earlier, since silence gives no reason to. Result: TestPlannedStopAnswersEveryRequest fails before (EOF after 6.8 s) and passes now: one request in progress gets 504, four late ones 503 within 0.1 s and do not run, a short one 200, and the process ends within the grace period; two mutants are caught.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -257,7 +257,7 @@
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		failed.err = result.New(result.DeadlineExceeded, "no answer before the deadline")
 	case ctx.Err() != nil:
-		failed.err = result.New(result.CallerGone, "the caller disconnected after the request was sent")
+		failed.err = result.Interrupted(ctx)
 	default:
 		failed.err = result.Wrap(result.AnswerLost, err, "await answer")
 	}
--- a/internal/platformnode/forward.go
+++ b/internal/platformnode/forward.go
@@ -53,7 +53,7 @@
 	began := received.Time()
 	deadline := began.Add(requestTimeout(route, in))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	if err := n.checkServable(admitted.Regions); err != nil {
+	if err := n.checkAcceptable(admitted, deadline); err != nil {
 		cancel()
 		n.metrics.recordRequest(route.Name, nil, err, time.Since(began))
 		n.LogRefusal(in.ID, in.Host, in.Path, err)
@@ -82,6 +82,14 @@
 	return answer, jitterRetryAfter(err)
 }
 
+// checkAcceptable returns an error if a request must be refused before any attempt.
+func (n *Node) checkAcceptable(admitted Admitted, deadline time.Time) error {
+	if err := n.checkDrain(deadline); err != nil {
+		return err
+	}
+	return n.checkServable(admitted.Regions)
+}
+
 // jitterRetryAfter multiplies the retry delay of an error by a random factor from 0.6 to 1.4,
 // so that callers that were refused at the same time do not all retry at the same time. It
 // returns nil for nil.
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -103,6 +103,8 @@
 	configurationAgeFunc func() time.Duration
 
 	draining atomic.Bool
+	// drainEnd is when the node stops waiting for requests in progress; nil before Drain.
+	drainEnd atomic.Pointer[time.Time]
 	active   atomic.Int64
 	stop     context.CancelFunc
 	loops    conc.WaitGroup
@@ -207,17 +209,6 @@
 	return rand.N(min(time.Duration(announced.NodeCount)*ledgerReadInterval, maxLedgerDelay))
 }
 
-// Drain marks the node as draining and hands its share of the jobs over. Requests in progress
-// continue.
-func (n *Node) Drain(ctx context.Context) {
-	if n.draining.Swap(true) {
-		return
-	}
-	n.logger.Log(event.NodeDraining, "active", n.active.Load())
-	n.worker.drain(ctx)
-	n.ownership.Leave(ctx)
-}
-
 // Stop ends the node's loops, waits for them and closes the node's connections.
 func (n *Node) Stop() {
 	n.stop()
@@ -227,9 +218,6 @@
 	n.logger.Log(event.NodeStopped)
 }
 
-// Draining reports whether Drain was called.
-func (n *Node) Draining() bool { return n.draining.Load() }
-
 // Log returns the node's client of the log service, which measures round trips.
 func (n *Node) Log() *sharedlog.MeteredLog { return n.log }
 
--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -74,7 +74,11 @@
 func (c *caller) call(ctx context.Context, method, path string, header http.Header, body []byte) (callResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	node := c.world.pickNode(c.random)
+	return c.callNode(ctx, c.world.pickNode(c.random), method, path, header, body)
+}
+
+// callNode sends one request to a node.
+func (c *caller) callNode(ctx context.Context, node, method, path string, header http.Header, body []byte) (callResult, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.world.environment.Front(node)+path, bytes.NewReader(body))
 	if err != nil {
 		return callResult{}, err
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -118,6 +118,12 @@
 		mutation.Replace("internal/schedule/runs.go", "maxItemRetryDelay = 500 * time.Millisecond", "maxItemRetryDelay = time.Hour"),
 		mutation.Replace("internal/schedule/runs.go", "itemRetryDelay<<min(i.refusals, 5)", "itemRetryDelay<<(3*i.refusals)"),
 	}},
+	{Promise: "LOST: a planned stop refuses what may outlast it", Test: "TestPlannedStopAnswersEveryRequest", Edits: []mutation.Edit{
+		mutation.Replace("internal/platformnode/drain.go", "end == nil || !deadline.After(*end)", "end == nil || deadline.Before(*end) || true"),
+	}},
+	{Promise: "LOST: a planned stop answers what outlasts it", Test: "TestPlannedStopAnswersEveryRequest", Edits: []mutation.Edit{
+		mutation.Replace("platform/process.go", "p.endRequests(result.ErrNodeStopping)", "_ = result.ErrNodeStopping"),
+	}},
 	{Promise: "LOST: a reward call under which back ends crashed is made", Test: "TestItemDuringCrashesIsCompleted", Edits: []mutation.Edit{
 		mutation.Replace("internal/platformnode/rewards.go", "\t\tNeverSuspect: true,\n", ""),
 	}},
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -268,6 +268,10 @@
 	s.mutex.Lock()
 	delay := time.Duration(float64(s.ServiceTime) * max(s.faults.SlowdownFactor, 1))
 	s.mutex.Unlock()
+	if strings.HasPrefix(request.URL.Path, longPrefix) {
+		s.checker.Count(countLongRequests)
+		delay = longWork
+	}
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
--- a/internal/platformsim/world.go
+++ b/internal/platformsim/world.go
@@ -75,6 +75,8 @@
 	// SimulateSuspension is set where machines are suspended. The simulated clock is global,
 	// so no other world may run at the same time.
 	SimulateSuspension bool
+	// LongRequests adds a route whose requests run for longWork.
+	LongRequests bool
 }
 
 // World is a cluster of real nodes together with the store, the platform's API, the samplers
@@ -351,6 +353,10 @@
 	}
 	add("application", applicationPrefix, platform.KindSafe, applicationName, 0)
 	add("rollout", rolloutPrefix, platform.KindRollout, modelService, 7500)
+	if w.options.LongRequests {
+		add("long", longPrefix, platform.KindUnsafe, applicationName, 0)
+		document.Routes[len(document.Routes)-1].TimeoutMS = float64((2 * longWork).Milliseconds())
+	}
 	if w.options.Regions != nil {
 		add("bound", regionBoundPrefix, platform.KindRollout, modelService, 7500)
 		document.Routes[len(document.Routes)-1].AllowedRegions = []string{routeRegion}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -66,6 +66,7 @@
 	KeyOutcomeLost   Code = 3005
 	CallerGone       Code = 3006
 	AnswerTooLarge   Code = 3007
+	NodeStopped      Code = 3008
 
 	JobUnknown       Code = 4001
 	JobConflict      Code = 4002
