The own face answers requests that outlast a drain

Cause: after drain_timeout the node stopped and closed the connections of what was left. Streams that have begun are cut, as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -102,6 +103,9 @@
 type Gateway struct {
 	services Services
 	router   *httprouter.Router
+	// requests is the parent of the contexts of all requests, which cancel ends.
+	requests context.Context
+	cancel   context.CancelCauseFunc
 
 	mutex    sync.Mutex
 	draining bool
@@ -112,6 +116,7 @@
 // New returns a gateway that calls services.
 func New(services Services) *Gateway {
 	g := &Gateway{services: services, router: httprouter.New(), drained: make(chan struct{})}
+	g.requests, g.cancel = context.WithCancelCause(context.Background())
 	g.router.RedirectTrailingSlash = false
 	g.router.RedirectFixedPath = false
 	g.router.HandleMethodNotAllowed = false
@@ -137,6 +142,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return g.requests },
 	}
 }
 
@@ -186,6 +192,10 @@
 	return g.drained
 }
 
+// Interrupt cancels the requests in progress, which are answered with result.NodeStopped, or with
+// a refusal if they were not run. Streams that have begun are cut off.
+func (g *Gateway) Interrupt() { g.cancel(result.ErrNodeStopping) }
+
 // ActiveRequests returns the number of requests in progress.
 func (g *Gateway) ActiveRequests() int {
 	g.mutex.Lock()
--- a/internal/keyed/executor.go
+++ b/internal/keyed/executor.go
@@ -209,7 +209,8 @@
 	case finished := <-done:
 		return finished.answer, finished.err
 	case <-ctx.Done():
-		return nil, result.New(result.CallerGone, "the caller disconnected; the answer is stored under its key")
+		// The answer is stored under its key.
+		return nil, result.Interrupted(ctx)
 	}
 }
 
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -143,7 +143,7 @@
 			return nil
 		}
 		if ctx.Err() != nil || callerGone {
-			return result.New(result.CallerGone, "the caller disconnected")
+			return result.Interrupted(ctx)
 		}
 		if engineID == "" || result.Is(lastErr, result.RequestQuarantined) {
 			break
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,8 +216,8 @@
 }
 
 // Drain announces that the node is leaving, refuses new work as not run, completes the
-// requests in progress and hands over its jobs. It returns when that is done or, with
-// requests still in progress, after the drain timeout. A second call waits for the first.
+// requests in progress and hands over its jobs. Requests that are still in progress after the
+// drain timeout are answered that their outcome is unknown. A second call waits for the first.
 func (n *Node) Drain() {
 	n.drainOnce.Do(func() {
 		defer close(n.drained)
@@ -233,14 +233,31 @@
 	n.gate.Close(result.New(result.Draining, "this node is leaving"))
 	idle := n.gateway.Drain()
 	n.jobs.handOver()
-	timer := time.NewTimer(n.settings.DrainTimeout)
+	if !closedWithin(idle, n.settings.DrainTimeout) {
+		n.logger.Log(event.DrainTimedOut, "active", n.gateway.ActiveRequests())
+		n.gateway.Interrupt()
+		if !closedWithin(idle, finalAnswerTimeout) {
+			n.logger.Log(event.DrainTimedOut, "active", n.gateway.ActiveRequests(), "detail", "requests are cut off")
+		}
+	}
+	n.leaveRoster()
+}
+
+// finalAnswerTimeout limits the time for answering the requests that are still in progress
+// after the drain timeout.
+const finalAnswerTimeout = 300 * time.Millisecond
+
+// closedWithin waits for a channel to be closed, and returns false if that takes longer than
+// timeout.
+func closedWithin(channel <-chan struct{}, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-idle:
+	case <-channel:
+		return true
 	case <-timer.C:
-		n.logger.Log(event.DrainTimedOut, "active", n.gateway.ActiveRequests())
+		return false
 	}
-	n.leaveRoster()
 }
 
 // Stop stops the node immediately and aborts requests in progress. For a graceful shutdown
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -46,18 +47,23 @@
 // startNode starts a node with an emulated platform and one back end, and waits until it is
 // ready. At the end of the test it checks that no goroutine is left.
 func startNode(t *testing.T) *Node {
+	t.Helper()
+	return startNodeWith(t, 0, DefaultSettings())
+}
+
+// startNodeWith does the same with a service time of the back end and settings for the node.
+func startNodeWith(t *testing.T, serviceTime time.Duration, settings Settings) *Node {
 	t.Helper()
 	platform := emulator.NewPlatform(0, 0, 1)
 	server := httptest.NewServer(platform.Handler())
 	address := strings.TrimPrefix(server.URL, "http://")
-	backEnd := httptest.NewServer(emulator.NewBackEnd("b-1", 0, emulator.NewChecker(), rand.New(rand.NewPCG(1, 1))))
+	backEnd := httptest.NewServer(emulator.NewBackEnd("b-1", serviceTime, emulator.NewChecker(), rand.New(rand.NewPCG(1, 1))))
 	platform.SetMachine(fleet.Machine{ID: "b-1", Role: fleet.RoleBackEnd, Pool: "b", Address: strings.TrimPrefix(backEnd.URL, "http://")})
 	log := logstore.NewClient(network.TCP{}, address)
 	_, err := logstore.AppendRecord(context.Background(), log, &pathbendv1.Record{Id: "first", Body: &pathbendv1.Record_ConfigPublish{
 		ConfigPublish: &pathbendv1.ConfigPublish{Document: []byte(document), Author: "test"},
 	}})
 	require.NoError(t, err)
-	settings := DefaultSettings()
 	settings.Name, settings.Zone = "n", "z"
 	reservingNetwork := network.NewReservingNetwork()
 	settings.HTTPAddress, settings.PeerAddress, settings.AdminAddress = reserve(t, reservingNetwork), reserve(t, reservingNetwork), reserve(t, reservingNetwork)
@@ -119,6 +125,24 @@
 	require.Contains(t, body, `"run":"not_run"`)
 }
 
+// Guards against requests that are cut without an answer because they outlast a drain.
+func TestRequestThatOutlastsADrainIsAnswered(t *testing.T) {
+	settings := DefaultSettings()
+	settings.DrainTimeout = 100 * time.Millisecond
+	n := startNodeWith(t, time.Second, settings)
+	var requests conc.WaitGroup
+	var status int
+	var body string
+	requests.Go(func() { status, body = get(t, "http://"+n.settings.HTTPAddress+"/v1/tenants/shop/routes/look", "") })
+	require.Eventually(t, func() bool { return n.gateway.ActiveRequests() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	n.Drain()
+	n.Stop()
+	requests.Wait()
+	require.Equal(t, http.StatusGatewayTimeout, status, body)
+	require.Contains(t, body, `"run":"unknown"`)
+}
+
 func TestSubmittedJobBringsBackTheVersion(t *testing.T) {
 	n := startNode(t)
 	spec := rollout.Spec{JobID: "j", Model: "m", TrainerVersion: 7, Prompts: []rollout.Prompt{{Prompt: "p", Samples: 1, MaxTokens: 5}}}
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -254,7 +254,7 @@
 		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
-			return PullAnswer{}, result.New(result.CallerGone, "the pull was cancelled")
+			return PullAnswer{}, result.Interrupted(ctx)
 		}
 	}
 }
