Simulation and soak: samplers that send malformed answers

Cause: no simulated or real sampler sent answers that HTTP does not allow. Change: a fault, sampler_malformed: three in ten answers of a sampler begin with one of 13 such heads, to requests, items and reward calls. Not chosen at random, and in the soak drawn from a source of its own, so that the other faults of a seed stay.

--- a/internal/platformsim/callers.go
+++ b/internal/platformsim/callers.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pathbend/pathbend/internal/network"
 	"github.com/pathbend/pathbend/internal/wait"
 	"github.com/pathbend/pathbend/platform"
@@ -127,6 +129,8 @@
 		switch {
 		case err != nil && ctx.Err() != nil:
 			return
+		case errors.Is(err, network.ErrMalformedResponse):
+			c.world.Checker.reportMalformed(result, id, err)
 		case err != nil:
 			c.world.Checker.checkLostRequest(result, id, c.world.failureClassOf(err, result.localAddress))
 		case result.status != http.StatusOK:
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -71,6 +71,8 @@
 	NodesCutFromStore
 	// StoreStalls makes the store answer after stalledLatency.
 	StoreStalls
+	// SamplerMalformsAnswers makes a sampler send answers that HTTP does not allow.
+	SamplerMalformsAnswers
 )
 
 // cutNodeShare is the share of the nodes that NodesCutFromStore affects.
@@ -89,7 +91,7 @@
 	"cold_return", "samplers_turn_cold", "evacuate", "zone_cut", "zone_lost",
 	"region_cut",
 	"crashing_request", "item_during_crashes", "reward_during_crashes", "sampler_reborn", "foreign_entries", "suspension",
-	"nodes_cut_from_store", "store_stalls",
+	"nodes_cut_from_store", "store_stalls", "sampler_malformed",
 }
 
 // String implements fmt.Stringer.
@@ -225,6 +227,8 @@
 		w.applySamplerFaults(fault, machine, SamplerFaults{ErrorRate: 0.3})
 	case SamplerMisroutesAnswers:
 		w.applySamplerFaults(fault, machine, SamplerFaults{MisroutedAnswerRate: 0.3})
+	case SamplerMalformsAnswers:
+		w.applySamplerFaults(fault, machine, SamplerFaults{MalformedAnswerRate: 0.3})
 	case SamplerDelaysOrders:
 		w.applySamplerFaults(fault, machine, SamplerFaults{DelayOrders: true})
 	}
--- a/internal/platformsim/mutants_test.go
+++ b/internal/platformsim/mutants_test.go
@@ -139,6 +139,12 @@
 	{Promise: "In touch: suspension counts", Test: "TestSuspendedNodeHasNoCurrentLog", Package: "./internal/platformnode", Edits: []mutation.Edit{
 		mutation.Replace("internal/clock/clock.go", "return now.Sub(m.at) + m.SuspendedTime()", "return now.Sub(m.at)"),
 	}},
+	{Promise: "MIXED: a malformed answer is no answer", Test: "TestMalformedAnswersReachNoClient", Edits: []mutation.Edit{
+		mutation.Replace("internal/network/transport.go", "err := checkHead(response); err != nil", "err := checkHead(response); err != nil && false"),
+	}},
+	{Promise: "MIXED: an answer that was reset is not complete", Test: "TestAnswerResetDuringUploadIsNotComplete", Package: "./internal/dispatch", Edits: []mutation.Edit{
+		mutation.Replace("internal/network/exchange.go", "if e.connection.endRequest() {", "if e.connection.endRequest() || true {"),
+	}},
 	{Promise: "MIXED: a cut event is no event", Edits: []mutation.Edit{
 		mutation.Replace("platform/events.go", "return 0, nil, io.ErrUnexpectedEOF", "return len(data), data, nil"),
 		mutation.Replace("platform/events.go", "	if err := r.scanner.Err(); err != nil {\n\t\treturn event, err\n\t}\n\tif inEvent {\n\t\treturn event, io.ErrUnexpectedEOF\n\t}\n", "	if inEvent {\n\t\treturn r.accept(event, hasData)\n\t}\n"),
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -32,6 +32,8 @@
 	ErrorRate float64
 	// MisroutedAnswerRate is the fraction of answers that belong to another request.
 	MisroutedAnswerRate float64
+	// MalformedAnswerRate is the fraction of answers that HTTP does not allow.
+	MalformedAnswerRate float64
 	// DelayOrders makes the sampler leave half of the weight orders unanswered and execute them
 	// 2 to 8 s later.
 	DelayOrders bool
@@ -196,6 +198,11 @@
 	if s.crash(crashKey(request, id), node, body) {
 		panic(http.ErrAbortHandler)
 	}
+	// Without the fault no random number is drawn, so that existing seeds keep their course.
+	if rate := s.currentFaults().MalformedAnswerRate; rate > 0 && s.randomChance(rate) {
+		s.sendMalformed(writer, id)
+		return
+	}
 	if s.randomChance(s.currentFaults().ErrorRate) {
 		s.checker.RunFailed(id)
 		writer.Header().Set(platform.HeaderServerStamp, "failed")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -140,7 +140,7 @@
 )
 
 // planRound returns the faults of one round: faultsPerRound random ones, on average half of them
-// environment faults, and those of planAlternating and planCrashing.
+// environment faults, and those of planAlternating, planCrashing and planMalformed.
 func (r *run) planRound(random *rand.Rand) []scheduledFault {
 	var planned []scheduledFault
 	simultaneous, repeated := random.IntN(oneIn) == 0, random.IntN(oneIn) == 0
@@ -156,7 +156,8 @@
 			planned = append(planned, fault)
 		}
 	}
-	return append(append(planned, r.planAlternating(random)...), r.planCrashing()...)
+	planned = append(planned, r.planAlternating(random)...)
+	return append(append(planned, r.planCrashing()...), r.planMalformed()...)
 }
 
 // crashingKinds are the faults in which samplers crash during a request, an item or a reward call.
@@ -175,6 +176,17 @@
 	return []scheduledFault{crashing}
 }
 
+// planMalformed returns, in the rounds without a fault of crashingKinds, one in which a sampler sends
+// malformed answers. It has a random source of its own, so that it does not change the other faults
+// of a seed.
+func (r *run) planMalformed() []scheduledFault {
+	if r.report.Rounds%2 == 0 {
+		return nil
+	}
+	startAfter, duration, target := randomTiming(rand.New(rand.NewPCG(r.options.Seed, uint64(r.report.Rounds))))
+	return []scheduledFault{r.simulationFault(platformsim.SamplerMalformsAnswers, startAfter, duration, target)}
+}
+
 // randomTiming returns a random start within the first half of faultDuration, a random duration of
 // at least 1 s, and a random target.
 func randomTiming(random *rand.Rand) (startAfter, duration time.Duration, target uint64) {
