network: keep the connection after an answer to HEAD

Cause: an answer to HEAD without a length was taken for one that ends with its connection. Change: answers without a body are not wrapped. The size of interim answers counts the bytes of each field; the name of the constant said so, the sum did not. Result: TestConnectionIsKeptAfterAnAnswerToHEAD fails before (the second request times out) and passes now.

--- a/internal/network/exchange.go
+++ b/internal/network/exchange.go
@@ -39,9 +39,11 @@
 	return hooks
 }
 
-// interimLineBytes is the size of an interim response without its fields, and of a field
-// without its name and value.
-const interimLineBytes = len("HTTP/1.1 103 \r\n\r\n")
+// Sizes of an interim response without its fields, and of a field without its name and value.
+const (
+	interimLineBytes  = len("HTTP/1.1 103 \r\n\r\n")
+	interimFieldBytes = len(": \r\n")
+)
 
 // checkInterim returns an error if HTTP does not allow an interim response, or if all of
 // them together exceed maxResponseHeaderBytes. net/http imposes no limit if this hook is set.
@@ -49,7 +51,7 @@
 	e.interimBytes += interimLineBytes
 	for name, values := range header {
 		for _, value := range values {
-			e.interimBytes += len(name) + len(value)
+			e.interimBytes += interimFieldBytes + len(name) + len(value)
 		}
 	}
 	if e.interimBytes > maxResponseHeaderBytes {
@@ -62,6 +64,9 @@
 // or malformed.
 func (e *exchange) verifyBody(response *http.Response) {
 	switch {
+	case response.Body == http.NoBody:
+		// An answer to HEAD states the length of another body, or none, and its connection may
+		// be in use again.
 	case len(response.TransferEncoding) > 0:
 		response.Body = &verifiedBody{ReadCloser: response.Body, verify: func() error {
 			return checkFieldNames(textproto.MIMEHeader(response.Trailer))
--- a/internal/network/transport_test.go
+++ b/internal/network/transport_test.go
@@ -1,10 +1,13 @@
 package network
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -56,3 +59,43 @@
 	_, _, err := net.SplitHostPort(IncarnationAddress("10.0.0.1:80", 3))
 	require.NoError(t, err)
 }
+
+// Guards against writes that fail on a kept connection: an answer to HEAD has neither a body nor,
+// often, a length, and does not end with its connection.
+func TestConnectionIsKeptAfterAnAnswerToHEAD(t *testing.T) {
+	listener, err := TCP{}.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	const requests = 3
+	served := make(chan int, 1)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		reader, count := bufio.NewReader(connection), 0
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				break
+			}
+			count++
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\n")
+		}
+		served <- count
+	}()
+	transport := NewTransport(TCP{}, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for range requests {
+		request, err := http.NewRequestWithContext(ctx, http.MethodHead, "http://"+listener.Addr().String()+"/", nil)
+		require.NoError(t, err)
+		response, err := transport.RoundTrip(request)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	transport.CloseIdleConnections()
+	require.Equal(t, requests, <-served)
+}
