--- a/internal/schedule/crash_test.go
+++ b/internal/schedule/crash_test.go
@@ -24,3 +24,21 @@
 		h.now = h.now.Add(maxItemRetryDelay)
 	}
 }
+
+func TestItemIsRunSpeculativelyAfterCrashes(t *testing.T) {
+	h := newResubmittingHarness(t, 4, sampler("old", 8, 1))
+	const crashes = 3
+	start := startLongItem(h, 10)
+	for range crashes {
+		h.scheduler.RunEnded(start.Key, start.Run, Broken, h.now)
+		h.now = h.now.Add(maxItemRetryDelay)
+		starts := h.starts()
+		require.Len(t, starts, 1)
+		require.False(t, starts[0].Key.Speculative)
+		start = starts[0]
+	}
+	h.scheduler.SetSamplers([]Sampler{sampler("old", 8, 1), sampler("new", 8, 3)}, h.now)
+	ahead := h.starts()
+	require.Len(t, ahead, 1)
+	require.True(t, ahead[0].Key.Speculative)
+}
