--- a/internal/network/transport.go
+++ b/internal/network/transport.go
@@ -84,7 +84,7 @@
 		return nil, err
 	}
 	if err := checkHead(response); err != nil {
-		// The close of an unread body closes the connection.
+		// The close of an unread body closes the connection. Without a body it may be in use again.
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/internal/platformsim/crashing_test.go
+++ b/internal/platformsim/crashing_test.go
@@ -35,8 +35,8 @@
 // maxPauseAfterCrash is how long an item may be at no sampler although there is room.
 const maxPauseAfterCrash = 5 * time.Second
 
-// Guards against an item that is held back because samplers crashed while they ran it: items are
-// never the cause, and after six crashes one was not placed for an hour.
+// Guards against an item that is held back because samplers crashed while they ran it. Items are
+// never the cause of a crash.
 func TestItemDuringCrashesIsCompleted(t *testing.T) {
 	for _, kind := range []FaultKind{ItemDuringCrashes, RewardDuringCrashes} {
 		t.Run(kind.String(), func(t *testing.T) {
--- a/internal/platformsim/faults.go
+++ b/internal/platformsim/faults.go
@@ -53,9 +53,9 @@
 	RegionCut = randomKindCount
 )
 
-// Kinds that are not chosen at random, so that existing seeds keep their faults. CrashingRequest
-// sends a request that crashes every back end running it. ItemDuringCrashes and RewardDuringCrashes
-// crash the first samplers that run an item or a reward call.
+// Kinds that RandomFaults does not choose. CrashingRequest sends a request that crashes every back
+// end running it. ItemDuringCrashes and RewardDuringCrashes crash the first samplers that run an
+// item or a reward call.
 const (
 	CrashingRequest = RegionCut + 1 + iota
 	ItemDuringCrashes
--- a/internal/platformsim/sampler.go
+++ b/internal/platformsim/sampler.go
@@ -198,7 +198,7 @@
 	if s.crash(crashKey(request, id), node, body) {
 		panic(http.ErrAbortHandler)
 	}
-	// Without the fault no random number is drawn, so that existing seeds keep their course.
+	// Without the fault no random number is drawn: the sequence is part of a seed's schedule.
 	if rate := s.currentFaults().MalformedAnswerRate; rate > 0 && s.randomChance(rate) {
 		s.sendMalformed(writer, id)
 		return
