--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -24,7 +24,6 @@
 			slots += s.slots
 		}
 		for _, run := range s.runs() {
-			record.logAt(run.at, "sampler %s ran %s after event %d, until %.3f, whole %v", s.id, run.id, run.lastEvent, run.end.Sub(record.started).Seconds(), run.whole)
 			running[run.id] = running[run.id] || run.end.IsZero()
 			finished[run.id] = finished[run.id] || run.whole
 			if run.end.IsZero() && !down {
@@ -59,3 +58,16 @@
 	record.log("step %d: %d of %d items listed", j.step, len(j.listed), len(j.items))
 	return result
 }
+
+// logRuns records what the samplers ran.
+func (r *recorder) logRuns(samplers []*sampler) {
+	for _, s := range samplers {
+		for _, run := range s.runs() {
+			until := "now"
+			if !run.end.IsZero() {
+				until = fmt.Sprintf("%.3f", run.end.Sub(r.started).Seconds())
+			}
+			r.logAt(run.at, "sampler %s of %s ran %s after event %d, until %s, whole %v", s.id, s.service, run.id, run.lastEvent, until, run.whole)
+		}
+	}
+}
--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -13,6 +13,8 @@
 	if err != nil {
 		return failed
 	}
+	samplers := append(former, other...)
+	defer func() { record.logRuns(samplers) }()
 	services := []string{"llm-a", "llm-b"}
 	c.putConfig([]route{rolloutRoute("llm-a", nil)}, services)
 	if !c.startNodes(record) {
@@ -38,7 +40,7 @@
 		steady = time.Now().Add(drainTime)
 	}
 	c.follow(record, step, began.Add(stepTime))
-	result := c.judgeStep(record, step, append(former, other...), steady, time.Now())
+	result := c.judgeStep(record, step, samplers, steady, time.Now())
 	c.end(record, step)
 	return result
 }
--- a/review/standin/pool.go
+++ b/review/standin/pool.go
@@ -21,6 +21,7 @@
 		return failed
 	}
 	samplers := append(former, other...)
+	defer func() { record.logRuns(samplers) }()
 	services := []string{"llm-a", "llm-b"}
 	c.putConfig([]route{rolloutRoute("llm-a", nil)}, services)
 	if !c.startNodes(record) {
--- a/review/standin/single.go
+++ b/review/standin/single.go
@@ -9,6 +9,7 @@
 	if err != nil {
 		return failed
 	}
+	defer func() { record.logRuns(samplers) }()
 	c.putConfig([]route{rolloutRoute("llm-a", map[string]any{"singleVersion": true})}, []string{"llm-a"})
 	if !c.startNodes(record) {
 		return failed
--- a/review/standin/streams.go
+++ b/review/standin/streams.go
@@ -16,6 +16,7 @@
 	if err != nil {
 		return failed
 	}
+	defer func() { record.logRuns(samplers) }()
 	c.putConfig([]route{{
 		"name": "r-stream", "host": appHost, "pathPrefix": "/gen/", "kind": platform.KindStream, "resumable": true, "sticky": true,
 		"timeoutMs": 10000, "sloMs": 400, "priority": 1, "service": "llm-a", "maxAttempts": 3,
@@ -53,10 +54,5 @@
 			result = broken
 		}
 	}
-	for _, s := range samplers {
-		for _, run := range s.runs() {
-			record.logAt(run.at, "sampler %s ran %s until %.3f, whole %v", s.id, run.id, run.end.Sub(record.started).Seconds(), run.whole)
-		}
-	}
 	return result
 }
