--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -59,7 +59,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*cluster, *recorder, bool) verdict{
-	"pool": playPool, "moved": playMoved, "single": playSingle, "streams": playStreams,
+	"pool": playPool, "moved": playMoved, "single": playSingle, "streams": playStreams, "long": playLong,
 }
 
 // timeLimit bounds a case; a script may take 120 s.
--- a/review/standin/nodes.go
+++ b/review/standin/nodes.go
@@ -40,6 +40,8 @@
 	// version is that of the configuration, namedAt when the newest weights were named.
 	version uint64
 	namedAt time.Time
+	// retention is statusIntervalS of the settings.
+	retention time.Duration
 }
 
 func newCluster() (*cluster, error) {
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{folder: folder, program: "target/pathbend", store: platformsim.NewStore(1), storeAddress: listener.Addr().String()}
+	c := &cluster{folder: folder, program: "target/pathbend", store: platformsim.NewStore(1), storeAddress: listener.Addr().String(), retention: 120 * time.Second}
 	server := &http.Server{Handler: c.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	return c, nil
@@ -108,7 +110,7 @@
   passMs: 120
   retryAfterS: 0
   finishS: 10
-  statusIntervalS: 120
+  statusIntervalS: %d
   cancelMs: 3000
   settleMs: 1000
   quotaOver: 0.1
@@ -143,7 +145,7 @@
 		}
 		n := &node{name: fmt.Sprintf("edge-%s-1", zone), front: ip + ":8161", readiness: ip + ":8167"}
 		n.settings = filepath.Join(c.folder, n.name+".yaml")
-		content := fmt.Sprintf(settingsText, n.name, ip, zone, ip, ip, c.storeAddress)
+		content := fmt.Sprintf(settingsText, n.name, ip, zone, ip, ip, int(c.retention.Seconds()), c.storeAddress)
 		if err := os.WriteFile(n.settings, []byte(content), 0o600); err != nil {
 			return err
 		}
